Run the whole path, thin, as separate processes

Cause: nothing existed; everything later needs a frame in which a request runs from end to end. Nothing else is tested yet.

--- /dev/null
+++ b/crates/toucanshelf-core/src/digest.rs
@@ -0,0 +1,86 @@
+//! SHA-256 digests.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use sha2::Digest as _;
+use subtle::ConstantTimeEq as _;
+
+/// SHA-256 digest, written as 64 hexadecimal digits.
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Digest([u8; 32]);
+
+/// Text that is not a SHA-256 digest.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("a SHA-256 digest has 64 hexadecimal digits")]
+pub struct BadDigest;
+
+impl Digest {
+    /// Digest of `content`.
+    pub fn of(content: &[u8]) -> Self {
+        Self(sha2::Sha256::digest(content).into())
+    }
+
+    /// Compares in constant time, for secrets.
+    pub fn matches(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+
+    /// Reads 64 hexadecimal digits.
+    ///
+    /// # Errors
+    ///
+    /// Fails on any other text.
+    pub fn parse(text: &str) -> Result<Self, BadDigest> {
+        if text.len() != 64 || !text.is_ascii() {
+            return Err(BadDigest);
+        }
+        let mut out = [0; 32];
+        for (i, byte) in out.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * i..2 * i + 2], 16).map_err(|_| BadDigest)?;
+        }
+        Ok(Self(out))
+    }
+
+    /// First eight bytes as a number, for hashing and short fingerprints.
+    pub fn prefix(&self) -> u64 {
+        u64::from_le_bytes(self.0[..8].try_into().expect("a digest has 32 bytes"))
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.prefix().swap_bytes())
+    }
+}
+
+impl Serialize for Digest {
+    fn serialize<S: serde::Serializer>(&self, s: S) -> Result<S::Ok, S::Error> {
+        if s.is_human_readable() {
+            s.collect_str(self)
+        } else {
+            serde_bytes::Bytes::new(&self.0).serialize(s)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for Digest {
+    fn deserialize<D: serde::Deserializer<'de>>(d: D) -> Result<Self, D::Error> {
+        if d.is_human_readable() {
+            let text = Box::<str>::deserialize(d)?;
+            Self::parse(&text).map_err(serde::de::Error::custom)
+        } else {
+            let bytes = serde_bytes::ByteBuf::deserialize(d)?;
+            let bytes = bytes.into_vec().try_into();
+            bytes
+                .map(Self)
+                .map_err(|_| serde::de::Error::custom(BadDigest))
+        }
+    }
+}
--- /dev/null
+++ b/crates/toucanshelf-ctl/src/cmd/explain.rs
@@ -0,0 +1,47 @@
+//! `toucanctl explain route MODEL`
+
+use getopts::Options;
+use http::Method;
+use toucanshelf_gate::api::ExplainedRoute;
+
+use crate::output::table;
+use crate::{CommandError, Invocation};
+
+/// Declares the options.
+pub(crate) fn options(_: &mut Options) {}
+
+/// Shows the route that a request would take now.
+pub(crate) fn run(cx: &Invocation) -> Result<(), CommandError> {
+    if cx.arg(0, "route")? != "route" {
+        return Err(CommandError::Usage(
+            "explain route MODEL is the only form".into(),
+        ));
+    }
+    let path = format!("/v1/explain/route?model={}", cx.arg(1, "MODEL")?);
+    let answer = cx
+        .client
+        .any(cx.client.gates()?, &Method::GET, &path, b"")?;
+    let route: ExplainedRoute = answer.parse()?;
+    cx.output.print(&route, |route| {
+        let rows: Vec<_> = route
+            .stages
+            .iter()
+            .map(|stage| {
+                let layers = format!("[{}, {})", stage.layers[0], stage.layers[1]);
+                let in_flight = stage.in_flight.to_string();
+                [
+                    stage.engine.to_string(),
+                    stage.zone.to_string(),
+                    layers,
+                    in_flight,
+                ]
+            })
+            .collect();
+        format!(
+            "planner: {}\n{}",
+            route.planner,
+            table(["ENGINE", "ZONE", "LAYERS", "IN FLIGHT"], &rows)
+        )
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/toucanshelf-gate/src/completions/route.rs
@@ -0,0 +1,112 @@
+//! Planned routes with the room they take up in the fleet.
+
+use std::sync::Arc;
+
+use toucanshelf_core::engine::Hop;
+use toucanshelf_core::layers::LayerRange;
+use toucanshelf_routing::planner::{Ask, NoRoute};
+use toucanshelf_routing::route::{EngineKey, Route};
+
+use super::pipeline::Job;
+use crate::shared::Shared;
+
+/// A route whose engines count the request as in flight until it is dropped.
+#[derive(Debug)]
+pub struct PlannedRoute {
+    shared: Arc<Shared>,
+    model: Box<str>,
+    route: Route,
+    /// Engines from the first layer to the last.
+    pub hops: Vec<Hop>,
+    /// Whether no other suspect may use these engines.
+    alone: bool,
+}
+
+impl PlannedRoute {
+    /// Layers of each engine, in order.
+    pub fn layers(&self) -> Vec<LayerRange> {
+        self.route.layers()
+    }
+
+    /// Text for logs and spans.
+    pub fn describe(&self) -> String {
+        let hops = self
+            .hops
+            .iter()
+            .map(|hop| format!("{}{}", hop.engine, hop.layers));
+        hops.collect::<Vec<_>>().join(" -> ")
+    }
+}
+
+impl Drop for PlannedRoute {
+    fn drop(&mut self) {
+        let mut fleets = self.shared.fleets();
+        let Some(model) = fleets.model(&self.model) else {
+            return;
+        };
+        for stage in self.route.stages() {
+            model.fleet.finish(stage.engine);
+        }
+        if self.alone {
+            for hop in &self.hops {
+                model.suspect_engines.remove(&hop.engine);
+            }
+        }
+    }
+}
+
+/// Chooses a route for `job` around the engines called `avoid`.
+pub fn plan(
+    shared: &Arc<Shared>,
+    job: &Job,
+    avoid: &[Box<str>],
+    alone: bool,
+) -> Result<PlannedRoute, NoRoute> {
+    let mut fleets = shared.fleets();
+    let Some(model) = fleets.model(&job.model) else {
+        return Err(NoRoute {
+            missing: job.all_layers(shared),
+        });
+    };
+    let mut avoid: Vec<EngineKey> = avoid.iter().filter_map(|name| model.key(name)).collect();
+    if alone {
+        avoid.extend(
+            model
+                .suspect_engines
+                .iter()
+                .filter_map(|name| model.fleet.key(name)),
+        );
+    }
+    let ask = Ask::new(shared.settings.zone.clone())
+        .with_avoid(avoid)
+        .with_now(shared.now())
+        .with_prefix(job.prefix);
+    let route = model.planner.choose(&model.fleet, &ask, &mut rand::rng())?;
+    let mut hops = Vec::new();
+    for stage in route.stages() {
+        model.fleet.start(stage.engine);
+        let engine = model
+            .fleet
+            .get(stage.engine)
+            .expect("a planned engine is in the fleet");
+        hops.push(Hop {
+            engine: engine.info.name.clone(),
+            incarnation: engine.info.incarnation,
+            address: engine.info.address,
+            layers: stage.layers,
+        });
+    }
+    if alone {
+        model
+            .suspect_engines
+            .extend(hops.iter().map(|hop| hop.engine.clone()));
+    }
+    let (shared, model) = (Arc::clone(shared), job.model.clone());
+    Ok(PlannedRoute {
+        shared,
+        model,
+        route,
+        hops,
+        alone,
+    })
+}
--- /dev/null
+++ b/crates/toucanshelf-gate/src/settings.rs
@@ -0,0 +1,158 @@
+//! Settings of a gate.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use toucanshelf_core::digest::Digest;
+use toucanshelf_core::target::check_text;
+use toucanshelf_link::handshake::SharedKey;
+use toucanshelf_routing::fleet::LinkInfo;
+use toucanshelf_runtime::program::DaemonSettings;
+use toucanshelf_runtime::settings::LogSettings;
+
+/// Settings of a gate.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct GateSettings {
+    /// Name of the instance, unique among gates.
+    pub name: Box<str>,
+    /// Availability zone.
+    pub zone: Box<str>,
+    /// Address for callers and targets.
+    pub listen: SocketAddr,
+    /// Address for other gates.
+    pub link_listen: SocketAddr,
+    /// Key that all processes of the system share.
+    pub link_key: Box<str>,
+    /// Link addresses of the control instances.
+    pub control: Vec<SocketAddr>,
+    /// Link addresses of other gates.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
+    /// SHA-256 digests of the targets' tokens.
+    pub target_token_digests: Vec<Digest>,
+    /// SHA-256 digests of the operators' tokens.
+    pub operator_token_digests: Vec<Digest>,
+    /// Lease of a target, in milliseconds.
+    #[serde(default = "default_lease")]
+    pub lease_ms: u64,
+    /// Deadline of a request that names none, in milliseconds.
+    #[serde(default = "default_deadline")]
+    pub deadline_ms: u64,
+    /// Time within which a plain service must answer, in milliseconds.
+    #[serde(default = "default_service_timeout")]
+    pub service_timeout_ms: u64,
+    /// Time that a stop waits for work under way, in milliseconds.
+    #[serde(default = "default_stop_timeout")]
+    pub stop_timeout_ms: u64,
+    /// Largest request body, in bytes.
+    #[serde(default = "default_body_bytes")]
+    pub max_body_bytes: usize,
+    /// Way to choose routes.
+    #[serde(default)]
+    pub planner: PlannerKind,
+    /// Links between zones that differ from the usual.
+    #[serde(default, rename = "link")]
+    pub links: Vec<LinkSettings>,
+    /// Logs and traces.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+fn default_lease() -> u64 {
+    3_000
+}
+
+fn default_deadline() -> u64 {
+    60_000
+}
+
+fn default_service_timeout() -> u64 {
+    10_000
+}
+
+fn default_stop_timeout() -> u64 {
+    60_000
+}
+
+fn default_body_bytes() -> usize {
+    1 << 20
+}
+
+/// Way to choose routes.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlannerKind {
+    /// By maximum flow.
+    #[default]
+    Flow,
+    /// By the fewest requests in flight; a baseline.
+    LeastLoaded,
+    /// By chance; a baseline.
+    Random,
+}
+
+/// Properties of the link between two zones.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct LinkSettings {
+    /// The two zones.
+    pub zones: [Box<str>; 2],
+    /// One-way delay in milliseconds.
+    pub delay_ms: f64,
+    /// Tokens per second whose activations the link can carry.
+    pub tokens_per_s: f64,
+}
+
+impl LinkSettings {
+    /// Properties for the planners.
+    pub fn info(&self) -> LinkInfo {
+        LinkInfo {
+            delay_ms: self.delay_ms,
+            tokens_per_s: self.tokens_per_s,
+        }
+    }
+}
+
+impl GateSettings {
+    /// Key that all processes share.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the key is too short.
+    pub fn shared_key(&self) -> Result<SharedKey, Box<str>> {
+        SharedKey::new(self.link_key.clone()).map_err(|e| format!("link-key: {e}").into())
+    }
+}
+
+impl DaemonSettings for GateSettings {
+    fn check(&self) -> Result<(), Box<str>> {
+        check_text("name", &self.name)?;
+        check_text("zone", &self.zone)?;
+        self.shared_key()?;
+        if self.control.is_empty() {
+            return Err("control: at least one address is needed".into());
+        }
+        if !(500..=60_000).contains(&self.lease_ms) {
+            return Err("lease-ms: must lie in 500..=60000".into());
+        }
+        if !(1..=3_600_000).contains(&self.deadline_ms) {
+            return Err("deadline-ms: must lie in 1..=3600000".into());
+        }
+        let numbers = self
+            .links
+            .iter()
+            .flat_map(|link| [link.delay_ms, link.tokens_per_s]);
+        if numbers
+            .into_iter()
+            .any(|number| !number.is_finite() || number < 0.0)
+        {
+            return Err("link: delay-ms and tokens-per-s must not be negative".into());
+        }
+        Ok(())
+    }
+
+    fn log(&self) -> &LogSettings {
+        &self.log
+    }
+}
--- /dev/null
+++ b/crates/toucanshelf-link/src/engine.rs
@@ -0,0 +1,243 @@
+//! Border towards model engines.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::BoxFuture;
+use futures_util::stream::{self, BoxStream};
+use futures_util::{FutureExt as _, StreamExt as _};
+use http::{HeaderMap, Method, Request, StatusCode};
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use toucanshelf_core::engine::{CancelRequest, EngineLine, EngineOrder, RunRequest};
+
+/// Longest line from an engine, in bytes.
+const MAX_LINE_BYTES: usize = 64 * 1024;
+/// Longest body of a refusal that is read, in bytes.
+const MAX_REFUSAL_BYTES: usize = 16 * 1024;
+/// Time within which an engine must accept a connection.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Why an engine did not do as asked.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum EngineError {
+    /// No byte reached the engine.
+    #[error("connecting to the engine: {0}")]
+    NotSent(Box<str>),
+    /// The engine refused before running anything.
+    #[error("the engine refused ({status}): {reason}")]
+    Refused {
+        /// HTTP status.
+        status: u16,
+        /// What the engine said.
+        reason: Box<str>,
+    },
+    /// The connection broke.
+    #[error("the connection to the engine broke: {0}")]
+    Broken(Box<str>),
+    /// The engine broke the protocol.
+    #[error("the engine broke the protocol: {0}")]
+    Protocol(Box<str>),
+}
+
+/// Lines from an engine, ending with the first error.
+pub type LineStream = BoxStream<'static, Result<EngineLine, EngineError>>;
+
+/// Border behind which engines run requests.
+///
+/// Dropping a [`LineStream`] tells the engine that nobody reads any more; it may go on until
+/// [`EngineClient::cancel`] reaches it.
+pub trait EngineClient: fmt::Debug + Send + Sync {
+    /// Runs an attempt; `headers` carry the trace context.
+    fn run(
+        &self,
+        engine: SocketAddr,
+        request: RunRequest,
+        headers: HeaderMap,
+    ) -> BoxFuture<'static, Result<LineStream, EngineError>>;
+
+    /// Stops an attempt; idempotent.
+    fn cancel(&self, engine: SocketAddr, request: CancelRequest) -> BoxFuture<'static, ()>;
+
+    /// Orders an engine to change what it holds.
+    fn order(
+        &self,
+        engine: SocketAddr,
+        order: EngineOrder,
+    ) -> BoxFuture<'static, Result<(), EngineError>>;
+}
+
+/// Adapter for engines that speak the protocol of `docs/PROTOCOLS.md`.
+#[derive(Clone, Debug)]
+pub struct HttpEngineClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl Default for HttpEngineClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl HttpEngineClient {
+    /// Creates an adapter with its own pool of connections.
+    pub fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        Self {
+            client: Client::builder(TokioExecutor::new()).build(connector),
+        }
+    }
+
+    async fn post(
+        &self,
+        engine: SocketAddr,
+        path: &str,
+        body: Vec<u8>,
+        headers: HeaderMap,
+    ) -> Result<http::Response<Incoming>, EngineError> {
+        let mut request = Request::builder()
+            .method(Method::POST)
+            .uri(format!("http://{engine}{path}"))
+            .header(http::header::CONTENT_TYPE, "application/json")
+            .body(Full::new(body.into()))
+            .expect("the address and path make a valid request");
+        request.headers_mut().extend(headers);
+        let response = self.client.request(request).await.map_err(|e| {
+            let cause = cause_chain(&e);
+            if e.is_connect() {
+                EngineError::NotSent(cause)
+            } else {
+                EngineError::Broken(cause)
+            }
+        })?;
+        if response.status() == StatusCode::OK {
+            return Ok(response);
+        }
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), MAX_REFUSAL_BYTES)
+            .collect()
+            .await;
+        let text = body
+            .map(http_body_util::Collected::to_bytes)
+            .unwrap_or_default();
+        Err(EngineError::Refused {
+            status,
+            reason: String::from_utf8_lossy(&text).into(),
+        })
+    }
+}
+
+impl EngineClient for HttpEngineClient {
+    fn run(
+        &self,
+        engine: SocketAddr,
+        request: RunRequest,
+        headers: HeaderMap,
+    ) -> BoxFuture<'static, Result<LineStream, EngineError>> {
+        let this = self.clone();
+        async move {
+            let body = serde_json::to_vec(&request).expect("requests are always serialisable");
+            let response = this.post(engine, "/v1/pipeline/run", body, headers).await?;
+            Ok(lines(response.into_body()))
+        }
+        .boxed()
+    }
+
+    fn cancel(&self, engine: SocketAddr, request: CancelRequest) -> BoxFuture<'static, ()> {
+        let this = self.clone();
+        async move {
+            let body = serde_json::to_vec(&request).expect("requests are always serialisable");
+            let headers = HeaderMap::new();
+            // The engine may be gone, which also ends the attempt.
+            let _ = this
+                .post(engine, "/v1/pipeline/cancel", body, headers)
+                .await;
+        }
+        .boxed()
+    }
+
+    fn order(
+        &self,
+        engine: SocketAddr,
+        order: EngineOrder,
+    ) -> BoxFuture<'static, Result<(), EngineError>> {
+        let this = self.clone();
+        async move {
+            let body = serde_json::to_vec(&order).expect("orders are always serialisable");
+            let response = this
+                .post(engine, "/v1/orders", body, HeaderMap::new())
+                .await?;
+            drop(response);
+            Ok(())
+        }
+        .boxed()
+    }
+}
+
+struct LineReader {
+    body: Incoming,
+    buf: Vec<u8>,
+    ended: bool,
+}
+
+/// Splits a body into lines of JSON.
+fn lines(body: Incoming) -> LineStream {
+    let reader = LineReader {
+        body,
+        buf: Vec::new(),
+        ended: false,
+    };
+    stream::unfold(reader, |mut reader| async move {
+        if reader.ended {
+            return None;
+        }
+        let line = reader.next_line().await?;
+        reader.ended = line.is_err();
+        Some((line, reader))
+    })
+    .boxed()
+}
+
+impl LineReader {
+    async fn next_line(&mut self) -> Option<Result<EngineLine, EngineError>> {
+        loop {
+            if let Some(end) = self.buf.iter().position(|byte| *byte == b'\n') {
+                let line: Vec<u8> = self.buf.drain(..=end).collect();
+                let parsed = serde_json::from_slice(&line[..end]);
+                return Some(parsed.map_err(|e| EngineError::Protocol(e.to_string().into())));
+            }
+            if self.buf.len() > MAX_LINE_BYTES {
+                return Some(Err(EngineError::Protocol("a line is too long".into())));
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Some(data) = frame.data_ref() {
+                        self.buf.extend_from_slice(data);
+                    }
+                }
+                Some(Err(e)) => return Some(Err(EngineError::Broken(cause_chain(&e)))),
+                None if self.buf.is_empty() => return None,
+                None => return Some(Err(EngineError::Broken("the last line is cut off".into()))),
+            }
+        }
+    }
+}
+
+/// Text of an error with all its causes.
+pub(crate) fn cause_chain(error: &dyn std::error::Error) -> Box<str> {
+    let mut out = error.to_string();
+    let mut source = error.source();
+    while let Some(cause) = source {
+        out.push_str(": ");
+        out.push_str(&cause.to_string());
+        source = cause.source();
+    }
+    out.into()
+}
--- /dev/null
+++ b/crates/toucanshelf-routing/src/fleet.rs
@@ -0,0 +1,253 @@
+//! What a gate knows of the engines of one model.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use toucanshelf_core::arena::Arena;
+use toucanshelf_core::ids::Incarnation;
+use toucanshelf_core::layers::LayerRange;
+
+use crate::route::EngineKey;
+
+/// What an engine announced.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineInfo {
+    /// Name of the engine.
+    pub name: Box<str>,
+    /// Which start of the engine this is.
+    pub incarnation: Incarnation,
+    /// Availability zone.
+    pub zone: Box<str>,
+    /// Address that takes calls.
+    pub address: SocketAddr,
+    /// Layers that the engine holds.
+    pub layers: LayerRange,
+    /// Layers that it may run; parts of the held ones where stage permissions forbid others.
+    pub usable: Vec<LayerRange>,
+    /// Tokens per second over all requests.
+    pub tokens_per_s: f64,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub ready: bool,
+}
+
+impl EngineInfo {
+    /// Describes a ready engine that may run all layers it holds.
+    pub fn new(
+        name: impl Into<Box<str>>,
+        zone: impl Into<Box<str>>,
+        layers: LayerRange,
+        tokens_per_s: f64,
+    ) -> Self {
+        Self {
+            name: name.into(),
+            incarnation: Incarnation(1),
+            zone: zone.into(),
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            layers,
+            usable: vec![layers],
+            tokens_per_s,
+            slots: 64,
+            ready: true,
+        }
+    }
+}
+
+/// An engine with the gate's own view of it.
+#[derive(Clone, Debug)]
+pub struct EngineState {
+    /// What the engine announced.
+    pub info: EngineInfo,
+    /// This gate's requests that are running there.
+    pub in_flight: u32,
+    /// Time in milliseconds until which nothing new goes there, after a failure seen here.
+    pub avoid_until: u64,
+}
+
+/// Properties of the link between two zones.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LinkInfo {
+    /// One-way delay in milliseconds.
+    pub delay_ms: f64,
+    /// Tokens per second whose activations the link can carry.
+    pub tokens_per_s: f64,
+}
+
+/// Engines of one model, and the links between their zones.
+#[derive(Clone, Debug)]
+pub struct Fleet {
+    layers: u32,
+    engines: Arena<EngineState>,
+    by_name: BTreeMap<Box<str>, EngineKey>,
+    links: BTreeMap<(Box<str>, Box<str>), LinkInfo>,
+    generation: u64,
+}
+
+impl Fleet {
+    /// Creates the empty fleet of a model with `layers` layers.
+    pub fn new(layers: u32) -> Self {
+        let engines = Arena::new();
+        Self {
+            layers,
+            engines,
+            by_name: BTreeMap::new(),
+            links: BTreeMap::new(),
+            generation: 1,
+        }
+    }
+
+    /// Adds the properties of the link between two zones, in both directions.
+    #[must_use]
+    pub fn with_link(mut self, a: &str, b: &str, link: LinkInfo) -> Self {
+        self.links.insert((a.into(), b.into()), link);
+        self.links.insert((b.into(), a.into()), link);
+        self
+    }
+
+    /// Layers of the model.
+    pub fn layers(&self) -> u32 {
+        self.layers
+    }
+
+    /// Number that grows with each change that planners must take into account.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// Adds an engine or replaces what is known of it.
+    ///
+    /// A new incarnation gets a new key, so that routes over the old one go stale.
+    pub fn upsert(&mut self, info: EngineInfo) -> EngineKey {
+        if let Some(key) = self.by_name.get(&info.name).copied()
+            && let Some(state) = self.engines.get_mut(key)
+            && state.info.incarnation == info.incarnation
+        {
+            if state.info != info {
+                state.info = info;
+                self.generation += 1;
+            }
+            return key;
+        }
+        self.remove(&info.name.clone());
+        let name = info.name.clone();
+        let key = self.engines.insert(EngineState {
+            info,
+            in_flight: 0,
+            avoid_until: 0,
+        });
+        self.by_name.insert(name, key);
+        self.generation += 1;
+        key
+    }
+
+    /// Removes an engine.
+    pub fn remove(&mut self, name: &str) {
+        if let Some(key) = self.by_name.remove(name) {
+            self.engines.remove(key);
+            self.generation += 1;
+        }
+    }
+
+    /// Engine behind `key`, unless it is gone.
+    pub fn get(&self, key: EngineKey) -> Option<&EngineState> {
+        self.engines.get(key)
+    }
+
+    /// Key of the engine called `name`.
+    pub fn key(&self, name: &str) -> Option<EngineKey> {
+        self.by_name.get(name).copied()
+    }
+
+    /// All engines.
+    pub fn engines(&self) -> impl Iterator<Item = (EngineKey, &EngineState)> {
+        self.engines.iter()
+    }
+
+    /// Counts a request in at an engine.
+    pub fn start(&mut self, key: EngineKey) {
+        if let Some(engine) = self.engines.get_mut(key) {
+            engine.in_flight += 1;
+        }
+    }
+
+    /// Counts a request out at an engine.
+    pub fn finish(&mut self, key: EngineKey) {
+        if let Some(engine) = self.engines.get_mut(key) {
+            engine.in_flight = engine.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Sends nothing new to an engine until `until`, after a failure seen here.
+    pub fn avoid(&mut self, key: EngineKey, until: u64) {
+        if let Some(engine) = self.engines.get_mut(key) {
+            engine.avoid_until = engine.avoid_until.max(until);
+            self.generation += 1;
+        }
+    }
+
+    /// Link between two zones; a link that nobody described is fast.
+    pub fn link(&self, a: &str, b: &str) -> LinkInfo {
+        let free = LinkInfo {
+            delay_ms: 0.0,
+            tokens_per_s: f64::INFINITY,
+        };
+        if a == b {
+            return free;
+        }
+        let nearby = LinkInfo {
+            delay_ms: 0.5,
+            tokens_per_s: f64::INFINITY,
+        };
+        self.links
+            .get(&(a.into(), b.into()))
+            .copied()
+            .unwrap_or(nearby)
+    }
+
+    /// Layers at which a usable range of a ready engine starts or ends, with 0 and the last.
+    pub fn boundaries(&self) -> Vec<u32> {
+        let ready = self.engines.iter().filter(|(_, engine)| engine.info.ready);
+        let ranges = ready.flat_map(|(_, engine)| &engine.info.usable);
+        let ends = ranges.flat_map(|range| [range.from(), range.to()]);
+        let all: BTreeSet<_> = ends
+            .chain([0, self.layers])
+            .filter(|layer| *layer <= self.layers)
+            .collect();
+        all.into_iter().collect()
+    }
+
+    /// Layers that no ready engine may run.
+    pub fn missing_layers(&self) -> Vec<LayerRange> {
+        let mut out: Vec<LayerRange> = Vec::new();
+        for pair in self.boundaries().windows(2) {
+            let piece = LayerRange::new(pair[0], pair[1]).expect("boundaries ascend");
+            let covered = self.engines.iter().any(|(_, engine)| {
+                engine.info.ready && engine.info.usable.iter().any(|range| range.covers(piece))
+            });
+            if covered {
+                continue;
+            }
+            match out.last_mut() {
+                Some(last) if last.to() == piece.from() => {
+                    *last = LayerRange::new(last.from(), piece.to()).expect("pieces ascend");
+                }
+                _ => out.push(piece),
+            }
+        }
+        out
+    }
+
+    /// Requests that the scarcest layer can run at once.
+    pub fn slots(&self) -> u32 {
+        let pieces = self.boundaries();
+        let slots = pieces.windows(2).map(|pair| {
+            let piece = LayerRange::new(pair[0], pair[1]).expect("boundaries ascend");
+            let covering = self.engines.iter().filter(|(_, engine)| {
+                engine.info.ready && engine.info.usable.iter().any(|range| range.covers(piece))
+            });
+            covering.map(|(_, engine)| engine.info.slots).sum()
+        });
+        slots.min().unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/toucanshelf-routing/src/flow.rs
@@ -0,0 +1,118 @@
+//! Maximum flow by Dinic's algorithm, with edges that can be added between runs.
+
+use std::collections::VecDeque;
+
+/// Node of a [`FlowGraph`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Node(usize);
+
+/// Edge of a [`FlowGraph`].
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Edge(usize);
+
+/// Capacity that never limits, in milli-units.
+pub const UNLIMITED: u64 = u64::MAX / 4;
+
+#[derive(Clone, Copy, Debug)]
+struct Arc {
+    to: usize,
+    residual: u64,
+}
+
+/// Directed graph with capacities. Arc `2i` and its reverse `2i + 1` make edge `i`.
+#[derive(Clone, Debug, Default)]
+pub struct FlowGraph {
+    arcs: Vec<Arc>,
+    out: Vec<Vec<usize>>,
+}
+
+impl FlowGraph {
+    /// Creates an empty graph.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds a node.
+    pub fn add_node(&mut self) -> Node {
+        self.out.push(Vec::new());
+        Node(self.out.len() - 1)
+    }
+
+    /// Adds an edge.
+    pub fn add_edge(&mut self, from: Node, to: Node, capacity: u64) -> Edge {
+        let index = self.arcs.len();
+        self.arcs.push(Arc {
+            to: to.0,
+            residual: capacity,
+        });
+        self.arcs.push(Arc {
+            to: from.0,
+            residual: 0,
+        });
+        self.out[from.0].push(index);
+        self.out[to.0].push(index + 1);
+        Edge(index / 2)
+    }
+
+    /// Flow over an edge.
+    pub fn flow(&self, edge: Edge) -> u64 {
+        self.arcs[2 * edge.0 + 1].residual
+    }
+
+    /// Raises the flow from `source` to `sink` to its maximum and returns what was added.
+    pub fn maximise(&mut self, source: Node, sink: Node) -> u64 {
+        let mut added = 0;
+        while let Some(level) = self.levels(source.0, sink.0) {
+            let mut next = vec![0; self.out.len()];
+            loop {
+                let pushed = self.push(source.0, sink.0, UNLIMITED, &level, &mut next);
+                if pushed == 0 {
+                    break;
+                }
+                added += pushed;
+            }
+        }
+        added
+    }
+
+    fn levels(&self, source: usize, sink: usize) -> Option<Vec<u32>> {
+        let mut level = vec![u32::MAX; self.out.len()];
+        level[source] = 0;
+        let mut open = VecDeque::from([source]);
+        while let Some(node) = open.pop_front() {
+            for arc in self.out[node].iter().map(|i| self.arcs[*i]) {
+                if arc.residual > 0 && level[arc.to] == u32::MAX {
+                    level[arc.to] = level[node] + 1;
+                    open.push_back(arc.to);
+                }
+            }
+        }
+        (level[sink] != u32::MAX).then_some(level)
+    }
+
+    fn push(
+        &mut self,
+        node: usize,
+        sink: usize,
+        limit: u64,
+        level: &[u32],
+        next: &mut [usize],
+    ) -> u64 {
+        if node == sink {
+            return limit;
+        }
+        while let Some(index) = self.out[node].get(next[node]).copied() {
+            let arc = self.arcs[index];
+            if arc.residual > 0 && level[arc.to] == level[node] + 1 {
+                let pushed = self.push(arc.to, sink, limit.min(arc.residual), level, next);
+                if pushed > 0 {
+                    self.arcs[index].residual -= pushed;
+                    self.arcs[index ^ 1].residual += pushed;
+                    return pushed;
+                }
+            }
+            next[node] += 1;
+        }
+        0
+    }
+}
--- /dev/null
+++ b/crates/toucanshelf-routing/src/lib.rs
@@ -0,0 +1,32 @@
+//! Route planning, admission and retry decisions without I/O.
+//!
+//! A [`fleet::Fleet`] holds what a gate knows of the engines of one model. A
+//! [`planner::Planner`] turns it into a [`route::Route`] that runs every layer once, in order.
+//! [`delivery::Delivery`] checks each token frame against the request. [`admission::Admission`]
+//! shares the system between organisations; [`retry`] and [`quarantine`] bound what failures
+//! may cost.
+//!
+//! ```
+//! use toucanshelf_core::layers::LayerRange;
+//! use toucanshelf_routing::fleet::{EngineInfo, Fleet};
+//! use toucanshelf_routing::planner::{Ask, FlowPlanner, Planner};
+//!
+//! let mut fleet = Fleet::new(20);
+//! for (name, from, to) in [("a", 0, 10), ("b", 10, 20)] {
+//!     let layers = LayerRange::new(from, to).unwrap();
+//!     fleet.upsert(EngineInfo::new(name, "zone-1", layers, 100.0));
+//! }
+//! let mut planner = FlowPlanner::new();
+//! let mut rng = rand::rng();
+//! let route = planner.choose(&fleet, &Ask::new("zone-1"), &mut rng).unwrap();
+//! assert_eq!(route.stages().len(), 2);
+//! ```
+
+pub mod admission;
+pub mod delivery;
+pub mod fleet;
+pub mod flow;
+pub mod planner;
+pub mod quarantine;
+pub mod retry;
+pub mod route;
--- /dev/null
+++ b/crates/toucanshelf-runtime/src/metrics.rs
@@ -0,0 +1,11 @@
+//! Text of the metrics endpoint.
+
+use prometheus::{Encoder as _, Registry, TextEncoder};
+
+/// Renders all metrics of `registry`.
+pub fn render(registry: &Registry) -> Vec<u8> {
+    let mut buf = Vec::new();
+    let encoded = TextEncoder::new().encode(&registry.gather(), &mut buf);
+    encoded.expect("metrics are always encodable");
+    buf
+}
--- /dev/null
+++ b/crates/toucanshelf-runtime/src/program.rs
@@ -0,0 +1,117 @@
+//! Common shape of the daemons' `main`.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use getopts::Options;
+use serde::de::DeserializeOwned;
+
+use crate::logs::{self, TelemetryGuard};
+use crate::settings::{self, LogSettings};
+
+/// Exit code for wrong options or settings.
+pub const EXIT_USAGE: u8 = 2;
+/// Exit code for a failure at run time.
+pub const EXIT_FAILURE: u8 = 1;
+
+/// Settings that a daemon reads from its file.
+pub trait DaemonSettings: DeserializeOwned {
+    /// Checks what can't be expressed in the types.
+    ///
+    /// # Errors
+    ///
+    /// Returns the key and what is wrong with its value.
+    fn check(&self) -> Result<(), Box<str>>;
+
+    /// Settings of logs and traces.
+    fn log(&self) -> &LogSettings;
+}
+
+/// Runs a daemon: reads options and settings, starts logs, and calls `start` until it ends.
+///
+/// `start` gets the checked settings and returns when the daemon has stopped in order.
+pub fn run<S, F>(name: &'static str, start: impl FnOnce(S) -> F) -> ExitCode
+where
+    S: DaemonSettings,
+    F: Future<Output = Result<(), Box<str>>>,
+{
+    let args: Vec<_> = std::env::args().skip(1).collect();
+    let path = match parse_options(name, &args) {
+        Ok(Invocation::Run { settings, check }) => (settings, check),
+        Ok(Invocation::Print(text)) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Err(message) => return fail(name, EXIT_USAGE, &message),
+    };
+    let (path, only_check) = path;
+    let settings: S = match settings::load(&path) {
+        Ok(settings) => settings,
+        Err(e) => return fail(name, EXIT_USAGE, &e.to_string()),
+    };
+    if let Err(message) = settings.check() {
+        return fail(name, EXIT_USAGE, &format!("{}: {message}", path.display()));
+    }
+    if only_check {
+        println!("{}: settings are valid", path.display());
+        return ExitCode::SUCCESS;
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .build();
+    let runtime = runtime.expect("the system can start threads");
+    let guard = match runtime.block_on(async { logs::start(name, settings.log()) }) {
+        Ok(guard) => guard,
+        Err(e) => return fail(name, EXIT_USAGE, &e),
+    };
+    let result = runtime.block_on(start(settings));
+    TelemetryGuard::flush(guard);
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => fail(name, EXIT_FAILURE, &message),
+    }
+}
+
+enum Invocation {
+    Run { settings: PathBuf, check: bool },
+    Print(String),
+}
+
+fn parse_options(name: &str, args: &[String]) -> Result<Invocation, String> {
+    let mut options = Options::new();
+    options.optopt("s", "settings", "settings file (TOML)", "FILE");
+    options.optflag("", "check", "check the settings and exit");
+    options.optflag("h", "help", "print this help and exit");
+    options.optflag("V", "version", "print the version and exit");
+    let matches = options
+        .parse(args)
+        .map_err(|e| format!("{e}; see --help"))?;
+    if matches.opt_present("help") {
+        let brief = format!("Usage: {name} --settings FILE [--check]");
+        return Ok(Invocation::Print(options.usage(&brief)));
+    }
+    if matches.opt_present("version") {
+        return Ok(Invocation::Print(format!(
+            "{name} {}",
+            env!("CARGO_PKG_VERSION")
+        )));
+    }
+    if let Some(extra) = matches.free.first() {
+        return Err(format!("unexpected argument `{extra}`; see --help"));
+    }
+    match matches.opt_str("settings") {
+        Some(file) => {
+            let check = matches.opt_present("check");
+            Ok(Invocation::Run {
+                settings: file.into(),
+                check,
+            })
+        }
+        None => Err("--settings FILE is missing; see --help".into()),
+    }
+}
+
+fn fail(name: &str, code: u8, message: &str) -> ExitCode {
+    eprintln!("{name}: {message}");
+    ExitCode::from(code)
+}
--- /dev/null
+++ b/crates/toucanshelf-runtime/src/trace.rs
@@ -0,0 +1,61 @@
+//! W3C trace context on requests.
+
+use http::{HeaderMap, HeaderValue};
+use opentelemetry::propagation::{Extractor, TextMapPropagator as _};
+use opentelemetry::trace::TraceContextExt as _;
+use opentelemetry_sdk::propagation::TraceContextPropagator;
+use tracing::Span;
+use tracing_opentelemetry::OpenTelemetrySpanExt as _;
+
+/// Header that carries the trace context.
+pub const TRACEPARENT: &str = "traceparent";
+
+struct Headers<'a>(&'a HeaderMap);
+
+impl Extractor for Headers<'_> {
+    fn get(&self, key: &str) -> Option<&str> {
+        self.0.get(key)?.to_str().ok()
+    }
+
+    fn keys(&self) -> Vec<&str> {
+        self.0.keys().map(http::HeaderName::as_str).collect()
+    }
+}
+
+/// Makes the caller's span, where the headers name one, the parent of `span`.
+pub fn continue_trace(span: &Span, headers: &HeaderMap) {
+    let parent = TraceContextPropagator::new().extract(&Headers(headers));
+    // Fails only where no tracer is installed, as in tests.
+    let _ = span.set_parent(parent);
+}
+
+/// Value of the `traceparent` header for work under `span`.
+///
+/// None where no tracer is installed.
+pub fn traceparent(span: &Span) -> Option<HeaderValue> {
+    let cx = span.context();
+    let current = cx.span();
+    let context = current.span_context();
+    if !context.is_valid() {
+        return None;
+    }
+    let flags = context.trace_flags().to_u8();
+    let text = format!(
+        "00-{}-{}-{flags:02x}",
+        context.trace_id(),
+        context.span_id()
+    );
+    HeaderValue::from_str(&text).ok()
+}
+
+/// Trace id of `span` for log lines; empty where no tracer is installed.
+pub fn trace_id(span: &Span) -> Box<str> {
+    let cx = span.context();
+    let current = cx.span();
+    let context = current.span_context();
+    if context.is_valid() {
+        context.trace_id().to_string().into()
+    } else {
+        "".into()
+    }
+}
--- /dev/null
+++ b/crates/toucanshelf-standin/src/service.rs
@@ -0,0 +1,275 @@
+//! Stand-in plain service: counts what it runs.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use dropshot::{
+    ApiDescription, Body, ConfigDropshot, HttpResponseOk, Path, RequestContext, ServerBuilder,
+    UntypedBody, endpoint,
+};
+use http::Response;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use tokio::sync::{mpsc, watch};
+use toucanshelf_core::ids::Incarnation;
+use toucanshelf_core::target::{Announcement, TargetPhase, TargetRole};
+use toucanshelf_runtime::http::{ApiError, json_response};
+use toucanshelf_runtime::logs::slog_bridge;
+use toucanshelf_runtime::program::DaemonSettings;
+use toucanshelf_runtime::settings::LogSettings;
+
+use crate::announce::announce;
+
+/// Settings of a stand-in service.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct ServiceSettings {
+    /// Name of the target.
+    pub name: Box<str>,
+    /// Service that it belongs to.
+    pub service: Box<str>,
+    /// Availability zone.
+    pub zone: Box<str>,
+    /// Address to listen on; port 0 lets the system choose.
+    pub listen: SocketAddr,
+    /// Gates to announce to.
+    pub gates: Vec<SocketAddr>,
+    /// Token that the gates know.
+    pub target_token: Box<str>,
+    /// Time that a call takes, in milliseconds.
+    #[serde(default)]
+    pub delay_ms: u64,
+    /// Logs and traces.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+impl ServiceSettings {
+    /// Settings of a service on loopback.
+    pub fn new(
+        name: impl Into<Box<str>>,
+        service: impl Into<Box<str>>,
+        zone: impl Into<Box<str>>,
+        gates: Vec<SocketAddr>,
+        target_token: impl Into<Box<str>>,
+    ) -> Self {
+        Self {
+            name: name.into(),
+            service: service.into(),
+            zone: zone.into(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            gates,
+            target_token: target_token.into(),
+            delay_ms: 0,
+            log: LogSettings::default(),
+        }
+    }
+}
+
+impl DaemonSettings for ServiceSettings {
+    fn check(&self) -> Result<(), Box<str>> {
+        if self.gates.is_empty() {
+            return Err("gates: at least one address is needed".into());
+        }
+        Ok(())
+    }
+
+    fn log(&self) -> &LogSettings {
+        &self.log
+    }
+}
+
+/// One call that has run.
+#[derive(Clone, Debug, Deserialize, JsonSchema, Serialize)]
+pub struct Run {
+    /// Path of the call.
+    pub path: Box<str>,
+    /// Body of the call.
+    pub body: Box<str>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    settings: ServiceSettings,
+    runs: Mutex<Vec<Run>>,
+    started: mpsc::UnboundedSender<Run>,
+}
+
+/// A running stand-in service.
+#[derive(Debug)]
+pub struct StandinService {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    phase: watch::Sender<TargetPhase>,
+    started: Option<mpsc::UnboundedReceiver<Run>>,
+    runtime: Option<tokio::runtime::Runtime>,
+}
+
+impl StandinService {
+    /// Starts the service on threads of its own.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the address can't be listened on.
+    pub fn start(settings: ServiceSettings) -> Result<Self, Box<str>> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .enable_all()
+            .build()
+            .map_err(|e| format!("starting threads: {e}"))?;
+        let (started, started_rx) = mpsc::unbounded_channel();
+        let shared = Arc::new(Shared {
+            settings,
+            runs: Mutex::default(),
+            started,
+        });
+        let address = runtime.block_on(async { listen(&shared) })?;
+        let (phase, phase_rx) = watch::channel(TargetPhase::Ready);
+        let settings = &shared.settings;
+        let announcement = Announcement {
+            name: settings.name.clone(),
+            incarnation: Incarnation(crate::engine::unix_ms()),
+            zone: settings.zone.clone(),
+            address,
+            role: TargetRole::Service {
+                service: settings.service.clone(),
+            },
+            phase: TargetPhase::Ready,
+            slots: 64,
+        };
+        let token = settings.target_token.clone();
+        runtime.spawn(announce(
+            announcement,
+            settings.gates.clone(),
+            token,
+            phase_rx,
+        ));
+        let (runtime, started) = (Some(runtime), Some(started_rx));
+        Ok(Self {
+            shared,
+            address,
+            phase,
+            started,
+            runtime,
+        })
+    }
+
+    /// Address that takes calls.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Calls that have run.
+    pub fn runs(&self) -> Vec<Run> {
+        self.shared.runs.lock().expect("no holder panics").clone()
+    }
+
+    /// Receiver of every call at the moment it starts to run.
+    pub fn take_started(&mut self) -> Option<mpsc::UnboundedReceiver<Run>> {
+        self.started.take()
+    }
+
+    /// Announces that the service leaves.
+    pub fn leave(&self) {
+        self.phase.send_replace(TargetPhase::Left);
+    }
+
+    /// Crashes: every connection breaks at once.
+    pub fn kill(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+impl Drop for StandinService {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn listen(shared: &Arc<Shared>) -> Result<SocketAddr, Box<str>> {
+    let mut api = ApiDescription::new();
+    api.register(list_runs)
+        .expect("the endpoint is well-formed");
+    api.register(call).expect("the endpoint is well-formed");
+    let config = ConfigDropshot {
+        bind_address: shared.settings.listen,
+        ..ConfigDropshot::default()
+    };
+    let server = ServerBuilder::new(api, Arc::clone(shared), slog_bridge())
+        .config(config)
+        .start()
+        .map_err(|e| format!("listening on {}: {e}", shared.settings.listen))?;
+    let address = server.local_addr();
+    // The server ends with the runtime.
+    tokio::spawn(server);
+    Ok(address)
+}
+
+#[derive(Debug, Deserialize, JsonSchema)]
+struct CallPath {
+    path: Vec<String>,
+}
+
+#[derive(Serialize)]
+struct Receipt {
+    number: usize,
+    path: Box<str>,
+}
+
+/// Lists every call that has run, whatever the path.
+#[endpoint { method = GET, path = "/{path:.*}", unpublished = true }]
+async fn list_runs(
+    rqctx: RequestContext<Arc<Shared>>,
+    _path: Path<CallPath>,
+) -> Result<HttpResponseOk<Vec<Run>>, ApiError> {
+    Ok(HttpResponseOk(
+        rqctx
+            .context()
+            .runs
+            .lock()
+            .expect("no holder panics")
+            .clone(),
+    ))
+}
+
+/// Runs a call and answers with its number.
+#[endpoint { method = POST, path = "/{path:.*}", unpublished = true }]
+async fn call(
+    rqctx: RequestContext<Arc<Shared>>,
+    path: Path<CallPath>,
+    body: UntypedBody,
+) -> Result<Response<Body>, ApiError> {
+    let shared = rqctx.context();
+    let path: Box<str> = format!("/{}", path.into_inner().path.join("/")).into();
+    let body = String::from_utf8_lossy(body.as_bytes()).into();
+    let run = Run {
+        path: path.clone(),
+        body,
+    };
+    let number = {
+        let mut runs = shared.runs.lock().expect("no holder panics");
+        runs.push(run.clone());
+        runs.len()
+    };
+    let _ = shared.started.send(run);
+    tokio::time::sleep(Duration::from_millis(shared.settings.delay_ms)).await;
+    Ok(json_response(201, &Receipt { number, path }))
+}
+
+/// Runs a stand-in service as a program until it is asked to stop.
+///
+/// # Errors
+///
+/// Fails when the service can't start.
+pub async fn run_program(settings: ServiceSettings) -> Result<(), Box<str>> {
+    let started = tokio::task::spawn_blocking(|| StandinService::start(settings)).await;
+    let service = started.map_err(|e| e.to_string())??;
+    tracing::info!(event = "TS9004", address = %service.address(), "stand-in service listens");
+    toucanshelf_runtime::shutdown::requested().await;
+    service.leave();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/toucanshelf-gate.rs
@@ -0,0 +1,10 @@
+//! Gate of toucanshelf.
+
+use std::process::ExitCode;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    toucanshelf_runtime::program::run("toucanshelf-gate", toucanshelf_gate::run_program)
+}
--- /dev/null
+++ b/tests/traces.rs
@@ -0,0 +1,3 @@
+//! Replay of recorded traces against stated outcomes.
+
+fn main() {}
