--- a/crates/toucanshelf-coordination/src/replica/progress.rs
+++ b/crates/toucanshelf-coordination/src/replica/progress.rs
@@ -16,8 +16,10 @@
     pub next: Index,
     /// Leader's clock in the latest message that the follower has answered.
     pub heard: u64,
-    /// Time before which nothing is sent again.
+    /// Time before which entries are not sent again.
     pub resend_due: u64,
+    /// Time before which the snapshot is not sent again.
+    pub snapshot_due: u64,
 }
 
 impl Progress {
@@ -28,6 +30,7 @@
             next,
             heard,
             resend_due: 0,
+            snapshot_due: 0,
         }
     }
 }
--- a/crates/toucanshelf-coordination/src/replica/replication.rs
+++ b/crates/toucanshelf-coordination/src/replica/replication.rs
@@ -97,7 +97,7 @@
         }
         let previous = Index(progress.next.0 - 1);
         let Some(previous_term) = self.term_at(previous) else {
-            self.send_snapshot(to, progress);
+            self.send_snapshot(to, progress, heartbeat);
             return;
         };
         let entries = self.batch_from(progress.next);
@@ -121,9 +121,12 @@
         self.send(to, self.term, body);
     }
 
-    fn send_snapshot(&mut self, to: ReplicaId, mut progress: Progress) {
+    fn send_snapshot(&mut self, to: ReplicaId, mut progress: Progress, heartbeat: bool) {
         let sent = self.now;
-        if self.now < progress.resend_due {
+        if self.now < progress.snapshot_due {
+            if !heartbeat {
+                return;
+            }
             // Keeps the follower from standing for election while the snapshot is on its way.
             let previous = self.snapshot.index;
             let previous_term = self.snapshot.term;
@@ -139,7 +142,7 @@
             self.send(to, self.term, body);
             return;
         }
-        progress.resend_due = self.now + SNAPSHOT_RESEND_MS;
+        progress.snapshot_due = self.now + SNAPSHOT_RESEND_MS;
         self.progress.insert(to, progress);
         let snapshot = self.snapshot.clone();
         self.send(to, self.term, MessageBody::Snapshot { snapshot, sent });
@@ -247,7 +250,7 @@
         if rejected {
             progress.next = Index(matched.0 + 1).max(Index(progress.matched.0 + 1));
             progress.resend_due = self.now + RESEND_MS;
-            self.send_append(from, true);
+            self.send_append(from, false);
             return;
         }
         progress.matched = progress.matched.max(matched.min(last));
--- /dev/null
+++ b/crates/toucanshelf-coordination/tests/replica/cluster.rs
@@ -0,0 +1,436 @@
+//! Driver for replicas in virtual time: a lossy network, crashes, freezes, lost disks.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use toucanshelf_coordination::replica::{
+    Entry, EntryBody, Index, Membership, Message, Persisted, Ready, Replica, ReplicaConfig,
+    ReplicaId, Role, Term,
+};
+
+/// Virtual time of one step, in milliseconds.
+pub const STEP_MS: u64 = 10;
+
+/// Disk of one replica: what has been synced.
+#[derive(Clone, Debug, Default)]
+struct Disk {
+    persisted: Persisted,
+}
+
+impl Disk {
+    fn store(&mut self, ready: &Ready) {
+        let stored = &mut self.persisted;
+        if let Some((term, vote)) = ready.vote {
+            stored.term = term;
+            stored.vote = vote;
+        }
+        if let Some(snapshot) = &ready.snapshot {
+            stored.snapshot = snapshot.clone();
+            let index = snapshot.index;
+            stored
+                .entries
+                .retain(|entry| !ready.log_reset && entry.index > index);
+        }
+        if let Some(first) = ready.entries.first() {
+            stored.entries.retain(|entry| entry.index < first.index);
+        }
+        stored.entries.extend(ready.entries.iter().cloned());
+    }
+}
+
+struct Node {
+    replica: Option<Replica>,
+    disk: Disk,
+    /// Commands applied, by index.
+    applied: BTreeMap<Index, Vec<u8>>,
+    applied_to: Index,
+    frozen_until: u64,
+    /// Messages that a frozen node gets later.
+    inbox: Vec<Message>,
+}
+
+/// What the network and the nodes suffer.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    /// Share of messages that are lost.
+    pub loss: f64,
+    /// Share of messages that arrive twice.
+    pub duplication: f64,
+    /// Longest delay, in milliseconds.
+    pub delay_ms: u64,
+    /// Chance of a crash or another fault at each step.
+    pub chaos: f64,
+    /// Whether disks are lost too.
+    pub lost_disks: bool,
+}
+
+/// Replicas with the network between them and the checks over them.
+pub struct Cluster {
+    pub now: u64,
+    pub config: fn(ReplicaId) -> ReplicaConfig,
+    nodes: BTreeMap<ReplicaId, Node>,
+    network: BTreeMap<(u64, u64), Message>,
+    next_message: u64,
+    rng: ChaCha8Rng,
+    faults: Faults,
+    cut: BTreeSet<ReplicaId>,
+    leaders: BTreeMap<Term, ReplicaId>,
+    committed: BTreeMap<Index, Entry>,
+    next_disk: u32,
+    pub acknowledged: BTreeSet<Vec<u8>>,
+    pending: BTreeMap<(ReplicaId, Index), (Term, Vec<u8>)>,
+    compact_every: u64,
+}
+
+impl Cluster {
+    pub fn new(voters: u32, seed: u64, faults: Faults) -> Self {
+        let ids: Vec<_> = (1..=voters).map(|n| ReplicaId::new(n, 1)).collect();
+        let mut out = Self {
+            now: 1,
+            config: ReplicaConfig::new,
+            nodes: BTreeMap::new(),
+            network: BTreeMap::new(),
+            next_message: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            faults,
+            cut: BTreeSet::new(),
+            leaders: BTreeMap::new(),
+            committed: BTreeMap::new(),
+            next_disk: 2,
+            acknowledged: BTreeSet::new(),
+            pending: BTreeMap::new(),
+            compact_every: 40,
+        };
+        for id in &ids {
+            out.add_node(*id, Persisted::with_voters(ids.iter().copied()));
+        }
+        out
+    }
+
+    fn add_node(&mut self, id: ReplicaId, persisted: Persisted) {
+        let disk = Disk { persisted };
+        let applied = BTreeMap::new();
+        let (applied_to, frozen_until, inbox) = (Index(0), 0, Vec::new());
+        let node = Node {
+            replica: None,
+            disk,
+            applied,
+            applied_to,
+            frozen_until,
+            inbox,
+        };
+        self.nodes.insert(id, node);
+        self.start(id);
+    }
+
+    pub fn set_faults(&mut self, faults: Faults) {
+        self.faults = faults;
+    }
+
+    pub fn ids(&self) -> Vec<ReplicaId> {
+        self.nodes.keys().copied().collect()
+    }
+
+    pub fn start(&mut self, id: ReplicaId) {
+        let seed = self.rng.random();
+        let node = self.nodes.get_mut(&id).unwrap();
+        if node.replica.is_some() {
+            return;
+        }
+        let config = (self.config)(id);
+        node.replica = Some(Replica::new(
+            config,
+            node.disk.persisted.clone(),
+            seed,
+            self.now,
+        ));
+        node.applied.clear();
+        node.applied_to = Index(0);
+    }
+
+    pub fn crash(&mut self, id: ReplicaId) {
+        let node = self.nodes.get_mut(&id).unwrap();
+        node.replica = None;
+        node.inbox.clear();
+        self.pending.retain(|(owner, _), _| *owner != id);
+    }
+
+    pub fn freeze(&mut self, id: ReplicaId, ms: u64) {
+        self.nodes.get_mut(&id).unwrap().frozen_until = self.now + ms;
+    }
+
+    /// Cuts a node off from all others.
+    pub fn isolate(&mut self, id: ReplicaId) {
+        self.cut.insert(id);
+    }
+
+    pub fn heal(&mut self) {
+        self.cut.clear();
+        for id in self.ids() {
+            self.start(id);
+            self.nodes.get_mut(&id).unwrap().frozen_until = 0;
+        }
+    }
+
+    /// Loses a disk; the instance comes back with an empty one and a new identity.
+    pub fn lose_disk(&mut self, id: ReplicaId) -> ReplicaId {
+        self.nodes.remove(&id);
+        self.pending.retain(|(owner, _), _| *owner != id);
+        let instance = (id.0 >> 32) as u32;
+        let fresh = ReplicaId::new(instance, self.next_disk);
+        self.next_disk += 1;
+        self.add_node(fresh, Persisted::default());
+        fresh
+    }
+
+    pub fn replica(&self, id: ReplicaId) -> Option<&Replica> {
+        self.nodes.get(&id)?.replica.as_ref()
+    }
+
+    /// Replica that leads with a lease.
+    pub fn leader(&self) -> Option<ReplicaId> {
+        // The clock of a frozen process stands still, and so does its lease.
+        let mut awake = self
+            .nodes
+            .iter()
+            .filter(|(_, node)| self.now >= node.frozen_until);
+        let leads = |node: &Node| node.replica.as_ref().is_some_and(Replica::has_lease);
+        awake.find(|(_, node)| leads(node)).map(|(id, _)| *id)
+    }
+
+    pub fn propose(&mut self, id: ReplicaId, command: &[u8]) -> bool {
+        let Some(replica) = self
+            .nodes
+            .get_mut(&id)
+            .and_then(|node| node.replica.as_mut())
+        else {
+            return false;
+        };
+        let Ok(index) = replica.propose(command.to_vec()) else {
+            return false;
+        };
+        let term = replica.term();
+        self.pending.insert((id, index), (term, command.to_vec()));
+        self.settle(id);
+        true
+    }
+
+    pub fn propose_membership(&mut self, id: ReplicaId, next: Membership) -> bool {
+        let replica = self
+            .nodes
+            .get_mut(&id)
+            .and_then(|node| node.replica.as_mut());
+        let taken = replica.is_some_and(|replica| replica.propose_membership(next).is_ok());
+        self.settle(id);
+        taken
+    }
+
+    /// Lets one step of time pass, with whatever faults chance brings.
+    pub fn step(&mut self) {
+        self.now += STEP_MS;
+        if self.rng.random_bool(self.faults.chaos) {
+            self.disturb();
+        }
+        let due: Vec<_> = self
+            .network
+            .range(..(self.now, 0))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in due {
+            let message = self.network.remove(&key).unwrap();
+            self.deliver(message);
+        }
+        for id in self.ids() {
+            let node = self.nodes.get_mut(&id).unwrap();
+            if self.now < node.frozen_until {
+                continue;
+            }
+            let inbox = std::mem::take(&mut node.inbox);
+            let Some(replica) = node.replica.as_mut() else {
+                continue;
+            };
+            // A thawed process sees the messages of the past before its clock ticks.
+            for message in inbox {
+                replica.receive(self.now, message);
+            }
+            replica.tick(self.now);
+            self.settle(id);
+        }
+        self.check_leases();
+    }
+
+    pub fn run(&mut self, ms: u64) {
+        for _ in 0..ms / STEP_MS {
+            self.step();
+        }
+    }
+
+    fn disturb(&mut self) {
+        let ids = self.ids();
+        let id = ids[self.rng.random_range(0..ids.len())];
+        match self.rng.random_range(0..8) {
+            0 | 1 => self.crash(id),
+            2 => {
+                let ms = self.rng.random_range(100..2_000);
+                self.freeze(id, ms);
+            }
+            3 => self.isolate(id),
+            4 if self.faults.lost_disks && self.cut.is_empty() => {
+                self.lose_disk(id);
+            }
+            _ => self.heal(),
+        }
+    }
+
+    fn deliver(&mut self, message: Message) {
+        if self.cut.contains(&message.from) || self.cut.contains(&message.to) {
+            return;
+        }
+        let Some(node) = self.nodes.get_mut(&message.to) else {
+            return;
+        };
+        if self.now < node.frozen_until {
+            node.inbox.push(message);
+            return;
+        }
+        let to = message.to;
+        if let Some(replica) = node.replica.as_mut() {
+            replica.receive(self.now, message);
+            self.settle(to);
+        }
+    }
+
+    fn settle(&mut self, id: ReplicaId) {
+        loop {
+            let node = self.nodes.get_mut(&id).unwrap();
+            let Some(replica) = node.replica.as_mut() else {
+                return;
+            };
+            let ready = replica.ready();
+            let idle = !ready.must_store() && ready.messages.is_empty();
+            // A crash can come before the write, or after it and before the messages.
+            if ready.must_store() && self.rng.random_bool(self.faults.chaos) {
+                if self.rng.random_bool(0.5) {
+                    node.disk.store(&ready);
+                }
+                self.crash(id);
+                return;
+            }
+            node.disk.store(&ready);
+            replica.persisted(&ready);
+            let (role, term) = (replica.role(), replica.term());
+            for message in ready.messages {
+                self.post(&message);
+            }
+            if role == Role::Leader {
+                let first = *self.leaders.entry(term).or_insert(id);
+                assert_eq!(first, id, "two leaders in {term:?}");
+            }
+            self.apply(id);
+            if idle {
+                return;
+            }
+        }
+    }
+
+    fn post(&mut self, message: &Message) {
+        if self.rng.random_bool(self.faults.loss) {
+            return;
+        }
+        let copies = if self.rng.random_bool(self.faults.duplication) {
+            2
+        } else {
+            1
+        };
+        for _ in 0..copies {
+            let due = self.now + self.rng.random_range(0..=self.faults.delay_ms);
+            self.next_message += 1;
+            self.network
+                .insert((due, self.next_message), message.clone());
+        }
+    }
+
+    fn apply(&mut self, id: ReplicaId) {
+        let node = self.nodes.get_mut(&id).unwrap();
+        let replica = node.replica.as_mut().unwrap();
+        if let Some(snapshot) = replica.take_installed() {
+            assert!(
+                snapshot.index >= node.applied_to,
+                "{id:?} went back by a snapshot"
+            );
+            node.applied = decode(&snapshot.state);
+            node.applied_to = snapshot.index;
+        }
+        for entry in replica.take_committed() {
+            assert_eq!(
+                entry.index.0,
+                node.applied_to.0 + 1,
+                "{id:?} skipped an entry"
+            );
+            node.applied_to = entry.index;
+            let first = self
+                .committed
+                .entry(entry.index)
+                .or_insert_with(|| entry.clone());
+            assert_eq!(*first, entry, "{id:?} committed another entry");
+            if let EntryBody::Command(command) = &entry.body {
+                node.applied.insert(entry.index, command.clone());
+            }
+            if let Some((term, command)) = self.pending.remove(&(id, entry.index))
+                && term == entry.term
+            {
+                self.acknowledged.insert(command);
+            }
+        }
+        if node.applied_to.0.is_multiple_of(self.compact_every) {
+            replica.compact(node.applied_to, encode(&node.applied));
+        }
+    }
+
+    fn check_leases(&self) {
+        let awake = self
+            .nodes
+            .iter()
+            .filter(|(_, node)| self.now >= node.frozen_until);
+        let holders: Vec<_> = awake
+            .filter(|(_, node)| node.replica.as_ref().is_some_and(Replica::has_lease))
+            .map(|(id, _)| *id)
+            .collect();
+        assert!(holders.len() <= 1, "two leases at once: {holders:?}");
+    }
+
+    /// Every acknowledged command is applied at `id`, exactly once.
+    pub fn check_complete(&self, id: ReplicaId) {
+        let node = &self.nodes[&id];
+        for command in &self.acknowledged {
+            let copies = node
+                .applied
+                .values()
+                .filter(|applied| *applied == command)
+                .count();
+            assert_eq!(
+                copies, 1,
+                "command {command:?} is applied {copies} times at {id:?}"
+            );
+        }
+    }
+
+    pub fn applied_to(&self, id: ReplicaId) -> Index {
+        self.nodes[&id].applied_to
+    }
+}
+
+fn encode(applied: &BTreeMap<Index, Vec<u8>>) -> Vec<u8> {
+    let mut buf = Vec::new();
+    ciborium::into_writer(applied, &mut buf).unwrap();
+    buf
+}
+
+fn decode(bytes: &[u8]) -> BTreeMap<Index, Vec<u8>> {
+    if bytes.is_empty() {
+        BTreeMap::new()
+    } else {
+        ciborium::from_reader(bytes).unwrap()
+    }
+}
--- /dev/null
+++ b/crates/toucanshelf-coordination/tests/replica/main.rs
@@ -0,0 +1,334 @@
+//! The replicated log under failure, in virtual time from fixed seeds.
+
+mod cluster;
+mod store;
+
+use cluster::{Cluster, Faults};
+use toucanshelf_coordination::replica::{Membership, Replica, ReplicaConfig, ReplicaId};
+
+const CALM: Faults = Faults {
+    loss: 0.0,
+    duplication: 0.0,
+    delay_ms: 5,
+    chaos: 0.0,
+    lost_disks: false,
+};
+const ROUGH: Faults = Faults {
+    loss: 0.1,
+    duplication: 0.1,
+    delay_ms: 80,
+    chaos: 0.01,
+    lost_disks: false,
+};
+/// Stated target: a new leader within 2 s.
+const NEW_LEADER_MS: u64 = 2_000;
+
+fn calm_cluster(voters: u32, seed: u64) -> (Cluster, ReplicaId) {
+    let mut cluster = Cluster::new(voters, seed, CALM);
+    cluster.run(NEW_LEADER_MS);
+    let leader = cluster.leader().expect("a leader within the target");
+    (cluster, leader)
+}
+
+/// Runs a cluster through faults, heals it and checks that nothing acknowledged was lost.
+fn survive(voters: u32, seed: u64, faults: Faults) {
+    let mut cluster = Cluster::new(voters, seed, faults);
+    for n in 0..400u32 {
+        cluster.run(50);
+        for id in cluster.ids() {
+            cluster.propose(id, format!("{n}-{}", id.0).as_bytes());
+        }
+    }
+    cluster.set_faults(CALM);
+    cluster.heal();
+    cluster.run(2 * NEW_LEADER_MS);
+    let leader = cluster
+        .leader()
+        .unwrap_or_else(|| panic!("seed {seed}: no leader after healing"));
+    assert!(cluster.propose(leader, b"last"), "seed {seed}");
+    cluster.run(NEW_LEADER_MS);
+    assert!(
+        cluster.acknowledged.contains(&b"last"[..]),
+        "seed {seed}: no progress"
+    );
+    for id in cluster.ids() {
+        cluster.check_complete(id);
+    }
+}
+
+#[test]
+fn survive_three_voters() {
+    for seed in 0..1_000 {
+        survive(3, seed, ROUGH);
+    }
+}
+
+#[test]
+fn survive_five_voters() {
+    for seed in 10_000..10_400 {
+        survive(5, seed, ROUGH);
+    }
+}
+
+#[test]
+fn survive_single_voter() {
+    for seed in 20_000..20_300 {
+        survive(1, seed, ROUGH);
+    }
+}
+
+#[test]
+fn elect_after_kill() {
+    for seed in 0..200 {
+        let (mut cluster, leader) = calm_cluster(3, seed);
+        cluster.crash(leader);
+        cluster.run(NEW_LEADER_MS);
+        let next = cluster
+            .leader()
+            .unwrap_or_else(|| panic!("seed {seed}: no new leader"));
+        assert_ne!(next, leader);
+    }
+}
+
+#[test]
+fn elect_after_isolation() {
+    for seed in 0..200 {
+        let (mut cluster, leader) = calm_cluster(5, seed);
+        cluster.isolate(leader);
+        cluster.run(NEW_LEADER_MS);
+        let next = cluster
+            .leader()
+            .unwrap_or_else(|| panic!("seed {seed}: no new leader"));
+        assert_ne!(next, leader);
+        assert!(!cluster.replica(leader).unwrap().has_lease(), "seed {seed}");
+    }
+}
+
+#[test]
+fn lease_after_freeze() {
+    for seed in 0..200 {
+        let (mut cluster, leader) = calm_cluster(3, seed);
+        cluster.freeze(leader, 3 * NEW_LEADER_MS);
+        cluster.run(NEW_LEADER_MS);
+        assert!(
+            cluster.leader().is_some_and(|next| next != leader),
+            "seed {seed}"
+        );
+        // The thawed leader must learn that it no longer leads; `step` checks the leases.
+        cluster.run(3 * NEW_LEADER_MS);
+        assert_ne!(cluster.leader(), Some(leader), "seed {seed}");
+    }
+}
+
+/// A replica that was cut off must not depose a leader that the others hear.
+#[test]
+fn rejoin_without_election() {
+    for seed in 0..200 {
+        let (mut cluster, leader) = calm_cluster(3, seed);
+        let term = cluster.replica(leader).unwrap().term();
+        let other = cluster.ids().into_iter().find(|id| *id != leader).unwrap();
+        cluster.isolate(other);
+        cluster.run(5 * NEW_LEADER_MS);
+        cluster.heal();
+        cluster.run(NEW_LEADER_MS);
+        assert_eq!(cluster.leader(), Some(leader), "seed {seed}");
+        assert_eq!(cluster.replica(leader).unwrap().term(), term, "seed {seed}");
+    }
+}
+
+/// A voter that restarts at once must not help to elect while the old lease runs.
+#[test]
+fn restart_within_lease() {
+    for seed in 0..300 {
+        let (mut cluster, leader) = calm_cluster(3, seed);
+        cluster.isolate(leader);
+        for id in cluster.ids().into_iter().filter(|id| *id != leader) {
+            cluster.crash(id);
+            cluster.start(id);
+        }
+        cluster.run(NEW_LEADER_MS);
+    }
+}
+
+#[test]
+fn snapshot_to_late_replica() {
+    let (mut cluster, leader) = calm_cluster(3, 11);
+    let late = cluster.ids().into_iter().find(|id| *id != leader).unwrap();
+    cluster.crash(late);
+    for n in 0..3_000u32 {
+        cluster.propose(leader, &n.to_le_bytes());
+        cluster.step();
+    }
+    cluster.start(late);
+    cluster.run(NEW_LEADER_MS);
+    assert_eq!(cluster.applied_to(late), cluster.applied_to(leader));
+    cluster.check_complete(late);
+}
+
+/// Steps towards every node being a voter, as the control process takes them.
+fn adjust(cluster: &mut Cluster) {
+    let Some(leader) = cluster.leader() else {
+        return;
+    };
+    let current = cluster.replica(leader).unwrap().membership().clone();
+    if let Some(next) = next_step(&current, &cluster.ids()) {
+        cluster.propose_membership(leader, next);
+    }
+}
+
+fn next_step(current: &Membership, ids: &[ReplicaId]) -> Option<Membership> {
+    let mut next = current.clone();
+    let known = |id: &&ReplicaId| current.voters.contains(id) || current.learners.contains(id);
+    if let Some(id) = ids.iter().find(|id| !known(id)) {
+        next.learners.retain(|old| !old.same_instance(*id));
+        next.learners.insert(*id);
+        return Some(next);
+    }
+    let learner = current.learners.iter().find(|id| ids.contains(id))?;
+    if let Some(old) = current
+        .voters
+        .iter()
+        .find(|old| old.same_instance(*learner))
+    {
+        next.voters.remove(old);
+        return Some(next);
+    }
+    next.learners.remove(learner);
+    next.voters.insert(*learner);
+    Some(next)
+}
+
+/// The brief's case: right after a repair, a second instance is lost.
+#[test]
+fn repair_then_second_loss() {
+    for seed in 0..200 {
+        let (mut cluster, leader) = calm_cluster(3, seed);
+        for n in 0..100u32 {
+            cluster.propose(leader, format!("before-{n}").as_bytes());
+            cluster.step();
+        }
+        let others: Vec<_> = cluster
+            .ids()
+            .into_iter()
+            .filter(|id| *id != leader)
+            .collect();
+        let fresh = cluster.lose_disk(others[0]);
+        for _ in 0..400 {
+            cluster.step();
+            adjust(&mut cluster);
+        }
+        let leader = cluster
+            .leader()
+            .unwrap_or_else(|| panic!("seed {seed}: no leader"));
+        let voters = cluster.replica(leader).unwrap().membership().voters.clone();
+        assert!(
+            voters.contains(&fresh) && voters.len() == 3,
+            "seed {seed}: {voters:?}"
+        );
+        // The repaired replica and one old one must carry on alone.
+        cluster.crash(others[1]);
+        cluster.run(NEW_LEADER_MS);
+        let leader = cluster
+            .leader()
+            .unwrap_or_else(|| panic!("seed {seed}: quorum lost"));
+        assert!(cluster.propose(leader, b"after"));
+        cluster.run(500);
+        assert!(cluster.acknowledged.contains(&b"after"[..]), "seed {seed}");
+        cluster.check_complete(fresh);
+    }
+}
+
+/// Voters that lose their disks one after another while everything else fails too.
+#[test]
+fn survive_lost_disks() {
+    for seed in 0..60 {
+        let (mut cluster, _) = calm_cluster(5, seed);
+        for round in 0..6u32 {
+            cluster.set_faults(ROUGH);
+            for n in 0..40u32 {
+                cluster.run(50);
+                adjust(&mut cluster);
+                for id in cluster.ids() {
+                    cluster.propose(id, format!("{round}-{n}-{}", id.0).as_bytes());
+                }
+            }
+            // One disk at a time: the next is lost once the last is repaired.
+            cluster.set_faults(CALM);
+            cluster.heal();
+            for _ in 0..600 {
+                cluster.step();
+                adjust(&mut cluster);
+            }
+            let ids = cluster.ids();
+            cluster.lose_disk(ids[(seed as usize + round as usize) % ids.len()]);
+        }
+        for _ in 0..1_000 {
+            cluster.step();
+            adjust(&mut cluster);
+        }
+        for id in cluster.ids() {
+            cluster.check_complete(id);
+        }
+    }
+}
+
+#[test]
+fn propose_second_change_too_early() {
+    let (mut cluster, leader) = calm_cluster(3, 5);
+    let mut smaller = cluster.replica(leader).unwrap().membership().clone();
+    let others: Vec<_> = cluster
+        .ids()
+        .into_iter()
+        .filter(|id| *id != leader)
+        .collect();
+    smaller.voters.remove(&others[0]);
+    smaller.voters.remove(&others[1]);
+    assert!(
+        !cluster.propose_membership(leader, smaller.clone()),
+        "two voters at once"
+    );
+    smaller.voters.insert(others[1]);
+    assert!(cluster.propose_membership(leader, smaller.clone()));
+    smaller.voters.remove(&others[1]);
+    assert!(
+        !cluster.propose_membership(leader, smaller),
+        "the first is not committed"
+    );
+}
+
+/// Shows what the switches are for: without them the same cases go wrong.
+#[test]
+fn switches_without_pre_vote() {
+    let unprotected = |id| {
+        let mut config = ReplicaConfig::new(id);
+        config.pre_vote = false;
+        config
+    };
+    let raised = (0..50).filter(|seed| {
+        let mut cluster = Cluster::new(3, *seed, CALM);
+        cluster.config = unprotected;
+        for id in cluster.ids() {
+            cluster.crash(id);
+            cluster.start(id);
+        }
+        cluster.run(NEW_LEADER_MS);
+        let Some(leader) = cluster.leader() else {
+            return false;
+        };
+        let term = cluster.replica(leader).unwrap().term();
+        let other = cluster.ids().into_iter().find(|id| *id != leader).unwrap();
+        cluster.isolate(other);
+        cluster.run(5 * NEW_LEADER_MS);
+        cluster.heal();
+        cluster.run(NEW_LEADER_MS);
+        cluster
+            .leader()
+            .and_then(|id| cluster.replica(id))
+            .map(Replica::term)
+            != Some(term)
+    });
+    assert!(
+        raised.count() > 0,
+        "without trial votes a rejoining replica raises the term"
+    );
+}
