Replay recorded traces against stated outcomes

Cause: nothing showed that a caller gets the whole answer to its own request, or at what rate. Change: toucanshelf-replay starts control, gates, stand-in engines and services on loopback in one process, plays a trace (who calls when, what fails when) and compares with the stated outcome; the same code measures throughput against the maximum flow, recovery and added time to the first token. tests/traces/*.toml run by datatest-stable.

--- /dev/null
+++ b/crates/toucanshelf-replay/src/deployment.rs
@@ -0,0 +1,446 @@
+//! A whole deployment on loopback, inside this process.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use tempfile::TempDir;
+use tokio::runtime::Runtime;
+use toucanshelf_control::Control;
+use toucanshelf_control::settings::ControlSettings;
+use toucanshelf_core::digest::Digest;
+use toucanshelf_core::document::{Class, Model, Organisation, Service};
+use toucanshelf_core::ids::TicketNumber;
+use toucanshelf_core::state::{CommandBody, Reply};
+use toucanshelf_core::ticket::{Ticket, Verdict};
+use toucanshelf_gate::Gate;
+use toucanshelf_gate::settings::{GateSettings, PlannerKind};
+use toucanshelf_runtime::settings::LogSettings;
+use toucanshelf_standin::engine::{EngineSettings, StandinEngine};
+use toucanshelf_standin::service::{ServiceSettings, StandinService};
+
+use crate::trace::Trace;
+
+/// Name of the model.
+pub const MODEL: &str = "model";
+/// Name of the plain service.
+pub const SERVICE: &str = "dispatch-app";
+const LINK_KEY: &str = "replay-link-key-0123456789";
+const TARGET_TOKEN: &str = "replay-target";
+const OPERATOR_TOKEN: &str = "replay-operator";
+/// Time within which a deployment must be up.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+const POLL: Duration = Duration::from_millis(10);
+
+/// Token of an organisation's callers.
+pub fn caller_token(organisation: &str) -> String {
+    format!("replay-{organisation}")
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has free ports");
+    listener
+        .local_addr()
+        .expect("a bound listener has an address")
+}
+
+fn new_runtime() -> Runtime {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build();
+    runtime.expect("the system can start threads")
+}
+
+#[derive(Debug)]
+struct ControlNode {
+    settings: ControlSettings,
+    running: Option<(Runtime, Control)>,
+}
+
+impl ControlNode {
+    fn start(&mut self) {
+        let runtime = new_runtime();
+        let due = Instant::now() + START_TIMEOUT;
+        let control = loop {
+            // The folder's lock and the ports are free a moment after a crash.
+            match runtime.block_on(Control::start(self.settings.clone())) {
+                Ok(control) => break control,
+                Err(e) if Instant::now() > due => panic!("starting control: {e}"),
+                Err(_) => std::thread::sleep(POLL),
+            }
+        };
+        self.running = Some((runtime, control));
+    }
+
+    fn kill(&mut self) {
+        if let Some((runtime, control)) = self.running.take() {
+            control.parts().driver.stop();
+            runtime.shutdown_background();
+        }
+    }
+}
+
+#[derive(Debug)]
+struct GateNode {
+    settings: GateSettings,
+    running: Option<(Runtime, Gate)>,
+}
+
+impl GateNode {
+    fn start(&mut self) {
+        let runtime = new_runtime();
+        let due = Instant::now() + START_TIMEOUT;
+        let gate = loop {
+            match runtime.block_on(Gate::start(self.settings.clone())) {
+                Ok(gate) => break gate,
+                Err(e) if Instant::now() > due => panic!("starting a gate: {e}"),
+                Err(_) => std::thread::sleep(POLL),
+            }
+        };
+        self.running = Some((runtime, gate));
+    }
+}
+
+/// A whole deployment.
+#[derive(Debug)]
+pub struct Deployment {
+    controls: Vec<ControlNode>,
+    gates: Vec<GateNode>,
+    engines: BTreeMap<Box<str>, StandinEngine>,
+    engine_settings: BTreeMap<Box<str>, EngineSettings>,
+    services: Vec<StandinService>,
+    stopping: Vec<std::thread::JoinHandle<()>>,
+    _folder: TempDir,
+}
+
+impl Deployment {
+    /// Starts what `trace` deploys and waits until requests can run.
+    pub fn start(trace: &Trace, planner: PlannerKind) -> Self {
+        let folder = tempfile::tempdir().expect("a temporary folder can be made");
+        let zones = trace.zones();
+        let links: Vec<_> = (0..trace.controls).map(|_| free_address()).collect();
+        let mut controls: Vec<_> = (0..trace.controls)
+            .map(|n| ControlNode {
+                settings: control_settings(n, &zones, &links, &folder),
+                running: None,
+            })
+            .collect();
+        for control in &mut controls {
+            control.start();
+        }
+        let gate_links: Vec<_> = (0..trace.gates).map(|_| free_address()).collect();
+        let mut gates: Vec<_> = (0..trace.gates)
+            .map(|n| GateNode {
+                settings: gate_settings(trace, n, planner, &zones, &links, &gate_links),
+                running: None,
+            })
+            .collect();
+        for gate in &mut gates {
+            gate.start();
+        }
+        let mut out = Self {
+            controls,
+            gates,
+            engines: BTreeMap::new(),
+            engine_settings: BTreeMap::new(),
+            services: Vec::new(),
+            stopping: Vec::new(),
+            _folder: folder,
+        };
+        out.apply_ticket(&ticket(trace));
+        out.start_targets(trace);
+        out.wait_until_ready(trace);
+        out
+    }
+
+    fn apply_ticket(&self, ticket: &Ticket) {
+        let due = Instant::now() + START_TIMEOUT;
+        loop {
+            let body = CommandBody::Ticket(Box::new(ticket.clone()));
+            let (runtime, control) = self.controls[0].running.as_ref().expect("control runs");
+            match runtime.block_on(control.parts().submit(body, true)) {
+                Ok(Reply::Verdict(Verdict::Applied { .. })) => return,
+                other if Instant::now() > due => panic!("applying the ticket: {other:?}"),
+                _ => std::thread::sleep(POLL),
+            }
+        }
+    }
+
+    fn start_targets(&mut self, trace: &Trace) {
+        let gates = self.gate_addresses();
+        let mut n = 0;
+        for spec in &trace.engines {
+            for _ in 0..spec.count {
+                n += 1;
+                let mut settings = EngineSettings::new(
+                    format!("engine-{n}"),
+                    spec.zone.clone(),
+                    MODEL,
+                    spec.layers,
+                    gates.clone(),
+                    TARGET_TOKEN,
+                );
+                settings.tokens_per_s = spec.tokens_per_s;
+                settings.token_interval_ms = spec.token_interval_ms;
+                settings.slots = spec.slots;
+                settings.poison.clone_from(&spec.poison);
+                self.start_engine(settings);
+            }
+        }
+        for spec in &trace.services {
+            for _ in 0..spec.count {
+                let name = format!("service-{}", self.services.len() + 1);
+                let zone = spec.zone.clone();
+                let mut settings =
+                    ServiceSettings::new(name, SERVICE, zone, gates.clone(), TARGET_TOKEN);
+                settings.delay_ms = spec.delay_ms;
+                self.services
+                    .push(StandinService::start(settings).expect("a service starts"));
+            }
+        }
+    }
+
+    fn start_engine(&mut self, settings: EngineSettings) {
+        let name = settings.name.clone();
+        let engine = StandinEngine::start(settings.clone()).expect("an engine starts");
+        self.engines.insert(name.clone(), engine);
+        self.engine_settings.insert(name, settings);
+    }
+
+    fn wait_until_ready(&self, trace: &Trace) {
+        let engines: usize = trace.engines.iter().map(|spec| spec.count).sum();
+        let targets = engines + self.services.len();
+        let due = Instant::now() + START_TIMEOUT;
+        for gate in self.running_gates() {
+            loop {
+                let view = gate.shared().view();
+                let ready = view.records().filter(|r| r.condition.takes_work()).count();
+                drop(view);
+                if ready == targets && gate.shared().revision().is_some_and(|r| r.0 > 0) {
+                    break;
+                }
+                assert!(
+                    Instant::now() < due,
+                    "{ready} of {targets} targets are ready"
+                );
+                std::thread::sleep(POLL);
+            }
+        }
+    }
+
+    fn running_gates(&self) -> impl Iterator<Item = &Gate> {
+        self.gates
+            .iter()
+            .filter_map(|node| node.running.as_ref().map(|(_, gate)| gate))
+    }
+
+    /// Addresses for callers, in order of the gates; they stay the same over restarts.
+    pub fn gate_addresses(&self) -> Vec<SocketAddr> {
+        self.gates.iter().map(|node| node.settings.listen).collect()
+    }
+
+    /// Engine called `name`.
+    pub fn engine(&mut self, name: &str) -> &mut StandinEngine {
+        self.engines
+            .get_mut(name)
+            .unwrap_or_else(|| panic!("the trace has no engine `{name}`"))
+    }
+
+    /// All engines.
+    pub fn engines(&mut self) -> impl Iterator<Item = &mut StandinEngine> {
+        self.engines.values_mut()
+    }
+
+    /// Crashes all engines of a zone.
+    pub fn kill_zone(&mut self, zone: &str) {
+        for (name, settings) in &self.engine_settings {
+            if &*settings.zone == zone
+                && let Some(engine) = self.engines.get_mut(name)
+            {
+                engine.kill();
+            }
+        }
+    }
+
+    /// Starts a crashed engine anew under its old name.
+    pub fn restart_engine(&mut self, name: &str) {
+        let settings = self.engine_settings[name].clone();
+        self.start_engine(settings);
+    }
+
+    /// Crashes a target of the plain service.
+    pub fn kill_service(&mut self, name: &str) {
+        let index: usize = number(name.trim_start_matches("service-"));
+        self.services[index - 1].kill();
+    }
+
+    /// Calls that the plain service has run.
+    pub fn bookings_run(&self) -> Vec<Box<str>> {
+        let runs = self.services.iter().flat_map(StandinService::runs);
+        runs.map(|run| run.body).collect()
+    }
+
+    /// Requests still running at engines.
+    pub fn running_at_engines(&self) -> u32 {
+        self.engines.values().map(StandinEngine::in_flight).sum()
+    }
+
+    /// Crashes a gate: every connection breaks at once.
+    pub fn kill_gate(&mut self, index: usize) {
+        if let Some((runtime, gate)) = self.gates[index].running.take() {
+            runtime.shutdown_background();
+            drop(gate);
+        }
+    }
+
+    /// Asks a gate to stop; it finishes in the background.
+    pub fn stop_gate(&mut self, index: usize) {
+        if let Some((runtime, gate)) = self.gates[index].running.take() {
+            self.stopping.push(std::thread::spawn(move || {
+                runtime.block_on(gate.stop());
+                runtime.shutdown_background();
+            }));
+        }
+    }
+
+    /// Starts a gate anew.
+    pub fn restart_gate(&mut self, index: usize) {
+        self.gates[index].start();
+    }
+
+    /// Crashes a control instance.
+    pub fn kill_control(&mut self, index: usize) {
+        self.controls[index].kill();
+    }
+
+    /// Starts a control instance anew on its old disk.
+    pub fn restart_control(&mut self, index: usize) {
+        self.controls[index].start();
+    }
+
+    /// Number of the control instance that leads, once there is one.
+    pub fn leading_control(&self) -> Option<usize> {
+        self.controls.iter().position(|node| {
+            node.running.as_ref().is_some_and(|(_, control)| {
+                let driver = &control.parts().driver;
+                driver.leader() == Some(driver.replica())
+            })
+        })
+    }
+
+    /// First gate that runs.
+    pub fn first_gate(&self) -> &Gate {
+        self.running_gates().next().expect("a gate runs")
+    }
+}
+
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        for handle in std::mem::take(&mut self.stopping) {
+            let _ = handle.join();
+        }
+        for node in &mut self.gates {
+            if let Some((runtime, gate)) = node.running.take() {
+                runtime.shutdown_background();
+                drop(gate);
+            }
+        }
+        for node in &mut self.controls {
+            node.kill();
+        }
+    }
+}
+
+/// Reads the number of a gate or control instance in a trace.
+pub fn number(text: &str) -> usize {
+    text.parse()
+        .unwrap_or_else(|_| panic!("`{text}` is no number"))
+}
+
+fn control_settings(
+    n: usize,
+    zones: &[Box<str>],
+    links: &[SocketAddr],
+    folder: &TempDir,
+) -> ControlSettings {
+    let others = links.iter().enumerate().filter(|(i, _)| *i != n);
+    ControlSettings {
+        name: format!("control-{n}").into(),
+        zone: zones[n % zones.len()].clone(),
+        listen: free_address(),
+        link_listen: links[n],
+        link_key: LINK_KEY.into(),
+        data_folder: folder.path().join(format!("control-{n}")),
+        replicas: others.map(|(_, address)| *address).collect(),
+        bootstrap: n == 0,
+        operator_token_digests: vec![Digest::of(OPERATOR_TOKEN.as_bytes())],
+        log: LogSettings::default(),
+    }
+}
+
+fn gate_settings(
+    trace: &Trace,
+    n: usize,
+    planner: PlannerKind,
+    zones: &[Box<str>],
+    control: &[SocketAddr],
+    gate_links: &[SocketAddr],
+) -> GateSettings {
+    let others = gate_links.iter().enumerate().filter(|(i, _)| *i != n);
+    GateSettings {
+        name: format!("gate-{n}").into(),
+        zone: zones[n % zones.len()].clone(),
+        listen: free_address(),
+        link_listen: gate_links[n],
+        link_key: LINK_KEY.into(),
+        control: control.to_vec(),
+        peers: others.map(|(_, address)| *address).collect(),
+        target_token_digests: vec![Digest::of(TARGET_TOKEN.as_bytes())],
+        operator_token_digests: vec![Digest::of(OPERATOR_TOKEN.as_bytes())],
+        lease_ms: trace.lease_ms,
+        deadline_ms: 60_000,
+        service_timeout_ms: 10_000,
+        stop_timeout_ms: 60_000,
+        max_body_bytes: 1 << 20,
+        planner,
+        links: Vec::new(),
+        log: LogSettings::default(),
+    }
+}
+
+fn ticket(trace: &Trace) -> Ticket {
+    let mut organisations: BTreeMap<&str, Organisation> = BTreeMap::new();
+    for load in &trace.loads {
+        let token = caller_token(&load.organisation);
+        let organisation = Organisation {
+            id: load.organisation.clone(),
+            weight: load.weight,
+            token_digests: vec![Digest::of(token.as_bytes())],
+            names: BTreeMap::new(),
+        };
+        organisations.insert(&load.organisation, organisation);
+    }
+    let service = Service {
+        id: SERVICE.into(),
+        model: None,
+        class: Class::Interactive,
+        repeatable_paths: Vec::new(),
+    };
+    Ticket {
+        number: TicketNumber(1),
+        operator: "replay".into(),
+        schemes: Vec::new(),
+        organisations: organisations.into_values().collect(),
+        services: vec![service],
+        models: vec![Model {
+            id: MODEL.into(),
+            layers: trace.model.layers,
+            names: BTreeMap::new(),
+        }],
+        engines: Vec::new(),
+        placements: Vec::new(),
+        permissions: Vec::new(),
+        removals: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/toucanshelf-replay/src/latency.rs
@@ -0,0 +1,104 @@
+//! Time that a gate adds to the first token.
+
+use std::time::Instant;
+
+use futures_util::StreamExt as _;
+use http::HeaderMap;
+use toucanshelf_core::engine::{EngineLine, Hop, RunRequest};
+use toucanshelf_core::ids::Attempt;
+use toucanshelf_core::target::TargetRole;
+use toucanshelf_gate::settings::PlannerKind;
+use toucanshelf_link::engine::{EngineClient as _, HttpEngineClient};
+
+use crate::caller::{Call, Caller};
+use crate::deployment::{Deployment, MODEL};
+use crate::results::Distribution;
+use crate::trace::Trace;
+
+/// Tokens of each probe.
+const PROBE_TOKENS: u32 = 1;
+
+/// Measures the first token directly at the engines and through a gate, in turn.
+///
+/// Returns the distribution of the differences between neighbouring probes, in milliseconds.
+pub fn added_first_token(trace: &Trace, probes: usize) -> Distribution {
+    let deployment = Deployment::start(trace, PlannerKind::Flow);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("the system can start threads");
+    let route = route(&deployment);
+    let caller = Caller::new(deployment.gate_addresses());
+    let client = HttpEngineClient::new();
+    let organisation = trace.loads[0].organisation.clone();
+    let mut samples = Vec::new();
+    for n in 0..probes {
+        let text: Box<str> = format!("probe {n}").into();
+        let direct = runtime.block_on(direct_probe(&client, &route, n));
+        let call = Call {
+            organisation: organisation.clone(),
+            text,
+            max_tokens: PROBE_TOKENS,
+            key: "none".into(),
+            hang_up_after: 0,
+        };
+        let sighting = runtime.block_on(caller.chat(&call, 0));
+        let through = sighting
+            .tokens
+            .first()
+            .map(|at| at.duration_since(sighting.started));
+        if let (Some(direct), Some(through)) = (direct, through) {
+            samples.push(through.as_secs_f64() * 1_000.0 - direct);
+        }
+    }
+    Distribution::of(samples)
+}
+
+/// A route over the announced engines, by layers.
+fn route(deployment: &Deployment) -> Vec<Hop> {
+    let gate = deployment.first_gate();
+    let view = gate.shared().view();
+    let mut hops = Vec::new();
+    let mut at = 0;
+    while let Some(hop) = view
+        .records()
+        .find_map(|record| match &record.payload.role {
+            TargetRole::Engine { layers, .. } if layers.from() == at => Some(Hop {
+                engine: record.name.clone(),
+                incarnation: record.payload.incarnation,
+                address: record.payload.address,
+                layers: *layers,
+            }),
+            _ => None,
+        })
+    {
+        at = hop.layers.to();
+        hops.push(hop);
+    }
+    hops
+}
+
+async fn direct_probe(client: &HttpEngineClient, route: &[Hop], n: usize) -> Option<f64> {
+    let request = RunRequest {
+        request: format!("direct-{n}").into(),
+        attempt: Attempt(1),
+        model: MODEL.into(),
+        prompt: format!("user: probe {n}").into(),
+        delivered: Vec::new(),
+        max_tokens: PROBE_TOKENS,
+        priority: 0,
+        route: route.to_vec(),
+    };
+    let started = Instant::now();
+    let mut lines = client
+        .run(route[0].address, request, HeaderMap::new())
+        .await
+        .ok()?;
+    while let Some(line) = lines.next().await {
+        if matches!(line, Ok(EngineLine::Token(_))) {
+            return Some(started.elapsed().as_secs_f64() * 1_000.0);
+        }
+    }
+    None
+}
--- /dev/null
+++ b/src/bin/toucanshelf-replay.rs
@@ -0,0 +1,10 @@
+//! Load and experiment tool of toucanshelf.
+
+use std::process::ExitCode;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    toucanshelf_replay::program::main()
+}
--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -1,3 +1,20 @@
 //! Replay of recorded traces against stated outcomes.
 
-fn main() {}
+use std::path::Path;
+
+use toucanshelf_replay::run::replay;
+use toucanshelf_replay::trace::Trace;
+
+fn replay_trace(path: &Path, text: String) -> datatest_stable::Result<()> {
+    let trace = Trace::parse(&path.display().to_string(), &text)?;
+    let results = replay(&trace, trace.planner);
+    let differences = results.differences(&trace.expect);
+    if differences.is_empty() {
+        return Ok(());
+    }
+    Err(format!("{}\n{results:#?}", differences.join("\n")).into())
+}
+
+datatest_stable::harness! {
+    { test = replay_trace, root = "tests/traces", pattern = r".*\.toml$" },
+}
