--- a/crates/toucanshelf-coordination/tests/replica/main.rs
+++ b/crates/toucanshelf-coordination/tests/replica/main.rs
@@ -4,7 +4,10 @@
 mod store;
 
 use cluster::{Cluster, Faults};
-use toucanshelf_coordination::replica::{Membership, Replica, ReplicaConfig, ReplicaId};
+use toucanshelf_coordination::replica::{
+    Entry, EntryBody, Index, Membership, Message, MessageBody, Persisted, Replica, ReplicaConfig,
+    ReplicaId, Role, Term,
+};
 
 const CALM: Faults = Faults {
     loss: 0.0,
@@ -158,6 +161,112 @@
     }
 }
 
+/// A leader may count only entries of its own term; older ones commit with them.
+#[test]
+fn commit_only_own_term() {
+    let ids: Vec<_> = (1..=5).map(|n| ReplicaId::new(n, 1)).collect();
+    let mut stored = Persisted::with_voters(ids.iter().copied());
+    stored.term = Term(2);
+    let body = EntryBody::Command(b"older".to_vec());
+    stored.entries.push(Entry {
+        index: Index(1),
+        term: Term(2),
+        body,
+    });
+    let mut replica = Replica::new(ReplicaConfig::new(ids[0]), stored, 1, 1);
+    let mut answer = |replica: &mut Replica, body: MessageBody| {
+        for from in &ids[1..3] {
+            let (from, to, term) = (*from, ids[0], Term(3));
+            replica.receive(
+                5_000,
+                Message {
+                    from,
+                    to,
+                    term,
+                    body: body.clone(),
+                },
+            );
+        }
+        let ready = replica.ready();
+        replica.persisted(&ready);
+    };
+    replica.tick(5_000);
+    answer(&mut replica, MessageBody::PreVoteReply { granted: true });
+    answer(&mut replica, MessageBody::VoteReply { granted: true });
+    assert_eq!(replica.role(), Role::Leader);
+    let reply = |matched| MessageBody::AppendReply {
+        matched,
+        rejected: false,
+        sent: 5_000,
+    };
+    answer(&mut replica, reply(Index(1)));
+    assert_eq!(
+        replica.commit_index(),
+        Index(0),
+        "a majority holds it, but a later term may win"
+    );
+    answer(&mut replica, reply(Index(2)));
+    assert_eq!(replica.commit_index(), Index(2));
+}
+
+/// A vote survives a restart: nobody votes twice in one term.
+#[test]
+fn vote_after_restart() {
+    let ids: Vec<_> = (1..=3).map(|n| ReplicaId::new(n, 1)).collect();
+    let stored = Persisted::with_voters(ids.iter().copied());
+    let ask = |from: ReplicaId| {
+        let body = MessageBody::Vote {
+            last_index: Index(0),
+            last_term: Term(0),
+        };
+        Message {
+            from,
+            to: ids[0],
+            term: Term(5),
+            body,
+        }
+    };
+    let mut replica = Replica::new(ReplicaConfig::new(ids[0]), stored.clone(), 1, 1);
+    replica.receive(10, ask(ids[1]));
+    let ready = replica.ready();
+    assert_eq!(
+        ready.vote,
+        Some((Term(5), Some(ids[1]))),
+        "the vote is stored"
+    );
+    let granted = MessageBody::VoteReply { granted: true };
+    assert!(ready.messages.iter().any(|message| message.body == granted));
+    let (term, vote) = ready.vote.unwrap();
+    let stored = Persisted {
+        term,
+        vote,
+        ..stored
+    };
+    let mut replica = Replica::new(ReplicaConfig::new(ids[0]), stored, 1, 10);
+    replica.receive(NEW_LEADER_MS, ask(ids[2]));
+    let refused = MessageBody::VoteReply { granted: false };
+    assert!(
+        replica
+            .ready()
+            .messages
+            .iter()
+            .all(|message| message.body == refused)
+    );
+}
+
+/// Nothing commits before it is on the disk.
+#[test]
+fn commit_after_store() {
+    let id = ReplicaId::new(1, 1);
+    let mut replica = Replica::new(ReplicaConfig::new(id), Persisted::with_voters([id]), 1, 1);
+    replica.tick(10_000);
+    let index = replica.propose(b"x".to_vec()).unwrap();
+    let ready = replica.ready();
+    assert!(replica.commit_index() < index && replica.take_committed().is_empty());
+    replica.persisted(&ready);
+    assert_eq!(replica.commit_index(), index);
+}
+
 #[test]
 fn snapshot_to_late_replica() {
     let (mut cluster, leader) = calm_cluster(3, 11);
--- a/crates/toucanshelf-gate/src/completions/recovery.rs
+++ b/crates/toucanshelf-gate/src/completions/recovery.rs
@@ -12,7 +12,7 @@
 use toucanshelf_link::engine::{EngineError, LineStream};
 use toucanshelf_routing::delivery::Delivery;
 use toucanshelf_routing::planner::NoRoute;
-use toucanshelf_routing::retry::{GapTimer, MAX_ATTEMPTS};
+use toucanshelf_routing::retry::{FIRST_TOKEN_TIMEOUT_MS, GapTimer, MAX_ATTEMPTS};
 
 use super::pipeline::{Event, Finish, Job};
 use super::route::PlannedRoute;
@@ -21,8 +21,12 @@
 
 /// Time for which an engine that failed gets nothing new, in milliseconds.
 const AVOID_MS: u64 = 2_000;
+/// Longest silence of a stream whose engines serve others meanwhile.
+const SILENCE_LIMIT: Duration = Duration::from_secs(10);
+/// Time for which an engine that refused gets nothing new, in milliseconds.
+const AVOID_REFUSED_MS: u64 = 200;
 /// Longest time that an engine has to take a request.
-const ACCEPT_TIMEOUT: Duration = Duration::from_secs(2);
+const ACCEPT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Priority of a first attempt; larger goes first.
 const FIRST_PRIORITY: u8 = 10;
 /// Priority of a resumed answer.
@@ -45,6 +49,9 @@
     /// An engine refused before running anything.
     #[error("{engine} refused: {reason}")]
     Refused { engine: Box<str>, reason: Box<str> },
+    /// An engine does not accept connections.
+    #[error("{engine} can't be reached: {reason}")]
+    Unreachable { engine: Box<str>, reason: Box<str> },
     /// An engine's connection broke; it may have crashed.
     #[error("{engine} was lost: {reason}")]
     Lost { engine: Box<str>, reason: Box<str> },
@@ -74,6 +81,11 @@
     last_token: Option<Instant>,
     recovering: bool,
     deadline_passed: bool,
+    /// Time of this request's last token or last look at its engines, in milliseconds of the
+    /// gate's clock.
+    progress_at: u64,
+    /// Whether the next retry does not count against the budget.
+    free_retry: bool,
     /// Tokens that the caller had when the attempt began.
     delivered_before: usize,
     /// Suspicion that the request crashes its targets.
@@ -95,6 +107,8 @@
             last_token: None,
             recovering: false,
             deadline_passed: false,
+            progress_at: 0,
+            free_retry: false,
             delivered_before: 0,
             suspicion: Suspicion::new(shared, job),
         }
@@ -144,8 +158,9 @@
             return Err(self.refusal(Code::DeadlinePassed, what.into()));
         }
         let used_up = self.attempts() >= MAX_ATTEMPTS;
-        // A stream that the caller has begun to read goes on whatever the budget says.
-        let resumes = !self.delivery.delivered().is_empty();
+        // A stream that the caller has begun to read goes on whatever the budget says, and an
+        // engine that can't be reached costs the others nothing.
+        let resumes = !self.delivery.delivered().is_empty() || std::mem::take(&mut self.free_retry);
         if used_up || !(self.shared.policy().retries.withdraw() || resumes) {
             let what = format!(
                 "{} attempts failed, the last: {}",
@@ -160,6 +175,7 @@
 
     /// Runs one attempt over `route`.
     pub async fn run_attempt(&mut self, route: &PlannedRoute, headers: HeaderMap) -> AttemptEnd {
+        self.progress_at = self.shared.now();
         let attempt = self.delivery.start_attempt(route.layers());
         self.delivered_before = self.delivery.delivered().len();
         let resumes = self.delivered_before > 0;
@@ -185,12 +201,14 @@
                 Ok(end) => return end,
                 Err(fault) => fault,
             },
-            Ok(Err(EngineError::NotSent(reason) | EngineError::Refused { reason, .. })) => {
-                Fault::Refused {
-                    engine: first.engine.clone(),
-                    reason,
-                }
-            }
+            Ok(Err(EngineError::NotSent(reason))) => Fault::Unreachable {
+                engine: first.engine.clone(),
+                reason,
+            },
+            Ok(Err(EngineError::Refused { reason, .. })) => Fault::Refused {
+                engine: first.engine.clone(),
+                reason,
+            },
             Ok(Err(error)) => {
                 self.has_run = true;
                 Fault::Lost {
@@ -212,22 +230,31 @@
         route: &PlannedRoute,
         mut lines: LineStream,
     ) -> Result<AttemptEnd, Fault> {
-        let mut gaps = GapTimer::new();
+        let mut gaps = GapTimer::with_first(self.first_token_timeout_ms());
         let mut last_line = Instant::now();
+        let mut looked = last_line;
         loop {
             let gap = Duration::from_secs_f64(gaps.timeout_ms() / 1_000.0);
             let left = self.job.deadline.saturating_sub(self.shared.now());
             let line = tokio::select! {
-                line = lines.next() => line,
-                () = tokio::time::sleep_until(last_line + gap) => return Err(Fault::Silent),
-                () = tokio::time::sleep(Duration::from_millis(left)) => {
-                    return Err(Fault::Deadline);
-                }
-                () = self.tx.closed() => {
-                    self.cancel(route);
-                    return Ok(AttemptEnd::Cancelled);
-                }
-            };
+                            line = lines.next() => line,
+                            () = tokio::time::sleep_until(looked + gap) => {
+                                if last_line.elapsed() > SILENCE_LIMIT || !self.engines_move(route) {
+                                    return Err(Fault::Silent);
+                                }
+                                // Others get tokens through every engine of the route: it is slow, not frozen.
+            looked = Instant::now();
+                                self.progress_at = self.shared.now();
+                                continue;
+                            }
+                            () = tokio::time::sleep(Duration::from_millis(left)) => {
+                                return Err(Fault::Deadline);
+                            }
+                            () = self.tx.closed() => {
+                                self.cancel(route);
+                                return Ok(AttemptEnd::Cancelled);
+                            }
+                        };
             let frame = match line {
                 Some(Ok(EngineLine::Accepted)) => {
                     self.has_run = true;
@@ -240,6 +267,7 @@
                     not_run,
                 })) => {
                     return Err(if not_run {
+                        self.free_retry = true;
                         Fault::Refused { engine, reason }
                     } else {
                         self.has_run = true;
@@ -249,14 +277,25 @@
                 other => return Err(self.broken_stream(route, other)),
             };
             self.has_run = true;
-            gaps.observe(last_line.elapsed().as_secs_f64() * 1_000.0);
+            let gap_ms = last_line.elapsed().as_secs_f64() * 1_000.0;
+            self.note_gap(&mut gaps, gap_ms);
             last_line = Instant::now();
+            looked = last_line;
             if let Some(finish) = self.deliver(route, &frame).await? {
                 return Ok(finish);
             }
         }
     }
 
+    /// Time within which the first token of an attempt must come, from what others waited.
+    fn first_token_timeout_ms(&self) -> f64 {
+        let mut fleets = self.shared.fleets();
+        let model = fleets.model(&self.job.model);
+        model.map_or(FIRST_TOKEN_TIMEOUT_MS, |model| {
+            model.first_tokens.timeout_ms()
+        })
+    }
+
     fn broken_stream(
         &mut self,
         route: &PlannedRoute,
@@ -314,6 +353,18 @@
         Ok(Some(AttemptEnd::Finished(finish)))
     }
 
+    /// Learns from a gap: the first of an attempt tells of starts, the others of the pace.
+    fn note_gap(&self, gaps: &mut GapTimer, gap_ms: f64) {
+        if gaps.is_started() {
+            gaps.observe(gap_ms);
+            return;
+        }
+        gaps.start();
+        if let Some(model) = self.shared.fleets().model(&self.job.model) {
+            model.first_tokens.observe(gap_ms);
+        }
+    }
+
     fn note_progress(&mut self, route: &PlannedRoute) {
         let metrics = &self.shared.metrics;
         metrics.tokens.inc();
@@ -332,12 +383,14 @@
         self.recovering = false;
         self.last_token = Some(Instant::now());
         let now = self.shared.now();
+        self.progress_at = now;
         if let Some(model) = self.shared.fleets().model(&self.job.model) {
             for hop in &route.hops {
                 match model.progress.get_mut(&hop.engine) {
                     Some(progress) => *progress = now,
                     None => drop(model.progress.insert(hop.engine.clone(), now)),
                 }
+                model.strikes.remove(&hop.engine);
             }
         }
     }
@@ -352,11 +405,18 @@
             Fault::Refused { engine, .. } => {
                 self.delivery.end_attempt("refuse");
                 self.avoid.push(engine.clone());
+                self.avoid_engine(engine, now + AVOID_REFUSED_MS);
+            }
+            Fault::Unreachable { engine, .. } => {
+                self.delivery.end_attempt("refuse");
+                self.avoid.push(engine.clone());
+                self.avoid_engine(engine, now + AVOID_MS);
+                self.free_retry = true;
             }
             Fault::Lost { engine, .. } => {
                 self.delivery.end_attempt("break");
                 self.avoid.push(engine.clone());
-                self.avoid_engine(engine, now);
+                self.avoid_engine(engine, now + AVOID_MS);
                 self.note_loss(engine, now);
                 let streaming = self.delivery.delivered().len() > self.delivered_before;
                 self.suspicion.lose_target(streaming);
@@ -377,37 +437,39 @@
         self.cancel(route);
     }
 
-    fn avoid_engine(&self, name: &str, now: u64) {
+    fn avoid_engine(&self, name: &str, until: u64) {
         if let Some(model) = self.shared.fleets().model(&self.job.model)
             && let Some(key) = model.key(name)
         {
-            model.fleet.avoid(key, now + AVOID_MS);
+            model.fleet.avoid(key, until);
         }
     }
 
-    /// Goes around the engines that other requests have not seen moving either.
-    fn avoid_silent(&mut self, route: &PlannedRoute, now: u64) {
-        let since = self
-            .last_token
-            .map_or(now, |last| now - last.elapsed().as_millis() as u64);
-        let silent: Vec<Box<str>> = {
-            let mut fleets = self.shared.fleets();
-            let Some(model) = fleets.model(&self.job.model) else {
-                return;
-            };
-            let moved = |name: &str| model.progress.get(name).is_some_and(|at| *at > since);
+    /// Whether other requests have had a token through every engine of the route since this one's
+    /// last.
+    fn engines_move(&self, route: &PlannedRoute) -> bool {
+        let mut fleets = self.shared.fleets();
+        let model = fleets.model(&self.job.model);
+        model.is_some_and(|model| {
             route
                 .hops
                 .iter()
-                .map(|hop| &hop.engine)
-                .filter(|name| !moved(name))
-                .cloned()
-                .collect()
+                .all(|hop| model.has_moved(&hop.engine, self.progress_at))
+        })
+    }
+
+    /// Goes around the engines that other requests have not seen moving either.
+    fn avoid_silent(&mut self, route: &PlannedRoute, now: u64) {
+        let mut fleets = self.shared.fleets();
+        let Some(model) = fleets.model(&self.job.model) else {
+            return;
         };
-        for engine in &silent {
-            self.avoid_engine(engine, now);
+        for hop in &route.hops {
+            if !model.has_moved(&hop.engine, self.progress_at) {
+                model.strike(&hop.engine, now, AVOID_MS);
+                self.avoid.push(hop.engine.clone());
+            }
         }
-        self.avoid.extend(silent);
     }
 
     fn note_loss(&self, engine: &str, now: u64) {
--- a/crates/toucanshelf-gate/src/completions/route.rs
+++ b/crates/toucanshelf-gate/src/completions/route.rs
@@ -63,7 +63,10 @@
     ask: &Ask,
     alone: bool,
 ) -> Result<Route, NoRoute> {
-    let mut precautions = vec![model.engines_in_outage(ask.now)];
+    let mut precautions = vec![
+        model.engines_in_outage(ask.now),
+        model.stale_engines(ask.now),
+    ];
     if alone {
         let (rank, gates) = shared.gossip.rank(&shared.settings.name);
         precautions.push(model.engines_of_others(rank, gates));
--- a/crates/toucanshelf-gate/src/fleets.rs
+++ b/crates/toucanshelf-gate/src/fleets.rs
@@ -14,6 +14,8 @@
 use toucanshelf_routing::planner::{FlowPlanner, LeastLoadedPlanner, Planner, RandomPlanner};
 use toucanshelf_routing::route::EngineKey;
 
+use toucanshelf_routing::retry::FirstTokenTimer;
+
 use crate::settings::{GateSettings, LinkSettings, PlannerKind};
 
 /// Engines of one model with the planner that chooses among them.
@@ -27,6 +29,10 @@
     pub suspect_engines: BTreeSet<Box<str>>,
     /// Time of the last token that came through each engine.
     pub progress: BTreeMap<Box<str>, u64>,
+    /// Times that each engine was found silent since its last token.
+    pub strikes: BTreeMap<Box<str>, u32>,
+    /// Time to the first token of recent attempts.
+    pub first_tokens: FirstTokenTimer,
     /// Engines that were lost a moment ago.
     losses: Vec<Loss>,
 }
@@ -39,6 +45,10 @@
     zone: Box<str>,
 }
 
+/// Time without a token after which an engine with requests counts as stale, in milliseconds.
+const STALE_MS: u64 = 400;
+/// Strikes after which the time that an engine is avoided grows no more.
+const MAX_STRIKES: u32 = 5;
 /// Time within which losses count as one outage, in milliseconds.
 const OUTAGE_MS: u64 = 1_000;
 /// Engines lost in one zone that make an outage of the zone.
@@ -157,6 +167,24 @@
 }
 
 impl ModelFleet {
+    /// Notes that an engine was silent; each time it is avoided twice as long as before.
+    pub fn strike(&mut self, engine: &str, now: u64, avoid_ms: u64) {
+        let Some(key) = self.fleet.key(engine) else {
+            return;
+        };
+        // Requests that were under way together find the same silence; it counts once.
+        let avoided = self
+            .fleet
+            .get(key)
+            .is_some_and(|state| state.avoid_until > now);
+        let strikes = self.strikes.entry(engine.into()).or_default();
+        if !avoided {
+            *strikes = (*strikes + 1).min(MAX_STRIKES);
+        }
+        let factor = 1 << strikes.saturating_sub(1);
+        self.fleet.avoid(key, now + avoid_ms * factor);
+    }
+
     /// Notes that an engine was lost.
     pub fn note_loss(&mut self, engine: &str, now: u64) {
         self.losses.retain(|loss| now < loss.at + OUTAGE_MS);
@@ -204,6 +232,20 @@
         others.map(|(_, (_, key))| key).collect()
     }
 
+    /// Whether a token has come through an engine after `since`.
+    pub fn has_moved(&self, engine: &str, since: u64) -> bool {
+        self.progress.get(engine).is_some_and(|at| *at > since)
+    }
+
+    /// Engines with requests of this gate through which no token has come for a while.
+    pub fn stale_engines(&self, now: u64) -> Vec<EngineKey> {
+        let stale = self.fleet.engines().filter(|(_, engine)| {
+            let progress = self.progress.get(&engine.info.name);
+            engine.in_flight > 0 && progress.is_some_and(|at| now > at + STALE_MS)
+        });
+        stale.map(|(key, _)| key).collect()
+    }
+
     /// Engines of zones that seem to be failing as a whole.
     pub fn engines_in_outage(&self, now: u64) -> Vec<EngineKey> {
         let recent = self.losses.iter().filter(|loss| now < loss.at + OUTAGE_MS);
@@ -237,12 +279,17 @@
         PlannerKind::Random => Box::new(RandomPlanner::new()),
     };
     let (suspect_engines, progress) = (BTreeSet::new(), BTreeMap::new());
+    let strikes = BTreeMap::new();
+    let first_tokens = FirstTokenTimer::new();
+    let losses = Vec::new();
     ModelFleet {
         fleet,
         planner,
         suspect_engines,
         progress,
-        losses: Vec::new(),
+        strikes,
+        first_tokens,
+        losses,
     }
 }
 
--- a/crates/toucanshelf-routing/src/retry.rs
+++ b/crates/toucanshelf-routing/src/retry.rs
@@ -48,16 +48,73 @@
 pub const MAX_GAP_TIMEOUT_MS: f64 = 10_000.0;
 /// Time within which the first token must come, in milliseconds.
 pub const FIRST_TOKEN_TIMEOUT_MS: f64 = 5_000.0;
-/// Gaps that a freeze must be longer than, times the usual gap.
+/// Shortest time that a first token is given, in milliseconds.
+pub const MIN_FIRST_TOKEN_TIMEOUT_MS: f64 = 500.0;
+/// Mean deviations beyond the mean that count as unusual.
 const GAP_FACTOR: f64 = 6.0;
+/// Times the mean that counts as unusual, however steady the samples.
+const MEAN_FACTOR: f64 = 4.5;
 /// Weight of the newest gap in the average.
 const GAP_WEIGHT: f64 = 0.2;
 
+/// Average and spread of a time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Average {
+    mean_ms: Option<f64>,
+    deviation_ms: f64,
+}
+
+impl Average {
+    fn observe(&mut self, ms: f64) {
+        let Some(mean) = self.mean_ms else {
+            self.mean_ms = Some(ms);
+            self.deviation_ms = ms / 2.0;
+            return;
+        };
+        let error = ms - mean;
+        self.mean_ms = Some(mean + GAP_WEIGHT * error);
+        self.deviation_ms += GAP_WEIGHT * (error.abs() - self.deviation_ms);
+    }
+
+    /// Time that is far beyond the usual; none before the first sample.
+    fn unusual_ms(&self) -> Option<f64> {
+        self.mean_ms
+            .map(|mean| (mean + GAP_FACTOR * self.deviation_ms).max(mean * MEAN_FACTOR))
+    }
+}
+
+/// Time within which first tokens must come, from what recent requests waited.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct FirstTokenTimer {
+    average: Average,
+}
+
+impl FirstTokenTimer {
+    /// Creates a timer without samples.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the time to a first token.
+    pub fn observe(&mut self, ms: f64) {
+        self.average.observe(ms);
+    }
+
+    /// Time after which a first token counts as overdue, in milliseconds.
+    pub fn timeout_ms(&self) -> f64 {
+        let unusual = self.average.unusual_ms();
+        unusual.map_or(FIRST_TOKEN_TIMEOUT_MS, |ms| {
+            ms.clamp(MIN_FIRST_TOKEN_TIMEOUT_MS, FIRST_TOKEN_TIMEOUT_MS)
+        })
+    }
+}
+
 /// Timeout between tokens that adapts to the stream's pace.
 #[derive(Clone, Copy, Debug)]
 pub struct GapTimer {
-    mean_ms: Option<f64>,
-    deviation_ms: f64,
+    first_ms: f64,
+    started: bool,
+    average: Average,
 }
 
 impl Default for GapTimer {
@@ -67,33 +124,42 @@
 }
 
 impl GapTimer {
-    /// Creates a timer that waits for a first token.
+    /// Creates a timer that waits for a first token as long as that may take.
     pub fn new() -> Self {
+        Self::with_first(FIRST_TOKEN_TIMEOUT_MS)
+    }
+
+    /// Creates a timer that waits `first_ms` milliseconds for a first token.
+    pub fn with_first(first_ms: f64) -> Self {
         Self {
-            mean_ms: None,
-            deviation_ms: 0.0,
+            first_ms,
+            started: false,
+            average: Average::default(),
         }
     }
 
+    /// Whether the first token has come.
+    pub fn is_started(&self) -> bool {
+        self.started
+    }
+
+    /// Notes that the first token has come.
+    pub fn start(&mut self) {
+        self.started = true;
+    }
+
     /// Takes the time between two tokens.
     pub fn observe(&mut self, gap_ms: f64) {
-        let Some(mean) = self.mean_ms else {
-            self.mean_ms = Some(gap_ms);
-            self.deviation_ms = gap_ms / 2.0;
-            return;
-        };
-        let error = gap_ms - mean;
-        self.mean_ms = Some(mean + GAP_WEIGHT * error);
-        self.deviation_ms += GAP_WEIGHT * (error.abs() - self.deviation_ms);
+        self.started = true;
+        self.average.observe(gap_ms);
     }
 
     /// Time after which the stream counts as frozen, in milliseconds.
     pub fn timeout_ms(&self) -> f64 {
-        match self.mean_ms {
-            None => FIRST_TOKEN_TIMEOUT_MS,
-            Some(mean) => (mean + GAP_FACTOR * self.deviation_ms)
-                .max(mean * GAP_FACTOR)
-                .clamp(MIN_GAP_TIMEOUT_MS, MAX_GAP_TIMEOUT_MS),
+        match self.average.unusual_ms() {
+            Some(ms) => ms.clamp(MIN_GAP_TIMEOUT_MS, MAX_GAP_TIMEOUT_MS),
+            // The second token comes no later than the first.
+            None => self.first_ms,
         }
     }
 }
--- a/crates/toucanshelf-standin/src/engine.rs
+++ b/crates/toucanshelf-standin/src/engine.rs
@@ -423,7 +423,6 @@
     for token in &request.delivered {
         chain.push(token);
     }
-    let _ = tx.send(EngineLine::Accepted).await;
     let end = chain.length().min(request.max_tokens);
     let interval = Duration::from_millis(shared.settings.token_interval_ms);
     let mut due = tokio::time::Instant::now();
