--- a/crates/toucanshelf-coordination/tests/replica/main.rs
+++ b/crates/toucanshelf-coordination/tests/replica/main.rs
@@ -174,7 +174,7 @@
         body,
     });
     let mut replica = Replica::new(ReplicaConfig::new(ids[0]), stored, 1, 1);
-    let mut answer = |replica: &mut Replica, body: MessageBody| {
+    let answer = |replica: &mut Replica, body: MessageBody| {
         for from in &ids[1..3] {
             let (from, to, term) = (*from, ids[0], Term(3));
             replica.receive(
--- a/crates/toucanshelf-gate/src/completions/recovery.rs
+++ b/crates/toucanshelf-gate/src/completions/recovery.rs
@@ -79,7 +79,6 @@
     last_fault: Box<str>,
     started: Instant,
     last_token: Option<Instant>,
-    recovering: bool,
     deadline_passed: bool,
     /// Time of this request's last token or last look at its engines, in milliseconds of the
     /// gate's clock.
@@ -105,7 +104,6 @@
             last_fault: "".into(),
             started: Instant::now(),
             last_token: None,
-            recovering: false,
             deadline_passed: false,
             progress_at: 0,
             free_retry: false,
@@ -366,21 +364,22 @@
     }
 
     fn note_progress(&mut self, route: &PlannedRoute) {
+        // First token of the attempt.
+        let is_first = self.delivery.delivered().len() == self.delivered_before + 1;
         let metrics = &self.shared.metrics;
         metrics.tokens.inc();
         match self.last_token {
             None => metrics
                 .first_token_s
                 .observe(self.started.elapsed().as_secs_f64()),
-            Some(last) if self.recovering => {
+            Some(last) if is_first && self.attempts() > 1 => {
                 metrics.recovery_s.observe(last.elapsed().as_secs_f64());
             }
             Some(_) => {}
         }
-        if self.delivery.delivered().len() == self.delivered_before + 1 {
+        if is_first {
             self.suspicion.pass_start();
         }
-        self.recovering = false;
         self.last_token = Some(Instant::now());
         let now = self.shared.now();
         self.progress_at = now;
@@ -398,7 +397,6 @@
     /// Notes a fault, so that the next attempt and other requests go around it.
     fn fail(&mut self, route: &PlannedRoute, fault: &Fault) {
         let now = self.shared.now();
-        self.recovering = true;
         self.last_fault = fault.to_string().into();
         tracing::warn!(event = "TS3503", request = %self.job.request, cause = %self.last_fault, "attempt failed");
         match fault {
