Split files that had grown to more than one job

Change: the stand-in's settings and its work on an attempt, a deployment's layout, the faults of an attempt, the choice of voters and what a replica hands out have modules of their own; Box<str> in path parameters. Behaviour stays.

--- a/crates/toucanshelf-control/src/api.rs
+++ b/crates/toucanshelf-control/src/api.rs
@@ -263,9 +263,9 @@
 #[derive(Debug, Deserialize, JsonSchema)]
 struct NamePath {
     /// Kind of the object: organisation, model or engine.
-    kind: String,
+    kind: Box<str>,
     /// Name, bare or as `scheme:name`.
-    name: String,
+    name: Box<str>,
 }
 
 fn parse_kind(text: &str) -> Result<ObjectKind, Refusal> {
@@ -301,7 +301,7 @@
 #[derive(Debug, Deserialize, JsonSchema)]
 struct KindPath {
     /// Kind of object.
-    kind: String,
+    kind: Box<str>,
 }
 
 /// List the objects of one kind
--- a/crates/toucanshelf-control/src/driver.rs
+++ b/crates/toucanshelf-control/src/driver.rs
@@ -17,6 +17,7 @@
 
 use crate::Parts;
 use crate::settings::ControlSettings;
+use crate::voters::next_membership;
 
 /// Time between ticks of the replica.
 const TICK: Duration = Duration::from_millis(20);
@@ -24,8 +25,6 @@
 const SNAPSHOT_EVERY: u64 = 4_096;
 /// Most commands that are stored in one write.
 const MAX_BATCH: usize = 512;
-/// Most voters.
-const MAX_VOTERS: usize = 5;
 /// Time without a leader after which this instance does not call itself current.
 const CURRENT_MS: u64 = 1_500;
 
@@ -446,35 +445,6 @@
     let _ = sender.send(answer);
 }
 
-/// Next single step towards every seen replica being a voter, or none.
-///
-/// The lost predecessor of a replica on the same instance leaves before the replica may vote, so
-/// that an instance never counts twice.
-pub fn next_membership(current: &Membership, seen: &[ReplicaId]) -> Option<Membership> {
-    let known = |id: &ReplicaId| current.voters.contains(id) || current.learners.contains(id);
-    let mut next = current.clone();
-    if let Some(id) = seen.iter().find(|id| !known(id)) {
-        next.learners.retain(|old| !old.same_instance(*id));
-        next.learners.insert(*id);
-        return Some(next);
-    }
-    let learner = current.learners.iter().find(|id| seen.contains(id))?;
-    let predecessor = current
-        .voters
-        .iter()
-        .find(|old| old.same_instance(*learner));
-    if let Some(old) = predecessor {
-        next.voters.remove(old);
-        return Some(next);
-    }
-    if current.voters.len() >= MAX_VOTERS {
-        return None;
-    }
-    next.learners.remove(learner);
-    next.voters.insert(*learner);
-    Some(next)
-}
-
 /// Number of an instance, from its name.
 fn instance_number(name: &str) -> u32 {
     toucanshelf_core::digest::Digest::of(name.as_bytes()).prefix() as u32
--- a/crates/toucanshelf-gate/src/api.rs
+++ b/crates/toucanshelf-gate/src/api.rs
@@ -126,16 +126,16 @@
 #[derive(Debug, Deserialize, JsonSchema)]
 struct ServicePath {
     /// Name of the service.
-    service: String,
+    service: Box<str>,
     /// Path within the service.
-    path: Vec<String>,
+    path: Vec<Box<str>>,
 }
 
 async fn call_service(rqctx: &Context, path: ServicePath, method: Method, body: Bytes) -> Answer {
     let query = rqctx.request.uri().query();
     let query = query.map(|query| format!("?{query}")).unwrap_or_default();
     let call = IncomingCall {
-        service: path.service.into(),
+        service: path.service,
         method,
         path: format!("/{}{query}", path.path.join("/")).into(),
         headers: rqctx.request.headers().clone(),
@@ -254,7 +254,7 @@
 #[derive(Debug, Deserialize, JsonSchema)]
 struct TargetPath {
     /// Name of the target.
-    name: String,
+    name: Box<str>,
 }
 
 #[derive(Debug, JsonSchema, Serialize)]
@@ -273,7 +273,7 @@
 #[derive(Debug, Deserialize, JsonSchema)]
 struct RouteQuery {
     /// Canonical id of the model.
-    model: String,
+    model: Box<str>,
 }
 
 /// One stage of an explained route.
--- a/crates/toucanshelf-gate/src/completions/mod.rs
+++ b/crates/toucanshelf-gate/src/completions/mod.rs
@@ -1,5 +1,6 @@
 //! Requests to models.
 
+mod fault;
 mod openai;
 mod pipeline;
 mod recovery;
--- a/crates/toucanshelf-gate/src/completions/recovery.rs
+++ b/crates/toucanshelf-gate/src/completions/recovery.rs
@@ -14,6 +14,7 @@
 use toucanshelf_routing::planner::NoRoute;
 use toucanshelf_routing::retry::{FIRST_TOKEN_TIMEOUT_MS, GapTimer, MAX_ATTEMPTS};
 
+use super::fault::Fault;
 use super::pipeline::{Event, Finish, Job};
 use super::route::PlannedRoute;
 use super::suspicion::Suspicion;
@@ -43,29 +44,6 @@
     Again,
 }
 
-/// What went wrong in an attempt.
-#[derive(Clone, Debug, thiserror::Error)]
-enum Fault {
-    /// An engine refused before running anything.
-    #[error("{engine} refused: {reason}")]
-    Refused { engine: Box<str>, reason: Box<str> },
-    /// An engine does not accept connections.
-    #[error("{engine} can't be reached: {reason}")]
-    Unreachable { engine: Box<str>, reason: Box<str> },
-    /// An engine's connection broke; it may have crashed.
-    #[error("{engine} was lost: {reason}")]
-    Lost { engine: Box<str>, reason: Box<str> },
-    /// Nothing came for too long.
-    #[error("no token came in time")]
-    Silent,
-    /// An engine broke the protocol.
-    #[error("{engine} broke the protocol: {reason}")]
-    Protocol { engine: Box<str>, reason: Box<str> },
-    /// The deadline has passed.
-    #[error("the deadline passed")]
-    Deadline,
-}
-
 /// Attempts of one request.
 #[derive(Debug)]
 pub struct Streamer<'a> {
--- a/crates/toucanshelf-replay/src/caller.rs
+++ b/crates/toucanshelf-replay/src/caller.rs
@@ -13,7 +13,7 @@
 use serde_json::json;
 use toucanshelf_standin::answer;
 
-use crate::deployment::{MODEL, SERVICE, caller_token};
+use crate::layout::{MODEL, SERVICE, caller_token};
 
 /// Time after which a caller gives up.
 const PATIENCE: Duration = Duration::from_mins(1);
--- a/crates/toucanshelf-replay/src/latency.rs
+++ b/crates/toucanshelf-replay/src/latency.rs
@@ -11,7 +11,8 @@
 use toucanshelf_link::engine::{EngineClient as _, HttpEngineClient};
 
 use crate::caller::{Call, Caller};
-use crate::deployment::{Deployment, MODEL};
+use crate::deployment::Deployment;
+use crate::layout::MODEL;
 use crate::results::Distribution;
 use crate::trace::Trace;
 
--- a/crates/toucanshelf-replay/src/lib.rs
+++ b/crates/toucanshelf-replay/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod caller;
 pub mod deployment;
 pub mod latency;
+pub mod layout;
 pub mod program;
 pub mod report;
 pub mod results;
--- a/crates/toucanshelf-standin/src/engine.rs
+++ b/crates/toucanshelf-standin/src/engine.rs
@@ -11,161 +11,41 @@
     ApiDescription, Body, ConfigDropshot, HttpError, HttpResponseUpdatedNoContent, RequestContext,
     ServerBuilder, UntypedBody, endpoint,
 };
-use futures_util::StreamExt as _;
 use http::{HeaderMap, Response};
 use http_body_util::StreamBody;
 use hyper::body::Frame;
-use serde::Deserialize;
 use tokio::sync::{mpsc, watch};
-use toucanshelf_core::engine::{
-    CancelRequest, EngineLine, EngineOrder, Fence, Hop, RunRequest, TokenFrame,
-};
+use toucanshelf_core::engine::{CancelRequest, EngineLine, EngineOrder, Fence, RunRequest};
 use toucanshelf_core::ids::{Attempt, Incarnation};
-use toucanshelf_core::layers::LayerRange;
 use toucanshelf_core::outcome::{Code, Refusal};
 use toucanshelf_core::target::{Announcement, TargetPhase, TargetRole};
-use toucanshelf_link::engine::{EngineClient as _, EngineError, HttpEngineClient};
+use toucanshelf_link::engine::HttpEngineClient;
 use toucanshelf_runtime::http::{ApiError, bytes_response, refusal_response};
 use toucanshelf_runtime::logs::slog_bridge;
-use toucanshelf_runtime::program::DaemonSettings;
-use toucanshelf_runtime::settings::LogSettings;
 use toucanshelf_runtime::trace;
 use tracing::Instrument as _;
 
 use crate::announce::announce;
-use crate::answer::Chain;
 use crate::pace::Pace;
+use crate::pipeline::{admit, run};
+use crate::settings::EngineSettings;
 
 /// Largest request body, in bytes.
 const MAX_BODY_BYTES: usize = 4 << 20;
 /// Lines that may wait for a slow reader.
 const QUEUED_LINES: usize = 64;
 
-/// Settings of a stand-in engine.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields, rename_all = "kebab-case")]
-pub struct EngineSettings {
-    /// Name in any scheme.
-    pub name: Box<str>,
-    /// Availability zone.
-    pub zone: Box<str>,
-    /// Address to listen on; port 0 lets the system choose.
-    pub listen: SocketAddr,
-    /// Gates to announce to.
-    pub gates: Vec<SocketAddr>,
-    /// Token that the gates know.
-    pub target_token: Box<str>,
-    /// Model, by any of its names.
-    pub model: Box<str>,
-    /// Version of the weights.
-    #[serde(default = "default_version")]
-    pub version: Box<str>,
-    /// Layers that the engine holds.
-    pub layers: LayerRange,
-    /// Tokens per second over all requests.
-    #[serde(default = "default_rate")]
-    pub tokens_per_s: f64,
-    /// Time between two tokens of one request, in milliseconds.
-    #[serde(default = "default_interval")]
-    pub token_interval_ms: u64,
-    /// Requests at once.
-    #[serde(default = "default_slots")]
-    pub slots: u32,
-    /// Kind of accelerator.
-    #[serde(default = "default_accelerator")]
-    pub accelerator: Box<str>,
-    /// Whether orders with an old fencing number are refused.
-    #[serde(default)]
-    pub keeps_fence: bool,
-    /// A prompt that contains this text crashes the engine.
-    #[serde(default)]
-    pub poison: Option<Box<str>>,
-    /// Number of this start; by default the time in milliseconds.
-    #[serde(default)]
-    pub incarnation: Option<u64>,
-    /// Logs and traces.
-    #[serde(default)]
-    pub log: LogSettings,
-}
-
-fn default_version() -> Box<str> {
-    "v1".into()
-}
-
-fn default_rate() -> f64 {
-    1_000.0
-}
-
-fn default_interval() -> u64 {
-    10
-}
-
-fn default_slots() -> u32 {
-    64
-}
-
-fn default_accelerator() -> Box<str> {
-    "standin".into()
-}
-
-impl EngineSettings {
-    /// Settings of an engine on loopback.
-    pub fn new(
-        name: impl Into<Box<str>>,
-        zone: impl Into<Box<str>>,
-        model: impl Into<Box<str>>,
-        layers: LayerRange,
-        gates: Vec<SocketAddr>,
-        target_token: impl Into<Box<str>>,
-    ) -> Self {
-        Self {
-            name: name.into(),
-            zone: zone.into(),
-            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
-            gates,
-            target_token: target_token.into(),
-            model: model.into(),
-            version: default_version(),
-            layers,
-            tokens_per_s: default_rate(),
-            token_interval_ms: default_interval(),
-            slots: default_slots(),
-            accelerator: default_accelerator(),
-            keeps_fence: false,
-            poison: None,
-            incarnation: None,
-            log: LogSettings::default(),
-        }
-    }
-}
-
-impl DaemonSettings for EngineSettings {
-    fn check(&self) -> Result<(), Box<str>> {
-        if self.gates.is_empty() {
-            return Err("gates: at least one address is needed".into());
-        }
-        if !(self.tokens_per_s.is_finite() && self.tokens_per_s > 0.0) {
-            return Err("tokens-per-s: must be greater than 0".into());
-        }
-        Ok(())
-    }
-
-    fn log(&self) -> &LogSettings {
-        &self.log
-    }
-}
-
 #[derive(Debug)]
-struct Shared {
-    settings: EngineSettings,
-    incarnation: Incarnation,
-    pace: Pace,
-    in_flight: AtomicU32,
-    draining: AtomicBool,
-    crash: mpsc::Sender<()>,
-    client: HttpEngineClient,
-    cancelled: Mutex<BTreeMap<Box<str>, Attempt>>,
-    obeyed: Mutex<Vec<EngineOrder>>,
+pub(crate) struct Shared {
+    pub(crate) settings: EngineSettings,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) pace: Pace,
+    pub(crate) in_flight: AtomicU32,
+    pub(crate) draining: AtomicBool,
+    pub(crate) crash: mpsc::Sender<()>,
+    pub(crate) client: HttpEngineClient,
+    pub(crate) cancelled: Mutex<BTreeMap<Box<str>, Attempt>>,
+    pub(crate) obeyed: Mutex<Vec<EngineOrder>>,
 }
 
 /// A running stand-in engine.
@@ -369,159 +249,6 @@
     Ok(response)
 }
 
-fn admit(shared: &Shared, request: &RunRequest) -> Result<(), Refusal> {
-    let settings = &shared.settings;
-    let Some(hop) = request.route.first() else {
-        return Err(Refusal::not_run(Code::BadRequest, "the route is empty"));
-    };
-    let ours = hop.engine == settings.name && hop.incarnation == shared.incarnation;
-    if !ours {
-        let what = format!(
-            "this is {} incarnation {}",
-            settings.name, shared.incarnation
-        );
-        return Err(Refusal::not_run(Code::BadRequest, what));
-    }
-    if !settings.layers.covers(hop.layers) {
-        let what = format!("layers {} are not held here", hop.layers);
-        return Err(Refusal::not_run(Code::BadRequest, what));
-    }
-    if shared.draining.load(Ordering::Relaxed) {
-        return Err(Refusal::not_run(Code::NotReady, "draining"));
-    }
-    if shared.in_flight.load(Ordering::Relaxed) >= settings.slots {
-        return Err(Refusal::not_run(Code::Overloaded, "no slot is free"));
-    }
-    Ok(())
-}
-
-async fn run(
-    shared: &Shared,
-    request: RunRequest,
-    headers: HeaderMap,
-    tx: &mpsc::Sender<EngineLine>,
-) {
-    if shared
-        .settings
-        .poison
-        .as_deref()
-        .is_some_and(|poison| request.prompt.contains(poison))
-    {
-        tracing::error!(event = "TS9002", "the prompt crashes this engine");
-        let _ = shared.crash.try_send(());
-        std::future::pending::<()>().await;
-    }
-    if request.route.len() > 1 {
-        relay(shared, request, headers, tx).await;
-    } else {
-        generate(shared, request, tx).await;
-    }
-}
-
-async fn generate(shared: &Shared, request: RunRequest, tx: &mpsc::Sender<EngineLine>) {
-    let mut chain = Chain::new(&request.prompt);
-    for token in &request.delivered {
-        chain.push(token);
-    }
-    let end = chain.length().min(request.max_tokens);
-    let interval = Duration::from_millis(shared.settings.token_interval_ms);
-    let mut due = tokio::time::Instant::now();
-    for position in request.delivered.len() as u32..end {
-        due += interval;
-        tokio::time::sleep_until(due).await;
-        shared.pace.token().await;
-        if is_cancelled(shared, &request) {
-            return;
-        }
-        let token = chain.next_token();
-        chain.push(&token);
-        let frame = TokenFrame {
-            request: request.request.clone(),
-            attempt: request.attempt,
-            position,
-            layers: request.route.iter().map(|hop| hop.layers).collect(),
-            token,
-            last: position + 1 == end,
-        };
-        if tx.send(EngineLine::Token(frame)).await.is_err() {
-            return;
-        }
-    }
-}
-
-async fn relay(
-    shared: &Shared,
-    mut request: RunRequest,
-    headers: HeaderMap,
-    tx: &mpsc::Sender<EngineLine>,
-) {
-    let own: Hop = request.route.remove(0);
-    let next = request.route[0].clone();
-    let (id, attempt) = (request.request.clone(), request.attempt);
-    let broken = |error: &EngineError| EngineLine::Broken {
-        engine: next.engine.clone(),
-        reason: error.to_string().into(),
-        not_run: matches!(error, EngineError::NotSent(_) | EngineError::Refused { .. }),
-    };
-    let probe = RunRequest {
-        route: Vec::new(),
-        prompt: "".into(),
-        ..request.clone()
-    };
-    let mut lines = match shared.client.run(next.address, request, headers).await {
-        Ok(lines) => lines,
-        Err(e) => {
-            let _ = tx.send(broken(&e)).await;
-            return;
-        }
-    };
-    let mut finished = false;
-    while let Some(line) = lines.next().await {
-        let line = match line {
-            Ok(EngineLine::Token(mut frame)) => {
-                shared.pace.token().await;
-                finished = frame.last;
-                frame.layers.insert(0, own.layers);
-                EngineLine::Token(frame)
-            }
-            Ok(other) => other,
-            Err(e) => broken(&e),
-        };
-        let failed = matches!(line, EngineLine::Broken { .. });
-        if tx.send(line).await.is_err() || is_cancelled(shared, &probe) {
-            // The next engine sees the closed connection, but may be waiting for its pace.
-            shared
-                .client
-                .cancel(
-                    next.address,
-                    CancelRequest {
-                        request: id,
-                        attempt,
-                    },
-                )
-                .await;
-            return;
-        }
-        if failed {
-            return;
-        }
-    }
-    if !finished {
-        let _ = tx
-            .send(broken(&EngineError::Broken(
-                "the stream ended early".into(),
-            )))
-            .await;
-    }
-}
-
-fn is_cancelled(shared: &Shared, request: &RunRequest) -> bool {
-    let cancelled = shared.cancelled.lock().expect("no holder panics");
-    cancelled
-        .get(&request.request)
-        .is_some_and(|attempt| request.attempt <= *attempt)
-}
-
 /// Stops an attempt.
 #[endpoint { method = POST, path = "/v1/pipeline/cancel" }]
 async fn pipeline_cancel(
--- a/crates/toucanshelf-standin/src/lib.rs
+++ b/crates/toucanshelf-standin/src/lib.rs
@@ -15,4 +15,6 @@
 pub mod answer;
 pub mod engine;
 mod pace;
+mod pipeline;
 pub mod service;
+pub mod settings;
--- a/crates/toucanshelf-standin/src/service.rs
+++ b/crates/toucanshelf-standin/src/service.rs
@@ -210,7 +210,7 @@
 
 #[derive(Debug, Deserialize, JsonSchema)]
 struct CallPath {
-    path: Vec<String>,
+    path: Vec<Box<str>>,
 }
 
 #[derive(Serialize)]
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -8,7 +8,8 @@
 use hyper_util::rt::TokioExecutor;
 use toucanshelf_core::outcome::Code;
 use toucanshelf_gate::settings::PlannerKind;
-use toucanshelf_replay::deployment::{Deployment, caller_token};
+use toucanshelf_replay::deployment::Deployment;
+use toucanshelf_replay::layout::caller_token;
 use toucanshelf_replay::trace::Trace;
 
 const TRACE: &str = r#"
--- a/tests/testsuite/docs.rs
+++ b/tests/testsuite/docs.rs
@@ -126,7 +126,10 @@
             "ControlSettings",
         ),
         ("crates/toucanshelf-runtime/src/settings.rs", "LogSettings"),
-        ("crates/toucanshelf-standin/src/engine.rs", "EngineSettings"),
+        (
+            "crates/toucanshelf-standin/src/settings.rs",
+            "EngineSettings",
+        ),
         (
             "crates/toucanshelf-standin/src/service.rs",
             "ServiceSettings",
