See every mechanism of the log red; measure tokens per gate core; test the export of spans

Tokens per gate core and the export of spans had no run. Change: a direct test or assertion for each; the replay tool counts the processor time of the gates' threads; a test posts spans of a caller's trace to a collector.

--- a/crates/toucanshelf-coordination/tests/replica/main.rs
+++ b/crates/toucanshelf-coordination/tests/replica/main.rs
@@ -5,8 +5,8 @@
 
 use cluster::{Cluster, Faults};
 use toucanshelf_coordination::replica::{
-    Entry, EntryBody, Index, Membership, Message, MessageBody, Persisted, Replica, ReplicaConfig,
-    ReplicaId, Role, Term,
+    Entry, EntryBody, Index, LogSnapshot, Membership, Message, MessageBody, Persisted, Replica,
+    ReplicaConfig, ReplicaId, Role, Term,
 };
 
 const CALM: Faults = Faults {
@@ -103,7 +103,11 @@
             .leader()
             .unwrap_or_else(|| panic!("seed {seed}: no new leader"));
         assert_ne!(next, leader);
-        assert!(!cluster.replica(leader).unwrap().has_lease(), "seed {seed}");
+        let isolated = cluster.replica(leader).unwrap();
+        assert!(
+            !isolated.has_lease() && isolated.role() != Role::Leader,
+            "seed {seed}"
+        );
     }
 }
 
@@ -214,20 +218,24 @@
 fn vote_after_restart() {
     let ids: Vec<_> = (1..=3).map(|n| ReplicaId::new(n, 1)).collect();
     let stored = Persisted::with_voters(ids.iter().copied());
-    let ask = |from: ReplicaId| {
-        let body = MessageBody::Vote {
-            last_index: Index(0),
-            last_term: Term(0),
-        };
-        Message {
-            from,
-            to: ids[0],
-            term: Term(5),
-            body,
-        }
+    let message = |from: ReplicaId, body| Message {
+        from,
+        to: ids[0],
+        term: Term(5),
+        body,
+    };
+    let ask = MessageBody::Vote {
+        last_index: Index(0),
+        last_term: Term(0),
     };
     let mut replica = Replica::new(ReplicaConfig::new(ids[0]), stored.clone(), 1, 1);
-    replica.receive(10, ask(ids[1]));
+    // The term is stored before the vote is given.
+    replica.receive(
+        10,
+        message(ids[2], MessageBody::VoteReply { granted: false }),
+    );
+    assert_eq!(replica.ready().vote, Some((Term(5), None)));
+    replica.receive(20, message(ids[1], ask.clone()));
     let ready = replica.ready();
     assert_eq!(
         ready.vote,
@@ -243,7 +251,7 @@
         ..stored
     };
     let mut replica = Replica::new(ReplicaConfig::new(ids[0]), stored, 1, 10);
-    replica.receive(NEW_LEADER_MS, ask(ids[2]));
+    replica.receive(NEW_LEADER_MS, message(ids[2], ask));
     let refused = MessageBody::VoteReply { granted: false };
     assert!(
         replica
@@ -254,19 +262,124 @@
     );
 }
 
-/// Nothing commits before it is on the disk.
+/// A voter that has just acknowledged a leader's lease votes for nobody else.
+#[test]
+fn vote_while_leader_is_heard() {
+    let ids: Vec<_> = (1..=3).map(|n| ReplicaId::new(n, 1)).collect();
+    let mut stored = Persisted::with_voters(ids.iter().copied());
+    stored.term = Term(1);
+    let mut replica = Replica::new(ReplicaConfig::new(ids[0]), stored, 1, 1);
+    let (entries, previous, previous_term) = (Vec::new(), Index(0), Term(0));
+    let body = MessageBody::Append {
+        previous,
+        previous_term,
+        entries,
+        commit: Index(0),
+        sent: 5_000,
+    };
+    replica.receive(
+        5_000,
+        Message {
+            from: ids[1],
+            to: ids[0],
+            term: Term(1),
+            body,
+        },
+    );
+    let body = MessageBody::Vote {
+        last_index: Index(9),
+        last_term: Term(1),
+    };
+    replica.receive(
+        5_010,
+        Message {
+            from: ids[2],
+            to: ids[0],
+            term: Term(2),
+            body,
+        },
+    );
+    assert_eq!((replica.term(), replica.ready().vote), (Term(1), None));
+}
+
+/// A leader counts its own entries only once they are on its disk.
 #[test]
 fn commit_after_store() {
-    let id = ReplicaId::new(1, 1);
-    let mut replica = Replica::new(ReplicaConfig::new(id), Persisted::with_voters([id]), 1, 1);
-    replica.tick(10_000);
+    let ids: Vec<_> = (1..=3).map(|n| ReplicaId::new(n, 1)).collect();
+    let stored = Persisted::with_voters(ids.iter().copied());
+    let mut replica = Replica::new(ReplicaConfig::new(ids[0]), stored, 1, 1);
+    let answer = |replica: &mut Replica, body| {
+        let (from, to, term) = (ids[1], ids[0], Term(1));
+        replica.receive(
+            5_000,
+            Message {
+                from,
+                to,
+                term,
+                body,
+            },
+        );
+    };
+    replica.tick(5_000);
+    answer(&mut replica, MessageBody::PreVoteReply { granted: true });
+    let ready = replica.ready();
+    replica.persisted(&ready);
+    answer(&mut replica, MessageBody::VoteReply { granted: true });
     let index = replica.propose(b"x".to_vec()).unwrap();
     let ready = replica.ready();
-    assert!(replica.commit_index() < index && replica.take_committed().is_empty());
+    let reply = MessageBody::AppendReply {
+        matched: index,
+        rejected: false,
+        sent: 5_000,
+    };
+    answer(&mut replica, reply);
+    assert_eq!(
+        replica.commit_index(),
+        Index(0),
+        "one disk of three holds it"
+    );
     replica.persisted(&ready);
     assert_eq!(replica.commit_index(), index);
 }
 
+/// An installed snapshot leaves no entry of the old log behind it.
+#[test]
+fn install_over_longer_log() {
+    let ids: Vec<_> = (1..=3).map(|n| ReplicaId::new(n, 1)).collect();
+    let mut stored = Persisted::with_voters(ids.iter().copied());
+    stored.term = Term(1);
+    let body = EntryBody::Command(b"stale".to_vec());
+    stored.entries = (1..=9)
+        .map(|n| Entry {
+            index: Index(n),
+            term: Term(1),
+            body: body.clone(),
+        })
+        .collect();
+    let membership = stored.snapshot.membership.clone();
+    let mut replica = Replica::new(ReplicaConfig::new(ids[0]), stored, 1, 1);
+    let state = Vec::new();
+    let snapshot = LogSnapshot {
+        index: Index(5),
+        term: Term(2),
+        membership,
+        state,
+    };
+    let body = MessageBody::Snapshot { snapshot, sent: 1 };
+    replica.receive(
+        10,
+        Message {
+            from: ids[1],
+            to: ids[0],
+            term: Term(2),
+            body,
+        },
+    );
+    let ready = replica.ready();
+    assert!(ready.log_reset && ready.entries.is_empty());
+    assert_eq!(replica.last_index(), Index(5));
+}
+
 #[test]
 fn snapshot_to_late_replica() {
     let (mut cluster, leader) = calm_cluster(3, 11);
--- a/crates/toucanshelf-replay/src/deployment.rs
+++ b/crates/toucanshelf-replay/src/deployment.rs
@@ -24,11 +24,17 @@
 
 /// Time within which a deployment must be up.
 const START_TIMEOUT: Duration = Duration::from_secs(30);
+/// Name of the threads of gates.
+const GATE_THREAD: &str = "gate";
+/// Clock ticks a second in the process table.
+const TICKS_PER_S: f64 = 100.0;
+/// Time between looks at a condition.
 const POLL: Duration = Duration::from_millis(10);
 
-fn new_runtime() -> Runtime {
+fn new_runtime(name: &str) -> Runtime {
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(2)
+        .thread_name(name)
         .enable_all()
         .build();
     runtime.expect("the system can start threads")
@@ -42,7 +48,7 @@
 
 impl ControlNode {
     fn start(&mut self) {
-        let runtime = new_runtime();
+        let runtime = new_runtime("control");
         let due = Instant::now() + START_TIMEOUT;
         let control = loop {
             // The folder's lock and the ports are free a moment after a crash.
@@ -71,7 +77,7 @@
 
 impl GateNode {
     fn start(&mut self) {
-        let runtime = new_runtime();
+        let runtime = new_runtime(GATE_THREAD);
         let due = Instant::now() + START_TIMEOUT;
         let gate = loop {
             match runtime.block_on(Gate::start(self.settings.clone())) {
@@ -280,6 +286,26 @@
         runs.map(|run| run.body).collect()
     }
 
+    /// Processor time that the threads of all gates have taken, in seconds.
+    ///
+    /// 0 where the system has no process table under `/proc`.
+    pub fn gate_cpu_s(&self) -> f64 {
+        let Ok(tasks) = std::fs::read_dir("/proc/self/task") else {
+            return 0.0;
+        };
+        let stats = tasks
+            .flatten()
+            .filter_map(|task| std::fs::read_to_string(task.path().join("stat")).ok());
+        let ticks = stats.filter_map(|stat| {
+            let (head, tail) = stat.rsplit_once(") ")?;
+            let fields: Vec<&str> = tail.split(' ').collect();
+            let time =
+                fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+            head.ends_with(&format!("({GATE_THREAD}")).then_some(time)
+        });
+        ticks.sum::<u64>() as f64 / TICKS_PER_S
+    }
+
     /// Requests still running at engines.
     pub fn running_at_engines(&self) -> u32 {
         self.engines.values().map(StandinEngine::in_flight).sum()
--- a/crates/toucanshelf-replay/src/results.rs
+++ b/crates/toucanshelf-replay/src/results.rs
@@ -79,6 +79,10 @@
     pub engines_crashed: usize,
     /// Requests still running at engines at the end.
     pub left_running: u32,
+    /// Processor time of all gates, in seconds.
+    pub gate_cpu_s: f64,
+    /// Tokens delivered for each second of processor time of the gates, start and idling counted.
+    pub tokens_per_gate_core_s: f64,
     /// Tokens per second that callers got, in the middle of the run.
     pub tokens_per_s: f64,
     /// Tokens per second that the hardware allows.
@@ -136,6 +140,10 @@
         if self.bound_tokens_per_s > 0.0 {
             self.throughput_ratio = self.tokens_per_s / self.bound_tokens_per_s;
         }
+        let tokens: usize = sightings.iter().map(|sighting| sighting.tokens.len()).sum();
+        if self.gate_cpu_s > 0.0 {
+            self.tokens_per_gate_core_s = tokens as f64 / self.gate_cpu_s;
+        }
         let first = sightings.iter().filter_map(|sighting| {
             Some(millis(
                 sighting.tokens.first()?.duration_since(sighting.started),
--- a/crates/toucanshelf-replay/src/run.rs
+++ b/crates/toucanshelf-replay/src/run.rs
@@ -90,6 +90,7 @@
         duplicated: bookings.len() - distinct.len(),
         engines_crashed: crashed,
         left_running: deployment.running_at_engines(),
+        gate_cpu_s: deployment.gate_cpu_s(),
         ..Results::default()
     };
     results.collect(sightings, started, window(trace));
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -250,6 +250,44 @@
     assert_eq!(control.child.wait().unwrap().code(), Some(0));
 }
 
+/// A gate whose settings name a collector posts its spans there.
+#[test]
+fn spans_to_collector() {
+    use std::io::{Read as _, Write as _};
+    let collector = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let folder = Folder::new();
+    let path = folder.gate("gate-1", &links(13));
+    let url = format!("http://{}/v1/traces", collector.local_addr().unwrap());
+    let text = std::fs::read_to_string(&path).unwrap();
+    std::fs::write(&path, format!("{text}[log]\ncollector = '{url}'\n")).unwrap();
+    let mut gate = Process::start("toucanshelf-gate", &path);
+    let mut caller = std::net::TcpStream::connect(gate.addresses["http"]).unwrap();
+    let trace = "4bf92f3577b34da6a3ce929d0e0e4736";
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: gate\r\nconnection: close\r\n\
+         traceparent: 00-{trace}-00f067aa0ba902b7-01\r\ncontent-length: 2\r\n\r\n{{}}"
+    );
+    caller.write_all(request.as_bytes()).unwrap();
+    let mut answer = String::new();
+    caller.read_to_string(&mut answer).unwrap();
+    assert!(
+        answer.contains(&format!("traceparent: 00-{trace}-")),
+        "{answer}"
+    );
+    gate.signal("-TERM");
+    let (mut post, _) = collector.accept().unwrap();
+    let mut text = String::new();
+    while !text.contains(trace) {
+        let mut buf = [0; 4096];
+        let read = post.read(&mut buf).unwrap();
+        assert!(read > 0, "no span of the trace: {text}");
+        text.push_str(&String::from_utf8_lossy(&buf[..read]));
+    }
+    post.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}")
+        .unwrap();
+    assert_eq!(gate.child.wait().unwrap().code(), Some(0));
+}
+
 /// Kills the leader, freezes the next one for longer than its lease, empties a data folder, and
 /// applies tickets all along; every gate ends in step and no verdict changes.
 #[test]
