Keep the choice of voters in one place

Cause: the seeded tests had a copy of the rule that control instances follow when voters change, so they proved the copy. A constant of header names had no reader. Change: next_membership stands in the coordination crate; control and the seeded tests call it. The constant is gone. The whole suite was not run again after this commit.

--- a/crates/toucanshelf-control/src/driver.rs
+++ b/crates/toucanshelf-control/src/driver.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{oneshot, watch};
 use toucanshelf_coordination::replica::{
     Entry, Index, Membership, Message, Persisted, Replica, ReplicaConfig, ReplicaId, Role, Term,
+    next_membership,
 };
 use toucanshelf_coordination::store::{LogStore, RedbStore, StoreError};
 use toucanshelf_core::ids::{LogTimeMs, Revision};
@@ -17,7 +18,6 @@
 
 use crate::Parts;
 use crate::settings::ControlSettings;
-use crate::voters::next_membership;
 
 /// Time between ticks of the replica.
 const TICK: Duration = Duration::from_millis(20);
--- a/crates/toucanshelf-control/src/lib.rs
+++ b/crates/toucanshelf-control/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod peers;
 pub mod sessions;
 pub mod settings;
-pub mod voters;
 
 use std::fmt;
 use std::net::SocketAddr;
--- a/crates/toucanshelf-coordination/src/replica/mod.rs
+++ b/crates/toucanshelf-coordination/src/replica/mod.rs
@@ -11,6 +11,7 @@
 mod progress;
 mod ready;
 mod replication;
+mod voters;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -21,6 +22,7 @@
 pub use message::{Message, MessageBody};
 use progress::Progress;
 pub use ready::{ProposeError, Ready, ReplicaConfig, Role};
+pub use voters::{MAX_VOTERS, next_membership};
 
 /// Time between heartbeats of a leader, in milliseconds.
 pub const HEARTBEAT_MS: u64 = 100;
--- a/crates/toucanshelf-control/src/voters.rs
+++ b/crates/toucanshelf-coordination/src/replica/voters.rs
@@ -1,6 +1,6 @@
 //! Which replicas should vote.
 
-use toucanshelf_coordination::replica::{Membership, ReplicaId};
+use super::entry::{Membership, ReplicaId};
 
 /// Most voters.
 pub const MAX_VOTERS: usize = 5;
--- a/crates/toucanshelf-coordination/tests/replica/main.rs
+++ b/crates/toucanshelf-coordination/tests/replica/main.rs
@@ -5,8 +5,8 @@
 
 use cluster::{Cluster, Faults};
 use toucanshelf_coordination::replica::{
-    Entry, EntryBody, Index, LogSnapshot, Membership, Message, MessageBody, Persisted, Replica,
-    ReplicaConfig, ReplicaId, Role, Term,
+    Entry, EntryBody, Index, LogSnapshot, Message, MessageBody, Persisted, Replica, ReplicaConfig,
+    ReplicaId, Role, Term, next_membership,
 };
 
 const CALM: Faults = Faults {
@@ -401,33 +401,11 @@
         return;
     };
     let current = cluster.replica(leader).unwrap().membership().clone();
-    if let Some(next) = next_step(&current, &cluster.ids()) {
+    if let Some(next) = next_membership(&current, &cluster.ids()) {
         cluster.propose_membership(leader, next);
     }
 }
 
-fn next_step(current: &Membership, ids: &[ReplicaId]) -> Option<Membership> {
-    let mut next = current.clone();
-    let known = |id: &&ReplicaId| current.voters.contains(id) || current.learners.contains(id);
-    if let Some(id) = ids.iter().find(|id| !known(id)) {
-        next.learners.retain(|old| !old.same_instance(*id));
-        next.learners.insert(*id);
-        return Some(next);
-    }
-    let learner = current.learners.iter().find(|id| ids.contains(id))?;
-    if let Some(old) = current
-        .voters
-        .iter()
-        .find(|old| old.same_instance(*learner))
-    {
-        next.voters.remove(old);
-        return Some(next);
-    }
-    next.learners.remove(learner);
-    next.voters.insert(*learner);
-    Some(next)
-}
-
 /// The brief's case: right after a repair, a second instance is lost.
 #[test]
 fn repair_then_second_loss() {
--- a/crates/toucanshelf-gate/src/api.rs
+++ b/crates/toucanshelf-gate/src/api.rs
@@ -17,8 +17,7 @@
 use toucanshelf_link::frame::TargetRecord;
 use toucanshelf_routing::planner::Ask;
 use toucanshelf_runtime::http::{
-    ApiError, OUTCOME_HEADER, REQUEST_ID_HEADER, answer, bytes_response, json_response,
-    refusal_response,
+    ApiError, REQUEST_ID_HEADER, answer, bytes_response, json_response, refusal_response,
 };
 use toucanshelf_runtime::logs::slog_bridge;
 use toucanshelf_runtime::{credentials, trace};
@@ -375,6 +374,3 @@
     let body = toucanshelf_runtime::metrics::render(shared.metrics.registry());
     Ok(bytes_response(200, "text/plain; version=0.0.4", body))
 }
-
-/// Header names that callers may rely on.
-pub const ANSWER_HEADERS: [&str; 3] = [REQUEST_ID_HEADER, trace::TRACEPARENT, OUTCOME_HEADER];
