--- /dev/null
+++ b/crates/toucanshelf-control/src/directory/reconciler.rs
@@ -0,0 +1,337 @@
+//! Keeps layers placed: compares what engines hold with the plan, and orders the difference.
+//!
+//! Only the leader of the log gives orders. Each order carries the number of orders that the
+//! engine has begun, so that one that is carried out late does nothing after a newer one.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use http::StatusCode;
+use toucanshelf_core::deployment::{Deployment, ModelSpec};
+use toucanshelf_core::ids::Incarnation;
+use toucanshelf_core::layers::LayerRange;
+use toucanshelf_core::registration::Readiness;
+use toucanshelf_core::registry::Entry;
+use toucanshelf_link::exchange::{ExchangeError, exchange};
+use toucanshelf_routing::placement::{Card, ModelShape, Retiling, plan};
+
+use crate::Parts;
+use crate::directory::Directory;
+use crate::directory::orders::{Fate, Order, Orders};
+
+/// Time between comparisons.
+const INTERVAL: Duration = Duration::from_millis(100);
+/// Time within which an engine must answer an order or a request for its report.
+const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without a new engine after which the first placement is made, in milliseconds.
+const SETTLE_MS: u64 = 400;
+/// Heartbeats that an engine may miss before its layers are given to others.
+const MISSED_HEARTBEATS: f64 = 2.6;
+/// Heartbeats that an engine may miss where an ingress sees it fail, too.
+const MISSED_WHEN_SUSPECTED: f64 = 1.4;
+/// Time for which a suspicion counts, in milliseconds.
+const SUSPICION_MS: u64 = 5_000;
+/// Age of a gap after which the borders of a whole zone may move, in milliseconds.
+// Engines that crash are mostly back within some seconds, and moving borders costs many loads.
+const RETILE_AFTER_MS: u64 = 4_000;
+
+/// What the leader remembers between comparisons.
+#[derive(Debug, Default)]
+struct Memory {
+    led_since: Option<u64>,
+    gap_since: Option<u64>,
+    orders: Arc<Mutex<Orders>>,
+}
+
+/// One engine in a comparison.
+struct Candidate {
+    entry: Entry,
+    card: Card,
+}
+
+/// Compares and orders for as long as the process runs.
+pub(crate) async fn run(parts: Arc<Parts>) {
+    let mut memory = Memory::default();
+    let mut ticks = tokio::time::interval(INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let Some(directory) = &parts.directory else {
+            return;
+        };
+        let standing = parts.driver.standing();
+        if !standing.current || standing.leader != Some(parts.driver.replica()) {
+            memory = Memory::default();
+            continue;
+        }
+        let document = parts.driver.state().deployment().cloned();
+        let Some(deployment) = document.and_then(|document| directory.decode(&document)) else {
+            continue;
+        };
+        let now = directory.now();
+        if memory.led_since.is_none() {
+            tracing::info!(event = "TS2520", "placement is led from here");
+        }
+        let led_since = *memory.led_since.get_or_insert(now);
+        // The word of every engine must have had time to arrive.
+        if now < led_since + heartbeats(directory, MISSED_WHEN_SUSPECTED) {
+            continue;
+        }
+        reconcile(&parts, directory, &deployment, &mut memory, now);
+    }
+}
+
+fn heartbeats(directory: &Directory, count: f64) -> u64 {
+    (directory.heartbeat_ms as f64 * count) as u64
+}
+
+fn reconcile(
+    parts: &Arc<Parts>,
+    directory: &Directory,
+    deployment: &Deployment,
+    memory: &mut Memory,
+    now: u64,
+) {
+    for (service, model) in deployment.models() {
+        let candidates = candidates(directory, &service.name, model, memory, now);
+        if candidates.is_empty() || !may_place(&candidates, memory, now) {
+            continue;
+        }
+        let cards: Vec<_> = candidates.iter().map(|candidate| candidate.card).collect();
+        let shape = ModelShape {
+            layers: model.layers,
+            layer_mb: model.layer_mb,
+            token_layer_mb: model.token_layer_mb(),
+        };
+        let gap_is_old = memory
+            .gap_since
+            .is_some_and(|since| now >= since + RETILE_AFTER_MS);
+        let retiling = if gap_is_old {
+            Retiling::Allowed
+        } else {
+            Retiling::Deferred
+        };
+        let wanted = plan(&shape, &cards, retiling);
+        note_gap(memory, &cards, &wanted, model.layers, now);
+        for (candidate, wanted) in candidates.iter().zip(wanted) {
+            if let Some(wanted) = wanted {
+                order(parts, memory, candidate, wanted, model, now);
+            }
+        }
+    }
+}
+
+/// Whether enough is known for a placement; the first one waits for all engines.
+fn may_place(candidates: &[Candidate], memory: &Memory, now: u64) -> bool {
+    let orders = memory.orders.lock().expect("no holder panics");
+    let first = orders.is_empty()
+        && candidates
+            .iter()
+            .all(|candidate| candidate.card.held.is_none());
+    let newest = candidates
+        .iter()
+        .map(|candidate| candidate.entry.first_heard)
+        .max();
+    !first || newest.is_some_and(|newest| now >= newest + SETTLE_MS)
+}
+
+/// Engines that can be given layers, with what they hold or will hold.
+fn candidates(
+    directory: &Directory,
+    service: &str,
+    model: &ModelSpec,
+    memory: &Memory,
+    now: u64,
+) -> Vec<Candidate> {
+    let registry = directory.registry();
+    let mut orders = memory.orders.lock().expect("no holder panics");
+    let mut zones: BTreeMap<Box<str>, u16> = BTreeMap::new();
+    let alive = registry
+        .entries()
+        .filter(|entry| &*entry.record.service == service && is_alive(directory, entry, now));
+    let mut out = Vec::new();
+    for entry in alive {
+        let record = &entry.record;
+        let accelerator = record.accelerator.as_deref();
+        let Some(accelerator) = accelerator.and_then(|name| model.accelerator(name)) else {
+            continue;
+        };
+        let next_zone = zones.len() as u16;
+        let zone = *zones.entry(record.zone.clone()).or_insert(next_zone);
+        let known = orders.engine(entry, memory.led_since.unwrap_or(now));
+        let held = known.expected(record.layers, now, load_ms(model, model.layers));
+        let card = Card {
+            zone,
+            memory_mb: accelerator.memory_mb,
+            step_factor: accelerator.step_factor,
+            held,
+        };
+        out.push(Candidate {
+            entry: entry.clone(),
+            card,
+        });
+    }
+    out
+}
+
+fn is_alive(directory: &Directory, entry: &Entry, now: u64) -> bool {
+    if entry.record.readiness != Readiness::Ready {
+        return false;
+    }
+    let silence = now.saturating_sub(entry.heard);
+    let suspected = directory
+        .suspected_at(entry.record.address)
+        .is_some_and(|at| at >= entry.first_heard && now < at + SUSPICION_MS);
+    let allowed = if suspected {
+        MISSED_WHEN_SUSPECTED
+    } else {
+        MISSED_HEARTBEATS
+    };
+    silence < heartbeats(directory, allowed)
+}
+
+/// Time to load `layers` layers, in milliseconds.
+fn load_ms(model: &ModelSpec, layers: u32) -> u64 {
+    (model.load_s * 1e3 * f64::from(layers) / f64::from(model.layers.max(1))) as u64
+}
+
+/// Notes since when some zone that holds layers lacks others.
+fn note_gap(
+    memory: &mut Memory,
+    cards: &[Card],
+    wanted: &[Option<LayerRange>],
+    layers: u32,
+    now: u64,
+) {
+    let zones: std::collections::BTreeSet<_> = cards.iter().map(|card| card.zone).collect();
+    let lacks = |zone: u16| {
+        let ranges = cards.iter().zip(wanted);
+        let ranges: Vec<_> = ranges
+            .filter(|(card, _)| card.zone == zone)
+            .filter_map(|(_, wanted)| *wanted)
+            .collect();
+        let covered = |layer| {
+            ranges
+                .iter()
+                .any(|range| range.from() <= layer && layer < range.to())
+        };
+        !ranges.is_empty() && !(0..layers).all(covered)
+    };
+    if !zones.into_iter().any(lacks) {
+        memory.gap_since = None;
+    } else if memory.gap_since.is_none() {
+        tracing::warn!(
+            event = "TS2521",
+            "a zone lacks layers that no engine can be spared for"
+        );
+        memory.gap_since = Some(now);
+    }
+}
+
+fn order(
+    parts: &Arc<Parts>,
+    memory: &Memory,
+    candidate: &Candidate,
+    wanted: LayerRange,
+    model: &ModelSpec,
+    now: u64,
+) {
+    let entry = &candidate.entry;
+    if entry.record.layers == Some(wanted) {
+        return;
+    }
+    let mut orders = memory.orders.lock().expect("no holder panics");
+    let known = orders.engine(entry, memory.led_since.unwrap_or(now));
+    if !known.may_order(wanted, now, load_ms(model, model.layers)) {
+        return;
+    }
+    known.last = Some(Order {
+        layers: wanted,
+        sent: now,
+        fate: Fate::Sent,
+    });
+    let begun = known.begun;
+    let target = Target {
+        id: entry.record.id.clone(),
+        incarnation: entry.record.incarnation,
+        address: entry.record.address,
+    };
+    tracing::info!(
+        event = "TS2522",
+        target = %target.id,
+        address = %target.address,
+        held = ?entry.record.layers,
+        age_ms = now.saturating_sub(entry.heard),
+        %wanted,
+        begun,
+        "engine ordered"
+    );
+    let (parts, orders) = (Arc::clone(parts), Arc::clone(&memory.orders));
+    tokio::spawn(async move { place(parts, orders, target, wanted, begun).await });
+}
+
+/// Engine that an order goes to.
+struct Target {
+    id: Box<str>,
+    incarnation: Incarnation,
+    address: SocketAddr,
+}
+
+async fn place(
+    parts: Arc<Parts>,
+    orders: Arc<Mutex<Orders>>,
+    target: Target,
+    wanted: LayerRange,
+    begun: Option<u64>,
+) {
+    let Some(directory) = &parts.directory else {
+        return;
+    };
+    let begun = match begun {
+        Some(begun) => Some(begun),
+        None => fetch_begun(directory, &orders, &target).await,
+    };
+    let call = directory.dialect.place_call(wanted, begun);
+    let answer = exchange(target.address, call, CALL_TIMEOUT).await;
+    let fate = match &answer {
+        Ok(response) if response.status() == StatusCode::ACCEPTED => Fate::Begun,
+        Ok(response) if response.status() == StatusCode::OK => Fate::Begun,
+        Ok(_) | Err(ExchangeError::Refused { .. }) => Fate::Rejected,
+        Err(_) => Fate::Unknown,
+    };
+    let status = answer.as_ref().map(|response| response.status().as_u16());
+    tracing::info!(event = "TS2523", target = %target.id, %wanted, ?begun, ?status, ?fate, "order answered");
+    let mut orders = orders.lock().expect("no holder panics");
+    orders.settle(&target.id, target.incarnation, wanted, fate);
+}
+
+/// Asks an engine how many orders it has begun.
+async fn fetch_begun(
+    directory: &Directory,
+    orders: &Mutex<Orders>,
+    target: &Target,
+) -> Option<u64> {
+    let call = directory.dialect.report_call();
+    let answer = exchange(target.address, call, CALL_TIMEOUT).await;
+    let report = match answer {
+        Ok(response) => directory.dialect.report(response.body()),
+        Err(e) => {
+            tracing::info!(event = "TS2524", target = %target.id, cause = %e, "no report");
+            return None;
+        }
+    };
+    match report {
+        Ok(report) => {
+            let begun = report.orders_begun;
+            let mut orders = orders.lock().expect("no holder panics");
+            orders.note_begun(&target.id, target.incarnation, begun);
+            Some(begun)
+        }
+        Err(e) => {
+            tracing::warn!(event = "TS2524", target = %target.id, cause = %e, "no report");
+            None
+        }
+    }
+}
--- a/crates/toucanshelf-control/src/driver.rs
+++ b/crates/toucanshelf-control/src/driver.rs
@@ -8,8 +8,8 @@
 
 use tokio::sync::{oneshot, watch};
 use toucanshelf_coordination::replica::{
-    Entry, Index, Membership, Message, Persisted, Replica, ReplicaConfig, ReplicaId, Role, Term,
-    next_membership,
+    Entry, Index, MAX_VOTERS, Membership, Message, Persisted, Ready, Replica, ReplicaConfig,
+    ReplicaId, Role, Term, VoterPolicy, next_membership,
 };
 use toucanshelf_coordination::store::{LogStore, RedbStore, StoreError};
 use toucanshelf_core::ids::{LogTimeMs, Revision};
@@ -23,6 +23,13 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Entries after which the log is replaced by a snapshot.
 const SNAPSHOT_EVERY: u64 = 4_096;
+/// Bytes of commands after which the log is replaced by a snapshot.
+const SNAPSHOT_EVERY_BYTES: usize = 2 * 1024 * 1024;
+/// Silence after which another replica may take a voter's place, in milliseconds.
+// Longer than a freeze of some seconds, so that a voter that wakes again keeps its place.
+const VOTER_SILENCE_MS: u64 = 6_000;
+/// Disk number of the replicas that found a log together.
+const FOUNDING_DISK: u32 = 0;
 /// Most commands that are stored in one write.
 const MAX_BATCH: usize = 512;
 /// Time without a leader after which this instance does not call itself current.
@@ -66,6 +73,7 @@
     state: Arc<RwLock<ControlState>>,
     standing: Arc<watch::Sender<Standing>>,
     revision: Arc<watch::Sender<Revision>>,
+    deployed: Arc<watch::Sender<Option<u64>>>,
     failure: Arc<watch::Sender<Option<Box<str>>>>,
 }
 
@@ -84,10 +92,21 @@
     ///
     /// Fails when the data folder can't be used or is damaged.
     pub fn open(settings: &ControlSettings) -> Result<Self, StoreError> {
-        let disk = rand_u64() as u32;
+        let founders = settings.founders();
+        let disk = if founders.is_empty() {
+            (rand_u64() as u32).max(FOUNDING_DISK + 1)
+        } else {
+            FOUNDING_DISK
+        };
         let fresh = ReplicaId::new(instance_number(&settings.name), disk);
-        let (store, replica, mut persisted) = RedbStore::open(&settings.data_folder, fresh)?;
-        if settings.is_alone() && persisted.snapshot.membership.voters.is_empty() {
+        let (mut store, replica, mut persisted) = RedbStore::open(&settings.data_folder, fresh)?;
+        if !founders.is_empty() && persisted == Persisted::default() {
+            persisted = found_together(&mut store, &founders)?;
+        }
+        if settings.deployment.is_none()
+            && settings.is_alone()
+            && persisted.snapshot.membership.voters.is_empty()
+        {
             persisted.snapshot.membership.voters.insert(replica);
         }
         let (inputs, receiver) = channel();
@@ -98,6 +117,7 @@
             state: Arc::default(),
             standing: Arc::new(watch::Sender::new(Standing::default())),
             revision: Arc::new(watch::Sender::new(Revision(0))),
+            deployed: Arc::new(watch::Sender::new(None)),
             failure: Arc::new(watch::Sender::new(None)),
         })
     }
@@ -152,6 +172,11 @@
         self.revision.subscribe()
     }
 
+    /// Receiver of the version of the deployment in force.
+    pub fn deployments(&self) -> watch::Receiver<Option<u64>> {
+        self.deployed.subscribe()
+    }
+
     /// Commits a command if this replica leads.
     ///
     /// # Errors
@@ -209,11 +234,13 @@
     state: Arc<RwLock<ControlState>>,
     standing: Arc<watch::Sender<Standing>>,
     revision: Arc<watch::Sender<Revision>>,
+    deployed: Arc<watch::Sender<Option<u64>>>,
     started: Instant,
     pending: BTreeMap<Index, (Term, ReplySender)>,
     seen: Vec<ReplicaId>,
     applied: Index,
     snapshot_at: Index,
+    bytes_since_snapshot: usize,
     log_time: u64,
     leader_heard: u64,
 }
@@ -230,11 +257,13 @@
             state: Arc::clone(&driver.state),
             standing: Arc::clone(&driver.standing),
             revision: Arc::clone(&driver.revision),
+            deployed: Arc::clone(&driver.deployed),
             started: Instant::now(),
             pending: BTreeMap::new(),
             seen: Vec::new(),
             applied: snapshot_at,
             snapshot_at,
+            bytes_since_snapshot: 0,
             log_time: 0,
             leader_heard: 0,
         }
@@ -359,7 +388,11 @@
             }
         }
         self.applied = entries.last().map_or(self.applied, |entry| entry.index);
-        if self.applied.0 >= self.snapshot_at.0 + SNAPSHOT_EVERY {
+        let commands = entries.iter().filter_map(Entry::command);
+        self.bytes_since_snapshot += commands.map(<[u8]>::len).sum::<usize>();
+        let due = self.applied.0 >= self.snapshot_at.0 + SNAPSHOT_EVERY;
+        if due || self.bytes_since_snapshot >= SNAPSHOT_EVERY_BYTES {
+            self.bytes_since_snapshot = 0;
             self.snapshot_at = self.applied;
             let bytes = self.state.read().expect("no writer panics").to_bytes();
             self.replica.compact(self.applied, bytes);
@@ -395,6 +428,13 @@
             *old = standing;
             changed
         });
+        let deployed = self
+            .state
+            .read()
+            .expect("no writer panics")
+            .deployment_version();
+        self.deployed
+            .send_if_modified(|old| std::mem::replace(old, deployed) != deployed);
         let revision = self
             .state
             .read()
@@ -405,6 +445,21 @@
             .send_if_modified(|old| std::mem::replace(old, revision) != revision);
     }
 
+    fn voter_policy(&self) -> VoterPolicy {
+        let Some(deployment) = &self.parts.settings.deployment else {
+            return VoterPolicy::new(MAX_VOTERS);
+        };
+        let mut policy = VoterPolicy::new(2 * deployment.tolerated_losses + 1);
+        let members = self.replica.membership();
+        let ids = members.voters.iter().chain(&members.learners).copied();
+        let silent = ids.filter(|id| {
+            let silence = self.replica.silence_of(*id);
+            silence.is_some_and(|silence| silence > VOTER_SILENCE_MS)
+        });
+        policy.silent = silent.collect();
+        policy
+    }
+
     /// As leader, names a new log, adds new replicas as learners and promotes those in step.
     fn adjust_membership(&mut self) {
         if !self.replica.has_lease() {
@@ -414,7 +469,8 @@
             let (reply, _) = oneshot::channel();
             self.propose(CommandBody::Found { log: rand_u64() }, reply);
         }
-        let Some(next) = next_membership(self.replica.membership(), &self.seen) else {
+        let policy = self.voter_policy();
+        let Some(next) = next_membership(self.replica.membership(), &self.seen, &policy) else {
             return;
         };
         match self.replica.propose_membership(next) {
@@ -424,6 +480,18 @@
     }
 }
 
+/// Stores the membership of a new log, the same on the disk of each founder.
+fn found_together(store: &mut RedbStore, founders: &[Box<str>]) -> Result<Persisted, StoreError> {
+    let ids = founders.iter();
+    let ids = ids.map(|name| ReplicaId::new(instance_number(name), FOUNDING_DISK));
+    let persisted = Persisted::with_voters(ids);
+    store.store(&Ready {
+        snapshot: Some(persisted.snapshot.clone()),
+        ..Ready::default()
+    })?;
+    Ok(persisted)
+}
+
 fn apply_entry(
     state: &mut ControlState,
     entry: &Entry,
--- a/crates/toucanshelf-control/src/lib.rs
+++ b/crates/toucanshelf-control/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! [`driver`] runs the replica on a thread of its own and applies committed commands to the
 //! [`toucanshelf_core::state::ControlState`]. [`peers`] links the control instances,
-//! [`sessions`] feeds the gates, [`api`] serves operators. [`Control::start`] puts them together,
+//! [`sessions`] feeds the gates, [`api`] serves operators; [`directory`] serves a platform:
+//! deployments, registrations of targets and the placement of layers. [`Control::start`] puts them together,
 //! also inside other programs and tests.
 //!
 //! ```no_run
@@ -15,6 +16,7 @@
 //! ```
 
 pub mod api;
+pub mod directory;
 pub mod driver;
 pub mod peers;
 pub mod sessions;
@@ -28,10 +30,12 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use toucanshelf_core::state::{CommandBody, Reply};
+use toucanshelf_link::dialect::Dialect;
 use toucanshelf_link::frame::SubmitError;
 use toucanshelf_link::handshake::{Hello, PeerRole};
 use toucanshelf_link::link::{self, Link};
 
+use crate::directory::Directory;
 use crate::driver::Driver;
 use crate::peers::Peers;
 use crate::sessions::Sessions;
@@ -69,6 +73,8 @@
     pub peers: Peers,
     /// Links to gates.
     pub sessions: Sessions,
+    /// Part that serves a platform, where the settings ask for it.
+    pub directory: Option<Directory>,
 }
 
 impl Control {
@@ -78,6 +84,18 @@
     ///
     /// Fails when the data folder or an address can't be used.
     pub async fn start(settings: ControlSettings) -> Result<Self, Box<str>> {
+        Self::start_with_dialect(settings, None).await
+    }
+
+    /// Starts a control instance that serves a platform in its dialect.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the data folder or an address can't be used.
+    pub async fn start_with_dialect(
+        settings: ControlSettings,
+        dialect: Option<Arc<dyn Dialect>>,
+    ) -> Result<Self, Box<str>> {
         let key = settings.shared_key()?;
         let listener = TcpListener::bind(settings.link_listen)
             .await
@@ -91,17 +109,24 @@
         );
         let peers = Peers::new(&settings, hello.clone(), key.clone());
         let sessions = Sessions::new();
+        let directory = match (&settings.deployment, dialect) {
+            (Some(deployment), Some(dialect)) => Some(Directory::new(deployment, dialect)),
+            (Some(_), None) => return Err("deployment: this program speaks no platform".into()),
+            (None, _) => None,
+        };
         let parts = Arc::new(Parts {
             settings,
             driver,
             peers,
             sessions,
+            directory,
         });
         parts.driver.start(&parts.settings, Arc::clone(&parts));
         parts.peers.start(&parts);
         let (links_tx, links) = mpsc::channel(64);
         tokio::spawn(link::serve(listener, hello, key, links_tx));
         tokio::spawn(accept_links(Arc::clone(&parts), links));
+        directory::start(&parts).await?;
         let server = api::serve(&parts)?;
         let address = server.local_addr();
         tracing::info!(event = "TS2001", http = %address, link = %link_address, "control listens");
@@ -142,6 +167,7 @@
         match link.peer.role {
             PeerRole::Gate => tokio::spawn(sessions::serve(parts, link)),
             PeerRole::Control => tokio::spawn(peers::serve(parts, link)),
+            PeerRole::Ingress => tokio::spawn(directory::ingresses::serve(parts, link)),
         };
     }
 }
@@ -176,8 +202,11 @@
 /// # Errors
 ///
 /// Fails when it can't start or its disk fails.
-pub async fn run_program(settings: ControlSettings) -> Result<(), Box<str>> {
-    let control = Control::start(settings).await?;
+pub async fn run_program(
+    settings: ControlSettings,
+    dialect: Arc<dyn Dialect>,
+) -> Result<(), Box<str>> {
+    let control = Control::start_with_dialect(settings, Some(dialect)).await?;
     let failure = tokio::select! {
         () = toucanshelf_runtime::shutdown::requested() => None,
         cause = control.parts.driver.failed() => Some(cause),
--- a/crates/toucanshelf-control/src/peers.rs
+++ b/crates/toucanshelf-control/src/peers.rs
@@ -1,9 +1,9 @@
 //! Links between control instances.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use tokio::sync::{mpsc, oneshot};
@@ -36,7 +36,8 @@
 pub struct Peers {
     hello: Hello,
     key: SharedKey,
-    addresses: Vec<SocketAddr>,
+    own: SocketAddr,
+    addresses: Mutex<BTreeSet<SocketAddr>>,
     bootstrap: bool,
     links: Mutex<BTreeMap<SocketAddr, Peer>>,
     waiting: Mutex<BTreeMap<u64, Answer>>,
@@ -49,7 +50,8 @@
         Self {
             hello,
             key,
-            addresses: settings.replicas.clone(),
+            own: settings.link_listen,
+            addresses: Mutex::default(),
             bootstrap: settings.bootstrap,
             links: Mutex::default(),
             waiting: Mutex::default(),
@@ -59,8 +61,35 @@
 
     /// Keeps a link open to each address.
     pub(crate) fn start(&self, parts: &Arc<Parts>) {
-        for address in &self.addresses {
-            tokio::spawn(keep_link(Arc::clone(parts), *address));
+        for address in parts.settings.known_links() {
+            self.learn(parts, address);
+        }
+    }
+
+    /// Keeps a link open to an instance that someone has told of.
+    pub(crate) fn learn(&self, parts: &Arc<Parts>, address: SocketAddr) {
+        if address != self.own && self.addresses().insert(address) {
+            tracing::info!(event = "TS2202", %address, "control instance known");
+            tokio::spawn(keep_link(Arc::clone(parts), address));
+        }
+    }
+
+    fn addresses(&self) -> MutexGuard<'_, BTreeSet<SocketAddr>> {
+        self.addresses.lock().expect("no holder panics")
+    }
+
+    /// Link addresses of all control instances that are known, this one included.
+    pub fn members(&self) -> Vec<SocketAddr> {
+        let addresses = self.addresses();
+        addresses.iter().copied().chain([self.own]).collect()
+    }
+
+    /// Sends a frame to each linked instance; it is dropped where the queue is full.
+    pub fn broadcast(&self, frame: &Frame) {
+        let links = self.links.lock().expect("no holder panics");
+        for peer in links.values() {
+            // The next word of the same target makes up for one that is lost here.
+            let _ = peer.tx.try_send(frame.clone());
         }
     }
 
@@ -121,7 +150,7 @@
             .values()
             .filter(|peer| peer.empty == Some(true))
             .count();
-        empty == self.addresses.len()
+        empty == self.addresses().len()
     }
 }
 
@@ -142,6 +171,11 @@
     if let Some(replica) = replica {
         parts.driver.see(replica);
     }
+    tracing::info!(event = "TS2203", %address, replica = ?replica, "control instance linked");
+    let introduction = Frame::Introduce { link: peers.own };
+    if link.tx.try_send(introduction).is_err() {
+        return;
+    }
     let peer = Peer {
         replica,
         tx: link.tx.clone(),
@@ -160,6 +194,11 @@
                 }
             }
             Frame::Standing { log } => take_standing(parts, address, log),
+            Frame::Members { links, .. } => {
+                for link in links {
+                    peers.learn(parts, link);
+                }
+            }
             _ => {}
         }
     }
@@ -168,6 +207,7 @@
         .lock()
         .expect("no holder panics")
         .remove(&address);
+    tracing::warn!(event = "TS2204", %address, "link to a control instance lost");
 }
 
 fn take_standing(parts: &Arc<Parts>, address: SocketAddr, log: Option<LogId>) {
@@ -194,6 +234,22 @@
     while let Some(frame) = link.rx.recv().await {
         match frame {
             Frame::Replica(message) => parts.driver.receive(message),
+            Frame::Introduce { link: address } => {
+                parts.peers.learn(&parts, address);
+                let members = parts.peers.members();
+                let frame = Frame::Members {
+                    links: members,
+                    ingresses: 0,
+                };
+                if link.tx.try_send(frame).is_err() {
+                    return;
+                }
+            }
+            Frame::Registrations { records, .. } => {
+                if let Some(directory) = &parts.directory {
+                    directory.hear(records);
+                }
+            }
             Frame::Submit { id, body, .. } => {
                 let (parts, tx) = (Arc::clone(&parts), link.tx.clone());
                 tokio::spawn(async move {
--- a/crates/toucanshelf-coordination/src/replica/mod.rs
+++ b/crates/toucanshelf-coordination/src/replica/mod.rs
@@ -22,7 +22,7 @@
 pub use message::{Message, MessageBody};
 use progress::Progress;
 pub use ready::{ProposeError, Ready, ReplicaConfig, Role};
-pub use voters::{MAX_VOTERS, next_membership};
+pub use voters::{MAX_VOTERS, VoterPolicy, next_membership};
 
 /// Time between heartbeats of a leader, in milliseconds.
 pub const HEARTBEAT_MS: u64 = 100;
@@ -35,6 +35,8 @@
 pub const MAX_APPEND_BYTES: usize = 512 * 1024;
 /// Entries kept behind a snapshot for replicas that lag a little.
 pub const ENTRIES_KEPT: u64 = 2_048;
+/// Bytes of entries kept behind a snapshot, whatever their number.
+pub const BYTES_KEPT: usize = 4 * 1024 * 1024;
 
 /// One replica of the log.
 #[derive(Debug)]
@@ -299,6 +301,7 @@
             snapshot,
             log_reset,
             entries,
+            kept_from: self.entries.front().map(|entry| entry.index),
             messages: std::mem::take(&mut self.outbox),
         }
     }
@@ -355,7 +358,7 @@
             state,
         };
         self.snapshot_changed = true;
-        let keep_from = index.0.saturating_sub(ENTRIES_KEPT);
+        let keep_from = self.keep_from(index);
         while self
             .entries
             .front()
@@ -365,6 +368,28 @@
         }
     }
 
+    /// Last entry up to `index` that is dropped behind a snapshot.
+    fn keep_from(&self, index: Index) -> u64 {
+        let oldest = index.0.saturating_sub(ENTRIES_KEPT);
+        let mut bytes = 0;
+        let covered = self.entries.iter().rev();
+        let too_many = covered
+            .skip_while(|entry| entry.index > index)
+            .find(|entry| {
+                bytes += entry.size();
+                bytes > BYTES_KEPT
+            });
+        too_many.map_or(oldest, |entry| oldest.max(entry.index.0))
+    }
+
+    /// Time for which a follower has not answered this leader, in milliseconds.
+    ///
+    /// None where this replica does not lead or does not know the follower.
+    pub fn silence_of(&self, id: ReplicaId) -> Option<u64> {
+        let progress = self.progress.get(&id)?;
+        (self.role == Role::Leader).then(|| self.now.saturating_sub(progress.heard))
+    }
+
     fn is_voter(&self) -> bool {
         self.membership.voters.contains(&self.config.id)
     }
--- a/crates/toucanshelf-coordination/src/replica/ready.rs
+++ b/crates/toucanshelf-coordination/src/replica/ready.rs
@@ -1,6 +1,6 @@
 //! Settings of a replica and what it hands to its caller.
 
-use super::entry::{Entry, LogSnapshot, ReplicaId, Term};
+use super::entry::{Entry, Index, LogSnapshot, ReplicaId, Term};
 use super::message::Message;
 
 /// Settings of one replica.
@@ -63,6 +63,8 @@
     pub log_reset: bool,
     /// Entries to write; stored entries from the first index on are replaced.
     pub entries: Vec<Entry>,
+    /// First entry still needed; with a snapshot, stored entries before it may go.
+    pub kept_from: Option<Index>,
     /// Messages to send once the rest is durable.
     pub messages: Vec<Message>,
 }
--- a/crates/toucanshelf-coordination/src/store.rs
+++ b/crates/toucanshelf-coordination/src/store.rs
@@ -5,7 +5,7 @@
 use redb::{Database, ReadableDatabase as _, ReadableTable as _, TableDefinition};
 use serde::{Deserialize, Serialize};
 
-use crate::replica::{ENTRIES_KEPT, Entry, LogSnapshot, Persisted, Ready, ReplicaId, Term};
+use crate::replica::{Entry, LogSnapshot, Persisted, Ready, ReplicaId, Term};
 
 const META: TableDefinition<'_, &str, &[u8]> = TableDefinition::new("meta");
 const ENTRIES: TableDefinition<'_, u64, &[u8]> = TableDefinition::new("entries");
@@ -215,8 +215,10 @@
                 let value = encode(snapshot);
                 meta.insert(SNAPSHOT_KEY, &*value)
                     .map_err(|e| self.io("writing", &e))?;
-                let covered = snapshot.index.0.saturating_sub(ENTRIES_KEPT);
-                let last = if ready.log_reset { u64::MAX } else { covered };
+                let dropped = ready
+                    .kept_from
+                    .map_or(snapshot.index.0, |first| first.0 - 1);
+                let last = if ready.log_reset { u64::MAX } else { dropped };
                 entries
                     .retain_in(..=last, |_, _| false)
                     .map_err(|e| self.io("writing", &e))?;
--- a/crates/toucanshelf-coordination/tests/replica/main.rs
+++ b/crates/toucanshelf-coordination/tests/replica/main.rs
@@ -5,8 +5,8 @@
 
 use cluster::{Cluster, Faults};
 use toucanshelf_coordination::replica::{
-    Entry, EntryBody, Index, LogSnapshot, Message, MessageBody, Persisted, Replica, ReplicaConfig,
-    ReplicaId, Role, Term, next_membership,
+    Entry, EntryBody, Index, LogSnapshot, MAX_VOTERS, Message, MessageBody, Persisted, Replica,
+    ReplicaConfig, ReplicaId, Role, Term, VoterPolicy, next_membership,
 };
 
 const CALM: Faults = Faults {
@@ -401,7 +401,7 @@
         return;
     };
     let current = cluster.replica(leader).unwrap().membership().clone();
-    if let Some(next) = next_membership(&current, &cluster.ids()) {
+    if let Some(next) = next_membership(&current, &cluster.ids(), &VoterPolicy::new(MAX_VOTERS)) {
         cluster.propose_membership(leader, next);
     }
 }
--- a/crates/toucanshelf-core/src/lib.rs
+++ b/crates/toucanshelf-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod arena;
 pub mod claim;
 pub mod configuration;
+pub mod deployment;
 pub mod digest;
 pub mod document;
 pub mod engine;
@@ -21,6 +22,8 @@
 pub mod layers;
 pub mod names;
 pub mod outcome;
+pub mod registration;
+pub mod registry;
 pub mod state;
 pub mod target;
 pub mod ticket;
--- a/crates/toucanshelf-core/src/state.rs
+++ b/crates/toucanshelf-core/src/state.rs
@@ -1,8 +1,10 @@
 //! The replicated state: configuration, verdicts and claims.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
 
 use crate::claim::{ClaimCommand, ClaimKey, ClaimReply, Claims};
 use crate::configuration::{Configuration, Delta, Snapshot};
@@ -43,6 +45,15 @@
         /// What to change.
         command: ClaimCommand,
     },
+    /// Replaces the deployment if the version is higher than the one in force.
+    Deploy {
+        /// Version that the document carries.
+        version: u64,
+        /// The document as the operator sent it.
+        document: ByteBuf,
+    },
+    /// Asks for the version of the deployment, in the order of the log.
+    DeploymentVersion,
 }
 
 /// Answer to a [`Command`].
@@ -56,6 +67,17 @@
     Ticket(Option<TicketRecord>),
     /// Identity of the log.
     Found(u64),
+    /// Version of the deployment in force; none before the first.
+    Deployment(Option<u64>),
+}
+
+/// Document of the deployment in force.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct DeploymentDocument {
+    /// Version that the document carries.
+    pub version: u64,
+    /// The document as the operator sent it.
+    pub bytes: ByteBuf,
 }
 
 /// Configuration, verdicts and claims after a prefix of the log.
@@ -65,6 +87,7 @@
     configuration: Configuration,
     verdicts: BTreeMap<TicketNumber, TicketRecord>,
     claims: Claims,
+    deployment: Option<Arc<DeploymentDocument>>,
     now: LogTimeMs,
     deltas: VecDeque<Delta>,
 }
@@ -75,6 +98,8 @@
     configuration: Snapshot,
     verdicts: Vec<TicketRecord>,
     claims: Vec<u8>,
+    #[serde(default)]
+    deployment: Option<DeploymentDocument>,
     now: LogTimeMs,
 }
 
@@ -99,6 +124,17 @@
             CommandBody::Claim { key, command } => {
                 Reply::Claim(self.claims.apply(self.now, &key, command))
             }
+            CommandBody::Deploy { version, document } => {
+                self.apply_deployment(version, document);
+                Reply::Deployment(self.deployment_version())
+            }
+            CommandBody::DeploymentVersion => Reply::Deployment(self.deployment_version()),
+        }
+    }
+
+    fn apply_deployment(&mut self, version: u64, bytes: ByteBuf) {
+        if self.deployment_version().is_none_or(|own| version > own) {
+            self.deployment = Some(Arc::new(DeploymentDocument { version, bytes }));
         }
     }
 
@@ -154,6 +190,16 @@
         &self.configuration
     }
 
+    /// Document of the deployment in force.
+    pub fn deployment(&self) -> Option<&Arc<DeploymentDocument>> {
+        self.deployment.as_ref()
+    }
+
+    /// Version of the deployment in force.
+    pub fn deployment_version(&self) -> Option<u64> {
+        self.deployment.as_ref().map(|document| document.version)
+    }
+
     /// Claims kept.
     pub fn claims(&self) -> &Claims {
         &self.claims
@@ -184,6 +230,7 @@
             configuration: self.configuration.snapshot(),
             verdicts: self.verdicts.values().cloned().collect(),
             claims: encode(&self.claims),
+            deployment: self.deployment.as_deref().cloned(),
             now: self.now,
         };
         encode(&image)
@@ -205,6 +252,7 @@
             configuration: Configuration::with_snapshot(image.configuration),
             verdicts: verdicts.collect(),
             claims: decode(&image.claims)?,
+            deployment: image.deployment.map(Arc::new),
             now: image.now,
             deltas: VecDeque::new(),
         })
--- /dev/null
+++ b/crates/toucanshelf-ingress/src/front.rs
@@ -0,0 +1,130 @@
+//! What callers and probes get.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::HOST;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use rand::RngExt as _;
+use tokio::time::Instant;
+use toucanshelf_core::deployment::RequestKind;
+use toucanshelf_link::dialect::RequestFacts;
+use toucanshelf_routing::matcher::{Denial, RouteTable};
+
+use crate::answer::{Answer, Refusal, full, refuse, strip_connection_headers};
+use crate::request::CallerRequest;
+use crate::shared::Shared;
+use crate::{plain, stream};
+
+/// Time after which a caller may come back before there is a deployment.
+const RETRY_UNCONFIGURED: Duration = Duration::from_millis(300);
+
+/// Answers a caller.
+pub async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Answer {
+    let under_way = shared.begin_request();
+    let facts = shared.dialect.request_facts(req.headers());
+    let id = facts.id.clone();
+    let req = match read(&shared, facts, req).await {
+        Ok(req) => req,
+        Err(refusal) => return denied(&shared, id.as_deref(), refusal),
+    };
+    shared.count_request(&req.service);
+    match req.kind {
+        RequestKind::Stream { .. } => stream::run(shared, req, under_way).await,
+        _ => plain::run(&shared, &req).await,
+    }
+}
+
+fn denied(shared: &Shared, id: Option<&str>, refusal: Refusal) -> Answer {
+    let requests = &shared.metrics.requests;
+    requests.with_label_values(&["none", refusal.name()]).inc();
+    tracing::info!(
+        event = "TS4307",
+        request = id.unwrap_or("-"),
+        version = shared.version(),
+        status = refusal.status().as_u16(),
+        outcome = refusal.name(),
+        "request denied"
+    );
+    let retry_after = (refusal == Refusal::NotConfigured).then_some(RETRY_UNCONFIGURED);
+    refuse(refusal, retry_after)
+}
+
+/// Matches a request to its route and reads its body.
+async fn read(
+    shared: &Shared,
+    facts: RequestFacts,
+    req: Request<Incoming>,
+) -> Result<CallerRequest, Refusal> {
+    let started = Instant::now();
+    let table = shared.table().ok_or(Refusal::NotConfigured)?;
+    let (mut parts, body) = req.into_parts();
+    let host = host(&parts);
+    let found = table.find(&host, parts.uri.path(), facts.key.as_deref());
+    let found = found.map_err(|denial| match denial {
+        Denial::NoRoute => Refusal::NoRoute,
+        Denial::UnknownKey => Refusal::UnknownKey,
+    })?;
+    let route = found.route;
+    let deadline = match facts.deadline_ms {
+        Some(ms) => route.timeout.min(Duration::from_millis(ms)),
+        None => route.timeout,
+    };
+    let body = read_body(&table, body).await?;
+    strip_connection_headers(&mut parts.headers);
+    Ok(CallerRequest {
+        method: parts.method,
+        uri: parts.uri,
+        headers: parts.headers,
+        body,
+        route: route.name.clone(),
+        kind: route.kind,
+        objective: route.objective,
+        max_attempts: route.max_attempts,
+        service: found.service(rand::rng().random()).into(),
+        organisation: found.organisation.map(Into::into),
+        version: table.deployment().version,
+        started,
+        deadline: started + deadline,
+        facts,
+    })
+}
+
+fn host(parts: &http::request::Parts) -> Box<str> {
+    let header = parts
+        .headers
+        .get(HOST)
+        .and_then(|value| value.to_str().ok());
+    header.or(parts.uri.host()).unwrap_or("").into()
+}
+
+async fn read_body(table: &RouteTable, body: Incoming) -> Result<Bytes, Refusal> {
+    let limit = table.deployment().limits.max_body_bytes;
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(Refusal::BodyTooLarge),
+        Err(_) => Err(Refusal::BodyBroken),
+    }
+}
+
+/// Answers a readiness probe.
+pub fn probe(shared: &Shared, req: &Request<Incoming>) -> Answer {
+    let known = shared.dialect.is_readiness_probe(req.uri().path());
+    let status = match (known, shared.is_ready()) {
+        (false, _) => StatusCode::NOT_FOUND,
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut response = Response::new(full(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Answers a request for metrics.
+pub fn metrics(shared: &Shared) -> Answer {
+    let text = toucanshelf_runtime::metrics::render(&shared.metrics.registry);
+    Response::new(full(text.into()))
+}
--- /dev/null
+++ b/crates/toucanshelf-ingress/src/metrics.rs
@@ -0,0 +1,79 @@
+//! Counters and histograms of the metrics endpoint.
+
+use prometheus::{Histogram, HistogramOpts, IntCounterVec, IntGauge, Opts, Registry};
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 20.0,
+];
+
+/// Metrics of an ingress.
+#[derive(Debug)]
+pub struct Metrics {
+    /// All metrics.
+    pub registry: Registry,
+    /// Requests by kind and outcome.
+    pub requests: IntCounterVec,
+    /// Attempts at targets by outcome.
+    pub attempts: IntCounterVec,
+    /// Time to a whole answer, or to the first event of a stream.
+    pub latency: Histogram,
+    /// Open links to control instances.
+    pub control_links: IntGauge,
+    /// Version of the deployment in force.
+    pub deployment_version: IntGauge,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Creates and registers all metrics.
+    ///
+    /// # Panics
+    ///
+    /// Panics when two metrics share a name.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let requests = Opts::new("toucanshelf_requests_total", "Requests by kind and outcome");
+        let requests = IntCounterVec::new(requests, &["kind", "outcome"]).expect("valid options");
+        let attempts = Opts::new(
+            "toucanshelf_attempts_total",
+            "Attempts at targets by outcome",
+        );
+        let attempts = IntCounterVec::new(attempts, &["outcome"]).expect("valid options");
+        let latency = HistogramOpts::new(
+            "toucanshelf_latency_seconds",
+            "Time to a whole answer, or to the first event of a stream",
+        );
+        let latency = latency.buckets(LATENCY_BUCKETS.to_vec());
+        let latency = Histogram::with_opts(latency).expect("valid options");
+        let gauge = |name: &str, help: &str| IntGauge::new(name, help).expect("valid options");
+        let control_links = gauge("toucanshelf_control_links", "Open links to control");
+        let deployment_version = gauge(
+            "toucanshelf_deployment_version",
+            "Version of the deployment in force",
+        );
+        let collectors: [Box<dyn prometheus::core::Collector>; 5] = [
+            Box::new(requests.clone()),
+            Box::new(attempts.clone()),
+            Box::new(latency.clone()),
+            Box::new(control_links.clone()),
+            Box::new(deployment_version.clone()),
+        ];
+        for collector in collectors {
+            registry.register(collector).expect("names differ");
+        }
+        Self {
+            registry,
+            requests,
+            attempts,
+            latency,
+            control_links,
+            deployment_version,
+        }
+    }
+}
--- /dev/null
+++ b/crates/toucanshelf-ingress/src/settings.rs
@@ -0,0 +1,108 @@
+//! Settings of an ingress.
+
+use std::net::SocketAddr;
+
+use serde::Deserialize;
+use toucanshelf_core::target::check_text;
+use toucanshelf_link::handshake::SharedKey;
+use toucanshelf_routing::budget::BudgetLimits;
+use toucanshelf_runtime::program::DaemonSettings;
+use toucanshelf_runtime::settings::LogSettings;
+
+/// Settings of an ingress.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct IngressSettings {
+    /// Name of the instance, unique among ingresses.
+    pub name: Box<str>,
+    /// Availability zone.
+    pub zone: Box<str>,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for the platform's readiness probes.
+    pub ready_listen: SocketAddr,
+    /// Address for metrics.
+    pub metrics_listen: SocketAddr,
+    /// Key that all processes of the system share.
+    pub link_key: Box<str>,
+    /// Addresses of control instances to find the others through; only the host counts.
+    pub seeds: Vec<SocketAddr>,
+    /// Port on which control instances take links.
+    pub link_port: u16,
+    /// Time that a stop may take, in milliseconds.
+    #[serde(default = "default_stop_timeout")]
+    pub stop_timeout_ms: u64,
+    /// Repeated sends allowed for each request in the window.
+    #[serde(default = "default_repeat_ratio")]
+    pub repeat_ratio: f64,
+    /// Repeated sends allowed beyond that, over all ingresses.
+    #[serde(default = "default_repeat_slack")]
+    pub repeat_slack: f64,
+    /// Length of the window, in milliseconds.
+    #[serde(default = "default_repeat_window")]
+    pub repeat_window_ms: u64,
+    /// Logs and traces.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+fn default_stop_timeout() -> u64 {
+    7_500
+}
+
+fn default_repeat_ratio() -> f64 {
+    0.1
+}
+
+fn default_repeat_slack() -> f64 {
+    20.0
+}
+
+fn default_repeat_window() -> u64 {
+    10_000
+}
+
+impl IngressSettings {
+    /// Key that all processes share.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the key is too short.
+    pub fn shared_key(&self) -> Result<SharedKey, Box<str>> {
+        SharedKey::new(self.link_key.clone()).map_err(|e| format!("link-key: {e}").into())
+    }
+
+    /// Bounds on repeated sends.
+    pub fn budget_limits(&self) -> BudgetLimits {
+        BudgetLimits {
+            ratio: self.repeat_ratio,
+            slack: self.repeat_slack,
+            window_ms: self.repeat_window_ms,
+        }
+    }
+}
+
+impl DaemonSettings for IngressSettings {
+    fn check(&self) -> Result<(), Box<str>> {
+        check_text("name", &self.name)?;
+        check_text("zone", &self.zone)?;
+        self.shared_key()?;
+        if self.seeds.is_empty() {
+            return Err("seeds: at least one address is needed".into());
+        }
+        if !(self.repeat_ratio.is_finite() && self.repeat_ratio >= 0.0) {
+            return Err("repeat-ratio: must not be negative".into());
+        }
+        if !(self.repeat_slack.is_finite() && self.repeat_slack >= 0.0) {
+            return Err("repeat-slack: must not be negative".into());
+        }
+        if !(1_000..=600_000).contains(&self.repeat_window_ms) {
+            return Err("repeat-window-ms: must lie in 1000..=600000".into());
+        }
+        Ok(())
+    }
+
+    fn log(&self) -> &LogSettings {
+        &self.log
+    }
+}
--- /dev/null
+++ b/crates/toucanshelf-ingress/src/stream.rs
@@ -0,0 +1,524 @@
+//! Requests that are answered by a stream of events.
+//!
+//! A stream that breaks off or stalls goes on at another route after its last whole event,
+//! within the same answer: the caller sees the head of the first engine and each event once.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use hyper::body::Incoming;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep_until};
+
+use crate::answer::{Answer, Refusal, channel, full, refuse};
+use crate::attempt::{AttemptError, Destination, KeptConnection, OpenAnswer, send};
+use crate::events::EventSplitter;
+use crate::request::{CallerRequest, InFlight};
+use crate::shared::{Shared, UnderWay};
+use crate::targets::{RouteHop, TargetKey};
+
+/// Wait for a first event after which the route is looked into.
+const FIRST_EVENT_CHECK: Duration = Duration::from_millis(600);
+/// Gap between events after which the route is looked into.
+const GAP_CHECK: Duration = Duration::from_millis(450);
+/// Time between further looks.
+const CHECK_AGAIN: Duration = Duration::from_millis(250);
+/// Gap after which a stream goes on elsewhere, whatever the reports say.
+// Callers leave after 2 s without an event.
+const GAP_LIMIT: Duration = Duration::from_millis(1_400);
+/// Routes that are offered a request before it is refused.
+const MAX_OFFERS: u32 = 6;
+/// Time after which a caller may come back where no route can take its request.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Runs a request whose answer is a stream.
+pub async fn run(shared: Arc<Shared>, req: CallerRequest, under_way: UnderWay) -> Answer {
+    let mut run = StreamRun::new(shared, req);
+    loop {
+        let open = match run.open().await {
+            Ok(open) => open,
+            Err(refusal) => return run.refuse(refusal),
+        };
+        let (head, mut source) = match open {
+            Opened::Stream(head, source) => (head, source),
+            Opened::Failure(answer) => return answer,
+        };
+        match run.next(&mut source, None).await {
+            Next::Event(event) => {
+                let (tx, body) = channel();
+                run.note_first_event();
+                tokio::spawn(async move {
+                    run.pump(source, event, tx).await;
+                    drop(under_way);
+                });
+                return Answer::from_parts(head, body);
+            }
+            Next::End => {
+                run.finish("served", head.status.as_u16());
+                source.keep(&run.shared);
+                return Answer::from_parts(head, full(Bytes::new()));
+            }
+            Next::Failed(cause) => run.note_failure(&source, &cause),
+            Next::Left => unreachable!("nobody can leave before there is a body"),
+        }
+        if !run.may_go_on() {
+            return run.refuse(run.refusal());
+        }
+    }
+}
+
+/// What an attempt to open a stream led to.
+enum Opened {
+    Stream(http::response::Parts, Box<Source>),
+    /// The engine's own failure, to be passed on.
+    Failure(Answer),
+}
+
+/// What comes next on a stream.
+enum Next {
+    Event(Bytes),
+    End,
+    Failed(Failure),
+    /// The caller has left.
+    Left,
+}
+
+/// Why a stream can't go on where it is.
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    #[error("connection broke: {0}")]
+    Broken(Box<str>),
+    #[error("an engine further on has failed")]
+    RouteFailed,
+    #[error("the first engine does not answer")]
+    FirstSilent,
+    #[error("no event in time")]
+    Frozen,
+    #[error("the deadline has passed")]
+    Expired,
+}
+
+/// A stream from an engine.
+struct Source {
+    body: Incoming,
+    kept: KeptConnection,
+    splitter: EventSplitter,
+    route: Vec<RouteHop>,
+    last_heard: Instant,
+    check_due: Instant,
+    failures: watch::Receiver<u64>,
+    _in_flight: InFlight,
+}
+
+impl Source {
+    /// Keeps the connection of a stream that was read to its end.
+    fn keep(self: Box<Self>, shared: &Shared) {
+        self.kept.keep(shared);
+    }
+}
+
+/// A request and what has happened to it so far.
+struct StreamRun {
+    shared: Arc<Shared>,
+    req: CallerRequest,
+    excluded: Vec<TargetKey>,
+    /// Attempts that may have run, on engines that are still there.
+    runs: u32,
+    offers: u32,
+    /// Attempts that may have run at all.
+    may_have_run: bool,
+    last_event: Option<u64>,
+    events: u64,
+    first_event_ms: Option<u64>,
+}
+
+impl StreamRun {
+    fn new(shared: Arc<Shared>, req: CallerRequest) -> Self {
+        let last_event = req.facts.last_event;
+        Self {
+            shared,
+            req,
+            excluded: Vec::new(),
+            runs: 0,
+            offers: 0,
+            may_have_run: false,
+            last_event,
+            events: 0,
+            first_event_ms: None,
+        }
+    }
+
+    /// Opens the stream at the first route that takes it.
+    async fn open(&mut self) -> Result<Opened, Refusal> {
+        loop {
+            if self.req.answer_due() <= Instant::now() {
+                return Err(self.expired());
+            }
+            let Some(route) = self.next_route() else {
+                return Err(self.refusal());
+            };
+            self.offers += 1;
+            match self.attempt(route).await {
+                Ok(opened) => return Ok(opened),
+                Err(e) if e.has_not_run() => {}
+                Err(_) if self.may_go_on() => {}
+                Err(AttemptError::TimedOut) => return Err(self.expired()),
+                Err(_) => return Err(self.refusal()),
+            }
+        }
+    }
+
+    fn next_route(&mut self) -> Option<Vec<RouteHop>> {
+        let (shared, service) = (&self.shared, &self.req.service);
+        if self.offers >= MAX_OFFERS {
+            return None;
+        }
+        let now = shared.now();
+        let route = shared.targets().choose_route(service, &self.excluded, now);
+        let route = route.filter(|route| !route.is_empty())?;
+        (self.offers == 0 || shared.take_repeat(service)).then_some(route)
+    }
+
+    async fn attempt(&mut self, route: Vec<RouteHop>) -> Result<Opened, AttemptError> {
+        let first = route[0];
+        let Some(id) = self.shared.targets().id(first.key) else {
+            return Err(AttemptError::NotSent("the engine has left".into()));
+        };
+        let hops: Vec<_> = route.iter().map(|hop| (hop.address, hop.layers)).collect();
+        let tokens = self.req.expected_tokens();
+        let reserved = route
+            .iter()
+            .map(|hop| (hop.key, tokens * f64::from(hop.layers.len())));
+        let in_flight = InFlight::new(&self.shared, reserved.collect());
+        let destination = Destination {
+            id: &id,
+            address: first.address,
+            hops: &hops,
+            last_event: self.last_event.filter(|_| self.events > 0),
+        };
+        let failures = self.shared.failures();
+        let sent = Instant::now();
+        let result = self
+            .send_watched(&destination, &route, failures.clone())
+            .await;
+        let open = match result {
+            Ok(open) => open,
+            Err(e) => {
+                self.note_refused(&route, &e);
+                return Err(e);
+            }
+        };
+        if !open.response.status().is_success() {
+            let whole = open.whole(&self.shared, self.req.answer_due()).await;
+            self.runs += 1;
+            self.may_have_run = true;
+            let answer = whole?;
+            let status = answer.status().as_u16();
+            self.finish("target-failure", status);
+            return Ok(Opened::Failure(answer.map(full)));
+        }
+        let (head, body, kept) = open.into_stream();
+        let source = Source {
+            body,
+            kept,
+            splitter: EventSplitter::new(),
+            route,
+            last_heard: sent,
+            check_due: sent + FIRST_EVENT_CHECK,
+            failures,
+            _in_flight: in_flight,
+        };
+        Ok(Opened::Stream(head, Box::new(source)))
+    }
+
+    /// Sends the request and waits for the head of the answer, as long as the route holds.
+    async fn send_watched(
+        &self,
+        destination: &Destination<'_>,
+        route: &[RouteHop],
+        mut failures: watch::Receiver<u64>,
+    ) -> Result<OpenAnswer, AttemptError> {
+        let sent = Instant::now();
+        let mut check_due = sent + FIRST_EVENT_CHECK;
+        let due = self.req.answer_due();
+        let sending = send(&self.shared, &self.req, destination, due);
+        let mut sending = std::pin::pin!(sending);
+        loop {
+            tokio::select! {
+                result = &mut sending => return result,
+                _ = failures.changed() => {
+                    if self.route_has_failed(route) {
+                        return Err(AttemptError::Lost("an engine of the route has failed".into()));
+                    }
+                }
+                () = sleep_until(check_due) => {
+                    check_due = Instant::now() + CHECK_AGAIN;
+                    if let Some(failure) = self.look_into(route, sent).await {
+                        return Err(AttemptError::Lost(failure.to_string().into()));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Next event of a stream; `caller` tells when the caller has left.
+    async fn next(
+        &self,
+        source: &mut Source,
+        caller: Option<&mpsc::Sender<io::Result<Bytes>>>,
+    ) -> Next {
+        loop {
+            if let Some(event) = source.splitter.next_event() {
+                if event.id.is_some_and(|id| self.has_delivered(id)) {
+                    continue;
+                }
+                return Next::Event(event.bytes);
+            }
+            let left = async {
+                match caller {
+                    Some(tx) => tx.closed().await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                frame = source.body.frame() => match frame {
+                    Some(Ok(frame)) => {
+                        let Ok(bytes) = frame.into_data() else { continue };
+                        source.last_heard = Instant::now();
+                        source.check_due = source.last_heard + GAP_CHECK;
+                        if let Err(e) = source.splitter.push(&bytes) {
+                            return Next::Failed(Failure::Broken(e.to_string().into()));
+                        }
+                    }
+                    Some(Err(e)) => return Next::Failed(Failure::Broken(e.to_string().into())),
+                    None if source.splitter.holds_partial_event() => {
+                        return Next::Failed(Failure::Broken("it ends within an event".into()));
+                    }
+                    None => return Next::End,
+                },
+                () = left => return Next::Left,
+                _ = source.failures.changed() => {
+                    if self.route_has_failed(&source.route) {
+                        return Next::Failed(Failure::RouteFailed);
+                    }
+                }
+                () = sleep_until(source.check_due) => {
+                    source.check_due = Instant::now() + CHECK_AGAIN;
+                    if let Some(failure) = self.look_into(&source.route, source.last_heard).await {
+                        return Next::Failed(failure);
+                    }
+                }
+                () = sleep_until(self.req.deadline) => return Next::Failed(Failure::Expired),
+            }
+        }
+    }
+
+    fn has_delivered(&self, id: u64) -> bool {
+        self.last_event.is_some_and(|last| id <= last)
+    }
+
+    fn route_has_failed(&self, route: &[RouteHop]) -> bool {
+        let now = self.shared.now();
+        let targets = self.shared.targets();
+        route.iter().any(|hop| targets.has_failed(hop.key, now))
+    }
+
+    /// Asks the first engine of a silent route what the stream waits for.
+    async fn look_into(&self, route: &[RouteHop], last_heard: Instant) -> Option<Failure> {
+        let first = route[0];
+        let report = self.shared.reports.get(&self.shared, first.address).await;
+        let Some(report) = report else {
+            self.take_down(first.key, first.address, "the first engine does not answer");
+            return Some(Failure::FirstSilent);
+        };
+        let stalled = report.stalled.iter();
+        let on_route = stalled
+            .filter(|stalled| route.iter().any(|hop| hop.address == stalled.address))
+            .find(|stalled| &*stalled.request_id == self.req.id());
+        if let Some(stalled) = on_route {
+            let key = self.shared.targets().at_address(stalled.address);
+            if let Some(key) = key {
+                self.take_down(key, stalled.address, "requests stall there");
+            }
+            return Some(Failure::RouteFailed);
+        }
+        (last_heard.elapsed() >= GAP_LIMIT).then_some(Failure::Frozen)
+    }
+
+    fn take_down(&self, key: TargetKey, address: std::net::SocketAddr, cause: &str) {
+        let now = self.shared.now();
+        if self.shared.targets().note_down(key, now) {
+            tracing::warn!(event = "TS4303", request = self.req.id(), %address, cause, "target left alone");
+            self.shared.pool.forget(address);
+            self.shared.control.report_suspicion(address);
+            self.shared.announce_failure();
+        }
+    }
+
+    /// Draws conclusions from an attempt that was not taken.
+    fn note_refused(&mut self, route: &[RouteHop], error: &AttemptError) {
+        let first = route[0];
+        let now = self.shared.now();
+        match error {
+            AttemptError::NotSent(_) => {
+                self.take_down(first.key, first.address, "it can't be reached");
+            }
+            AttemptError::NotRun { status, at_fault } => {
+                let address = at_fault.unwrap_or(first.address);
+                let mut targets = self.shared.targets();
+                let hop = route.iter().find(|hop| hop.address == address);
+                let key = hop.map_or(first.key, |hop| hop.key);
+                if *status == http::StatusCode::MISDIRECTED_REQUEST {
+                    targets.note_misplaced(key, now);
+                } else {
+                    targets.note_refusal(key, now);
+                }
+                self.excluded.push(key);
+            }
+            AttemptError::Lost(_) | AttemptError::TimedOut => {
+                self.may_have_run = true;
+                if !self.route_has_failed(route) {
+                    self.runs += 1;
+                    self.excluded.push(first.key);
+                }
+            }
+        }
+    }
+
+    /// Draws conclusions from a stream that can't go on where it is.
+    fn note_failure(&mut self, source: &Source, failure: &Failure) {
+        self.may_have_run = true;
+        tracing::info!(
+            event = "TS4305",
+            request = self.req.id(),
+            first = %source.route[0].address,
+            hops = source.route.len(),
+            last_event = self.last_event,
+            silent_ms = source.last_heard.elapsed().as_millis() as u64,
+            cause = %failure,
+            "stream broke off"
+        );
+        // A failed engine is left out anyway and does not count as a run.
+        if !self.route_has_failed(&source.route) {
+            self.runs += 1;
+            self.excluded.push(source.route[0].key);
+        }
+    }
+
+    fn may_go_on(&self) -> bool {
+        self.req.kind.may_repeat()
+            && self.runs < self.req.max_attempts
+            && Instant::now() < self.req.answer_due()
+    }
+
+    /// Forwards events until the stream ends, going on elsewhere where it must.
+    async fn pump(
+        mut self,
+        source: Box<Source>,
+        event: Bytes,
+        tx: mpsc::Sender<io::Result<Bytes>>,
+    ) {
+        let mut source = source;
+        let mut event = Some(event);
+        loop {
+            if let Some(bytes) = event.take() {
+                self.note_delivered(&bytes);
+                if tx.send(Ok(bytes)).await.is_err() {
+                    return self.finish("caller-left", 200);
+                }
+            }
+            match self.next(&mut source, Some(&tx)).await {
+                Next::Event(bytes) => event = Some(bytes),
+                Next::End => {
+                    source.keep(&self.shared);
+                    return self.finish("served", 200);
+                }
+                Next::Left => return self.finish("caller-left", 200),
+                Next::Failed(failure) => {
+                    self.note_failure(&source, &failure);
+                    drop(source);
+                    let Some(next) = self.go_on(&tx).await else {
+                        // An error breaks the connection off, so that the answer looks cut.
+                        let cut = io::Error::other("the stream can't go on");
+                        drop(tx.send(Err(cut)).await);
+                        return self.finish("cut", 200);
+                    };
+                    source = next;
+                }
+            }
+        }
+    }
+
+    /// Opens the rest of the stream elsewhere.
+    async fn go_on(&mut self, tx: &mpsc::Sender<io::Result<Bytes>>) -> Option<Box<Source>> {
+        if !self.may_go_on() || self.last_event.is_none() {
+            return None;
+        }
+        let opened = tokio::select! {
+            opened = self.open() => opened,
+            () = tx.closed() => return None,
+        };
+        match opened {
+            Ok(Opened::Stream(_, source)) => Some(source),
+            Ok(Opened::Failure(_)) | Err(_) => None,
+        }
+    }
+
+    fn note_first_event(&mut self) {
+        let ms = self.req.age_ms();
+        self.first_event_ms = Some(ms);
+        self.shared.metrics.latency.observe(ms as f64 / 1e3);
+    }
+
+    fn note_delivered(&mut self, bytes: &Bytes) {
+        self.events += 1;
+        if let Some(id) = crate::events::event_id(bytes) {
+            self.last_event = Some(id);
+        }
+    }
+
+    fn expired(&self) -> Refusal {
+        if self.may_have_run {
+            Refusal::Expired
+        } else {
+            Refusal::ExpiredUnrun
+        }
+    }
+
+    fn refusal(&self) -> Refusal {
+        if self.may_have_run {
+            Refusal::Lost
+        } else {
+            Refusal::NoTarget
+        }
+    }
+
+    fn refuse(&self, refusal: Refusal) -> Answer {
+        self.finish(refusal.name(), refusal.status().as_u16());
+        let retry_after = (!self.may_have_run).then_some(RETRY_AFTER);
+        refuse(refusal, retry_after)
+    }
+
+    fn finish(&self, outcome: &'static str, status: u16) {
+        let requests = &self.shared.metrics.requests;
+        requests.with_label_values(&["stream", outcome]).inc();
+        tracing::info!(
+            event = "TS4306",
+            request = self.req.id(),
+            route = %self.req.route,
+            service = %self.req.service,
+            version = self.req.version,
+            status,
+            outcome,
+            runs = self.runs,
+            offers = self.offers,
+            events = self.events,
+            first_event_ms = self.first_event_ms,
+            ms = self.req.age_ms(),
+            "stream ended"
+        );
+    }
+}
--- a/crates/toucanshelf-link/src/frame.rs
+++ b/crates/toucanshelf-link/src/frame.rs
@@ -1,15 +1,19 @@
 //! Messages between toucanshelf processes.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
+use serde_bytes::ByteBuf;
 use toucanshelf_coordination::membership::{Record, RecordDigest};
 use toucanshelf_coordination::replica;
 use toucanshelf_core::configuration::{Delta, Snapshot};
 use toucanshelf_core::ids::Revision;
+use toucanshelf_core::registration::Registration;
 use toucanshelf_core::state::{CommandBody, Reply};
 use toucanshelf_core::target::Announcement;
 
 /// Version of the protocol; a peer with another one is refused.
-pub const PROTOCOL_VERSION: u32 = 1;
+pub const PROTOCOL_VERSION: u32 = 2;
 
 /// Identity of a replicated log, drawn when its first replica starts.
 pub type LogId = u64;
@@ -114,6 +118,50 @@
         /// Log that the sender belongs to; none where its disk is empty.
         log: Option<LogId>,
     },
+    /// Control to control: address under which the sender takes links.
+    Introduce {
+        /// The address.
+        link: SocketAddr,
+    },
+    /// Control to control or ingress: link addresses of the control instances.
+    Members {
+        /// The addresses.
+        links: Vec<SocketAddr>,
+        /// Ingress instances that are linked to the sender.
+        ingresses: u32,
+    },
+
+    /// Control to ingress: version of the deployment in force.
+    DeploymentHead {
+        /// The version.
+        version: u64,
+    },
+    /// Ingress to control: asks for the deployment in force.
+    FetchDeployment,
+    /// Control to ingress: the deployment in force.
+    Deployment {
+        /// Version that the document carries.
+        version: u64,
+        /// The document as the operator sent it.
+        document: ByteBuf,
+    },
+    /// Control to ingress or control: the latest word of targets.
+    Registrations {
+        /// Number that the answer repeats; 0 asks for none.
+        push: u64,
+        /// The registrations.
+        records: Vec<Registration>,
+    },
+    /// Ingress to control: the registrations of this push are in force.
+    RegistrationsSeen {
+        /// Number of the push.
+        push: u64,
+    },
+    /// Ingress to control: requests fail or stall at this address.
+    Suspected {
+        /// Address of the target.
+        address: SocketAddr,
+    },
 }
 
 /// Why a command has no answer.
--- a/crates/toucanshelf-link/src/handshake.rs
+++ b/crates/toucanshelf-link/src/handshake.rs
@@ -69,6 +69,8 @@
     Gate,
     /// A control instance.
     Control,
+    /// An ingress.
+    Ingress,
 }
 
 /// How a process introduces itself.
@@ -99,6 +101,14 @@
         }
     }
 
+    /// Introduces an ingress.
+    pub fn with_ingress(name: impl Into<Box<str>>, zone: impl Into<Box<str>>) -> Self {
+        Self {
+            role: PeerRole::Ingress,
+            ..Self::with_gate(name, zone)
+        }
+    }
+
     /// Introduces a control instance.
     pub fn with_control(
         name: impl Into<Box<str>>,
--- a/crates/toucanshelf-link/src/lib.rs
+++ b/crates/toucanshelf-link/src/lib.rs
@@ -12,7 +12,9 @@
 //! assert!(SharedKey::new("a key of at least sixteen bytes").is_ok());
 //! ```
 
+pub mod dialect;
 pub mod engine;
+pub mod exchange;
 pub mod frame;
 pub mod handshake;
 pub mod link;
--- a/crates/toucanshelf-replay/src/layout.rs
+++ b/crates/toucanshelf-replay/src/layout.rs
@@ -95,6 +95,7 @@
         replicas: others.map(|(_, address)| *address).collect(),
         bootstrap: n == 0,
         operator_token_digests: vec![Digest::of(OPERATOR_TOKEN.as_bytes())],
+        deployment: None,
         log: LogSettings::default(),
     }
 }
--- a/crates/toucanshelf-routing/src/lib.rs
+++ b/crates/toucanshelf-routing/src/lib.rs
@@ -23,9 +23,13 @@
 //! ```
 
 pub mod admission;
+pub mod budget;
 pub mod delivery;
 pub mod fleet;
 pub mod flow;
+pub mod hops;
+pub mod matcher;
+pub mod placement;
 pub mod planner;
 pub mod quarantine;
 pub mod retry;
--- /dev/null
+++ b/crates/toucanshelf-routing/src/placement.rs
@@ -0,0 +1,370 @@
+//! Which engine should hold which layers.
+//!
+//! Each availability zone holds the whole model by itself where its accelerators allow. Layers
+//! that are held stay where they are; a gap is filled by engines that are empty or hold only
+//! what others hold too, then by their neighbours, and only as a last resort by moving the
+//! borders of the whole zone.
+//!
+//! ```
+//! use toucanshelf_routing::placement::{Card, ModelShape, Retiling, plan};
+//!
+//! let shape = ModelShape { layers: 8, layer_mb: 10.0, token_layer_mb: 0.01 };
+//! let card = |memory_mb| Card { zone: 0, memory_mb, step_factor: 1.0, held: None };
+//! let wanted = plan(&shape, &[card(120.0), card(60.0)], Retiling::Allowed);
+//! assert_eq!(wanted.iter().flatten().map(|range| range.len()).sum::<u32>(), 8);
+//! ```
+
+use toucanshelf_core::layers::LayerRange;
+
+/// Share of a zone's even room for requests that an engine in a gap must keep.
+const GAP_ROOM: f64 = 0.5;
+/// Share of a zone's even room below which a neighbour is not stretched over a gap.
+const STRETCH_ROOM: f64 = 0.2;
+/// Share of a zone's even room that must be left where one engine is kept in reserve.
+const RESERVE_ROOM: f64 = 0.85;
+/// Fewest engines of a zone that keeps one in reserve.
+const RESERVE_MIN_ENGINES: usize = 6;
+/// Steps of the search for a zone's even room.
+const SEARCH_STEPS: u32 = 40;
+
+/// Sizes of a model.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ModelShape {
+    /// Number of layers.
+    pub layers: u32,
+    /// Memory of one layer, in megabytes.
+    pub layer_mb: f64,
+    /// Memory of one token of a request in one layer, in megabytes.
+    pub token_layer_mb: f64,
+}
+
+/// An engine that can be given layers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Card {
+    /// Availability zone.
+    pub zone: u16,
+    /// Memory for layers and requests, in megabytes.
+    pub memory_mb: f64,
+    /// Factor on the time of a decoding step; higher is slower.
+    pub step_factor: f64,
+    /// Layers that it holds or has been ordered to hold.
+    pub held: Option<LayerRange>,
+}
+
+/// Whether the borders of a whole zone may move.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Retiling {
+    /// They may.
+    Allowed,
+    /// They stay; a gap that nobody can fill stays open.
+    Deferred,
+}
+
+impl ModelShape {
+    /// Layers that fit beside requests of `tokens` tokens in all.
+    fn capacity(&self, card: &Card, tokens: f64) -> u32 {
+        let per_layer = self.layer_mb + self.token_layer_mb * tokens;
+        ((card.memory_mb / per_layer) as u32).min(self.layers)
+    }
+
+    /// Most tokens for which the cards hold the whole model; none where they never do.
+    fn even_room(&self, cards: &[&Card]) -> Option<f64> {
+        let fits = |tokens: f64| {
+            let held: u32 = cards.iter().map(|card| self.capacity(card, tokens)).sum();
+            held >= self.layers
+        };
+        if !fits(0.0) {
+            return None;
+        }
+        let all: f64 = cards.iter().map(|card| card.memory_mb).sum();
+        let (mut low, mut high) = (0.0, all / self.token_layer_mb.max(f64::MIN_POSITIVE));
+        for _ in 0..SEARCH_STEPS {
+            let middle = f64::midpoint(low, high);
+            if fits(middle) {
+                low = middle;
+            } else {
+                high = middle;
+            }
+        }
+        Some(low)
+    }
+}
+
+/// Layers that each card should hold, in the order of `cards`.
+///
+/// The answer depends on nothing but the arguments, and a card keeps what it holds unless the
+/// zone's coverage needs another range.
+pub fn plan(shape: &ModelShape, cards: &[Card], retiling: Retiling) -> Vec<Option<LayerRange>> {
+    let mut wanted: Vec<_> = cards.iter().map(|card| card.held).collect();
+    for members in groups(shape, cards) {
+        let mut group = Group::new(shape, cards, members, &mut wanted);
+        group.place(retiling);
+    }
+    wanted
+}
+
+/// Cards by zone; zones that can't hold the model by themselves are taken together.
+fn groups(shape: &ModelShape, cards: &[Card]) -> Vec<Vec<usize>> {
+    let mut zones: Vec<u16> = cards.iter().map(|card| card.zone).collect();
+    zones.sort_unstable();
+    zones.dedup();
+    let mut whole = Vec::new();
+    let mut rest = Vec::new();
+    for zone in zones {
+        let members: Vec<_> = (0..cards.len())
+            .filter(|i| cards[*i].zone == zone)
+            .collect();
+        let refs: Vec<_> = members.iter().map(|i| &cards[*i]).collect();
+        match shape.even_room(&refs) {
+            Some(_) => whole.push(members),
+            None => rest.extend(members),
+        }
+    }
+    whole.push(rest);
+    whole
+}
+
+/// Cards that hold the model together.
+struct Group<'a> {
+    shape: &'a ModelShape,
+    cards: &'a [Card],
+    members: Vec<usize>,
+    wanted: &'a mut [Option<LayerRange>],
+    room: f64,
+}
+
+impl<'a> Group<'a> {
+    fn new(
+        shape: &'a ModelShape,
+        cards: &'a [Card],
+        members: Vec<usize>,
+        wanted: &'a mut [Option<LayerRange>],
+    ) -> Self {
+        let refs: Vec<_> = members.iter().map(|i| &cards[*i]).collect();
+        let room = shape.even_room(&refs).unwrap_or(0.0);
+        Self {
+            shape,
+            cards,
+            members,
+            wanted,
+            room,
+        }
+    }
+
+    fn place(&mut self, retiling: Retiling) {
+        if self.members.is_empty() {
+            return;
+        }
+        if self.members.iter().all(|i| self.wanted[*i].is_none()) {
+            self.tile_afresh();
+        } else {
+            self.fill_gaps();
+            if self.first_gap().is_some() && retiling == Retiling::Allowed {
+                self.retile();
+            }
+        }
+        self.use_the_empty();
+    }
+
+    /// Number of cards that hold each layer.
+    fn coverage(&self) -> Vec<u32> {
+        let mut out = vec![0; self.shape.layers as usize];
+        for range in self.members.iter().filter_map(|i| self.wanted[*i]) {
+            for layer in range.from()..range.to().min(self.shape.layers) {
+                out[layer as usize] += 1;
+            }
+        }
+        out
+    }
+
+    fn first_gap(&self) -> Option<LayerRange> {
+        let coverage = self.coverage();
+        let from = coverage.iter().position(|count| *count == 0)?;
+        let len = coverage[from..]
+            .iter()
+            .take_while(|count| **count == 0)
+            .count();
+        LayerRange::new(from as u32, (from + len) as u32).ok()
+    }
+
+    /// Gives each card layers in proportion to its memory; the slowest may stay in reserve.
+    fn tile_afresh(&mut self) {
+        let mut order = self.members.clone();
+        order.sort_by(|a, b| {
+            let (a, b) = (&self.cards[*a], &self.cards[*b]);
+            b.memory_mb
+                .total_cmp(&a.memory_mb)
+                .then(a.step_factor.total_cmp(&b.step_factor))
+        });
+        if let Some(reserve) = self.reserve() {
+            order.retain(|i| *i != reserve);
+        }
+        self.tile(&order);
+    }
+
+    /// Card that the group can spare: the slowest, if enough room is left without it.
+    fn reserve(&self) -> Option<usize> {
+        if self.members.len() < RESERVE_MIN_ENGINES {
+            return None;
+        }
+        let slowest = self.members.iter().copied().max_by(|a, b| {
+            let (a, b) = (&self.cards[*a], &self.cards[*b]);
+            a.step_factor
+                .total_cmp(&b.step_factor)
+                .then(b.memory_mb.total_cmp(&a.memory_mb))
+        })?;
+        let others = self.members.iter().filter(|i| **i != slowest);
+        let others: Vec<_> = others.map(|i| &self.cards[*i]).collect();
+        let room = self.shape.even_room(&others)?;
+        (room >= RESERVE_ROOM * self.room).then_some(slowest)
+    }
+
+    /// Tiles the model over the cards in this order.
+    fn tile(&mut self, order: &[usize]) {
+        let refs: Vec<_> = order.iter().map(|i| &self.cards[*i]).collect();
+        let Some(room) = self.shape.even_room(&refs) else {
+            return;
+        };
+        let mut counts: Vec<_> = refs
+            .iter()
+            .map(|card| self.shape.capacity(card, room))
+            .collect();
+        let mut excess = counts.iter().sum::<u32>() - self.shape.layers;
+        while excess > 0 {
+            // The layer that takes longest is the one to give up.
+            let slowest = (0..order.len()).filter(|i| counts[*i] > 0).max_by(|a, b| {
+                let time = |i: usize| f64::from(counts[i]) * self.cards[order[i]].step_factor;
+                time(*a).total_cmp(&time(*b))
+            });
+            let Some(slowest) = slowest else { return };
+            counts[slowest] -= 1;
+            excess -= 1;
+        }
+        let mut from = 0;
+        for (i, count) in order.iter().zip(counts) {
+            self.wanted[*i] = LayerRange::new(from, from + count).ok();
+            from += count;
+        }
+    }
+
+    /// Fills gaps by cards that can be spared, then by stretching neighbours.
+    fn fill_gaps(&mut self) {
+        while let Some(gap) = self.first_gap() {
+            if !self.fill_by_spare(gap) && !self.stretch_over(gap) {
+                return;
+            }
+        }
+    }
+
+    fn fill_by_spare(&mut self, gap: LayerRange) -> bool {
+        let coverage = self.coverage();
+        let spare = self
+            .members
+            .iter()
+            .copied()
+            .filter(|i| self.is_spare(*i, &coverage));
+        let fitting = |i: usize| self.shape.capacity(&self.cards[i], GAP_ROOM * self.room);
+        let best = spare.filter(|i| fitting(*i) > 0).max_by(|a, b| {
+            let reach = |i: usize| fitting(i).min(gap.len());
+            let empty = |i: usize| self.wanted[i].is_none();
+            reach(*a)
+                .cmp(&reach(*b))
+                .then(empty(*a).cmp(&empty(*b)))
+                .then(
+                    self.cards[*b]
+                        .step_factor
+                        .total_cmp(&self.cards[*a].step_factor),
+                )
+        });
+        let Some(best) = best else {
+            return false;
+        };
+        let to = gap.from() + fitting(best).min(gap.len());
+        self.wanted[best] = LayerRange::new(gap.from(), to).ok();
+        true
+    }
+
+    /// Whether a card is empty, or others hold all that it holds.
+    fn is_spare(&self, i: usize, coverage: &[u32]) -> bool {
+        self.wanted[i].is_none_or(|range| {
+            let held = &coverage[range.from() as usize..range.to() as usize];
+            held.iter().all(|count| *count > 1)
+        })
+    }
+
+    fn stretch_over(&mut self, gap: LayerRange) -> bool {
+        let room = STRETCH_ROOM * self.room;
+        let neighbours = self.members.iter().copied().filter_map(|i| {
+            let range = self.wanted[i]?;
+            let free = self
+                .shape
+                .capacity(&self.cards[i], room)
+                .checked_sub(range.len())?;
+            let touches = range.to() == gap.from() || range.from() == gap.to();
+            (touches && free > 0).then_some((free, i, range))
+        });
+        let Some((_, i, range)) = neighbours.max_by_key(|(free, ..)| *free) else {
+            return false;
+        };
+        // One layer at a time, so that neighbours on both sides share the gap.
+        self.wanted[i] = if range.to() == gap.from() {
+            LayerRange::new(range.from(), range.to() + 1).ok()
+        } else {
+            LayerRange::new(range.from() - 1, range.to()).ok()
+        };
+        true
+    }
+
+    /// Moves all borders; cards keep their order along the layers.
+    fn retile(&mut self) {
+        let gap = self.first_gap().map_or(0, LayerRange::from);
+        let mut order = self.members.clone();
+        let start = |i: &usize| self.wanted[*i].map_or(gap, LayerRange::from);
+        order.sort_by_key(start);
+        self.tile(&order);
+    }
+
+    /// Puts empty cards where the layers have the least room for requests.
+    fn use_the_empty(&mut self) {
+        let empty: Vec<_> = self
+            .members
+            .iter()
+            .copied()
+            .filter(|i| self.wanted[*i].is_none())
+            .collect();
+        for i in empty {
+            let len = self.shape.capacity(&self.cards[i], self.room);
+            if len == 0 {
+                continue;
+            }
+            let room = self.room_by_layer();
+            let starts = 0..=(self.shape.layers - len);
+            let weakest = starts.min_by(|a, b| {
+                let sum = |from: u32| {
+                    room[from as usize..(from + len) as usize]
+                        .iter()
+                        .sum::<f64>()
+                };
+                sum(*a).total_cmp(&sum(*b))
+            });
+            let from = weakest.unwrap_or(0);
+            self.wanted[i] = LayerRange::new(from, from + len).ok();
+        }
+    }
+
+    /// Tokens for which each layer has room, over all cards that hold it.
+    fn room_by_layer(&self) -> Vec<f64> {
+        let mut out = vec![0.0; self.shape.layers as usize];
+        for i in &self.members {
+            let Some(range) = self.wanted[*i] else {
+                continue;
+            };
+            let layers = f64::from(range.len());
+            let free = self.cards[*i].memory_mb - layers * self.shape.layer_mb;
+            for layer in range.from()..range.to().min(self.shape.layers) {
+                out[layer as usize] += free / layers / self.shape.token_layer_mb;
+            }
+        }
+        out
+    }
+}
--- a/crates/toucanshelf-runtime/src/lib.rs
+++ b/crates/toucanshelf-runtime/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod program;
+pub mod serve;
 pub mod settings;
 pub mod shutdown;
 pub mod trace;
--- a/crates/toucanshelf-runtime/src/logs.rs
+++ b/crates/toucanshelf-runtime/src/logs.rs
@@ -1,6 +1,7 @@
 //! Logs by `tracing`, spans to an OTLP collector, and the bridge from `slog`.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -12,6 +13,7 @@
 use opentelemetry_http::{HttpClient, HttpError};
 use opentelemetry_otlp::{WithExportConfig as _, WithHttpConfig as _};
 use opentelemetry_sdk::trace::SdkTracerProvider;
+use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::layer::SubscriberExt as _;
 use tracing_subscriber::util::SubscriberInitExt as _;
 use tracing_subscriber::{EnvFilter, Layer as _};
@@ -21,17 +23,26 @@
 /// Filter used when the settings name none.
 const DEFAULT_FILTER: &str = "info";
 
-/// Keeps the export of spans running.
+/// Lines that wait for a slow reader of the log; further ones are dropped and counted.
+const QUEUED_LINES: usize = 16_384;
+/// Time between looks at the number of dropped lines.
+const DROPPED_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Keeps the log and the export of spans running.
 #[derive(Debug)]
 pub struct TelemetryGuard {
-    provider: SdkTracerProvider,
+    provider: Option<SdkTracerProvider>,
+    /// Writes the lines that still wait when it is dropped.
+    _writer: WorkerGuard,
 }
 
 impl TelemetryGuard {
     /// Sends the spans that are still waiting.
     pub fn flush(self) {
         // Nothing can be done about spans that the collector does not take at the end.
-        let _ = self.provider.shutdown();
+        if let Some(provider) = self.provider {
+            let _ = provider.shutdown();
+        }
     }
 }
 
@@ -43,12 +54,27 @@
 pub fn start(program: &'static str, settings: &LogSettings) -> Result<TelemetryGuard, String> {
     let filter = settings.filter.as_deref().unwrap_or(DEFAULT_FILTER);
     let filter = EnvFilter::try_new(filter).map_err(|e| format!("log.filter: {e}"))?;
-    let provider = tracer_provider(program, settings.collector.as_deref())?;
-    let spans = tracing_opentelemetry::layer().with_tracer(provider.tracer(program));
+    let (writer, guard) = NonBlockingBuilder::default()
+        .buffered_lines_limit(QUEUED_LINES)
+        .lossy(true)
+        .finish(std::io::stdout());
+    report_dropped(writer.error_counter());
+    let lines = tracing_subscriber::fmt::layer().with_writer(writer);
     let lines = match settings.format {
-        LogFormat::Text => tracing_subscriber::fmt::layer().with_ansi(false).boxed(),
-        LogFormat::Json => tracing_subscriber::fmt::layer().json().boxed(),
+        LogFormat::Text => lines.with_ansi(false).boxed(),
+        LogFormat::Json => lines
+            .json()
+            .flatten_event(true)
+            .with_current_span(false)
+            .boxed(),
     };
+    let provider = match settings.collector.as_deref() {
+        Some(collector) => Some(tracer_provider(program, collector)?),
+        None => None,
+    };
+    let spans = provider
+        .as_ref()
+        .map(|provider| tracing_opentelemetry::layer().with_tracer(provider.tracer(program)));
     let registry = tracing_subscriber::registry()
         .with(filter)
         .with(lines)
@@ -56,24 +82,40 @@
     registry
         .try_init()
         .map_err(|e| format!("starting logs: {e}"))?;
-    Ok(TelemetryGuard { provider })
+    Ok(TelemetryGuard {
+        provider,
+        _writer: guard,
+    })
+}
+
+/// Says from time to time how many lines were dropped, for as long as the runtime lives.
+fn report_dropped(dropped: ErrorCounter) {
+    tokio::spawn(async move {
+        let mut known = 0;
+        loop {
+            tokio::time::sleep(DROPPED_INTERVAL).await;
+            let now = dropped.dropped_lines();
+            if now > known {
+                tracing::warn!(
+                    event = "TS1301",
+                    lines = now - known,
+                    "log lines were dropped"
+                );
+                known = now;
+            }
+        }
+    });
 }
 
-fn tracer_provider(
-    program: &'static str,
-    collector: Option<&str>,
-) -> Result<SdkTracerProvider, String> {
+fn tracer_provider(program: &'static str, collector: &str) -> Result<SdkTracerProvider, String> {
     let resource = opentelemetry_sdk::Resource::builder()
         .with_service_name(program)
         .build();
     let builder = SdkTracerProvider::builder().with_resource(resource);
-    let Some(url) = collector else {
-        return Ok(builder.build());
-    };
     let exporter = opentelemetry_otlp::SpanExporter::builder()
         .with_http()
         .with_http_client(CollectorClient::new())
-        .with_endpoint(url)
+        .with_endpoint(collector)
         .build()
         .map_err(|e| format!("log.collector: {e}"))?;
     Ok(builder.with_batch_exporter(exporter).build())
--- a/crates/toucanshelf-runtime/src/program.rs
+++ b/crates/toucanshelf-runtime/src/program.rs
@@ -1,5 +1,6 @@
 //! Common shape of the daemons' `main`.
 
+use std::num::NonZero;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -56,15 +57,22 @@
         println!("{}: settings are valid", path.display());
         return ExitCode::SUCCESS;
     }
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build();
+    // Where there is one processor, a second worker only adds switches between threads.
+    let processors = std::thread::available_parallelism().map_or(1, NonZero::get);
+    let mut builder = match processors {
+        1 => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let runtime = builder.enable_all().build();
     let runtime = runtime.expect("the system can start threads");
     let guard = match runtime.block_on(async { logs::start(name, settings.log()) }) {
         Ok(guard) => guard,
         Err(e) => return fail(name, EXIT_USAGE, &e),
     };
-    let result = runtime.block_on(start(settings));
+    let result = runtime.block_on(async {
+        tokio::spawn(crate::shutdown::note_reloads());
+        start(settings).await
+    });
     TelemetryGuard::flush(guard);
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/toucanshelf-runtime/src/shutdown.rs
+++ b/crates/toucanshelf-runtime/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! Signals that ask a daemon to stop.
+//! Signals that ask a daemon to stop or to look at its settings.
 
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -15,3 +15,21 @@
         _ = interrupt.recv() => {}
     }
 }
+
+/// Notes each SIGHUP in the log, for as long as the process runs.
+///
+/// Addresses, limits and identity are fixed for the life of a process; other instances are
+/// learned from each other. So changed settings count from the next start.
+///
+/// # Panics
+///
+/// Panics when the system does not let the process take signals.
+pub async fn note_reloads() {
+    let mut reload = signal(SignalKind::hangup()).expect("signals can be taken");
+    while reload.recv().await.is_some() {
+        tracing::info!(
+            event = "TS1401",
+            "settings changed; they count from the next start"
+        );
+    }
+}
--- a/tests/testsuite/docs.rs
+++ b/tests/testsuite/docs.rs
@@ -125,6 +125,14 @@
             "crates/toucanshelf-control/src/settings.rs",
             "ControlSettings",
         ),
+        (
+            "crates/toucanshelf-control/src/settings.rs",
+            "DeploymentSettings",
+        ),
+        (
+            "crates/toucanshelf-ingress/src/settings.rs",
+            "IngressSettings",
+        ),
         ("crates/toucanshelf-runtime/src/settings.rs", "LogSettings"),
         (
             "crates/toucanshelf-standin/src/settings.rs",
