Mend routes in place, keep reserves standing by, spread what moves

Cause: after a crash further along a route, streams waited for the 2 s at which callers leave, or were sent elsewhere from the start (a whole prompt read again, 70 at once); reserves were filled only after the loss; a gate that is alone in its zone counted its load twice and sent streams across zones; a report that names its own first engine took that engine down; a cut zone was taken for lost engines. Ruled out: speed of the processes (0.02 of a core), refusals by slots. Change: a stalled stream orders its first engine to replace the failed part (reroute); the slowest engines stay in reserve and hold the layers of as many others as fit; a confirmed stall counts at once for the placement; zones that are silent as a whole are left as they are; load is counted by the ingresses of a zone; lost answers are retried at the same first engine where there is no other; a stream that has nowhere to go waits instead of being cut.

--- a/crates/toucanshelf-control/src/directory/ingresses.rs
+++ b/crates/toucanshelf-control/src/directory/ingresses.rs
@@ -11,6 +11,7 @@
 use toucanshelf_link::link::Link;
 
 use crate::Parts;
+use crate::directory::Directory;
 
 /// Time that a push waits for the answers of all linked instances.
 // A target takes an acknowledgement only within a second.
@@ -20,6 +21,7 @@
 
 #[derive(Debug)]
 struct Session {
+    zone: Box<str>,
     tx: mpsc::Sender<Frame>,
     /// Latest push that the instance has in force.
     seen: u64,
@@ -49,21 +51,18 @@
         self.sessions.lock().expect("no holder panics")
     }
 
-    /// Number of linked instances.
-    pub fn len(&self) -> usize {
-        self.sessions().open.len()
+    /// Availability zones of the linked instances.
+    pub fn zones(&self) -> Vec<Box<str>> {
+        let sessions = self.sessions();
+        let open = sessions.open.values();
+        open.map(|session| session.zone.clone()).collect()
     }
 
-    /// Whether no instance is linked.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
-
-    fn open(&self, tx: mpsc::Sender<Frame>) -> u32 {
+    fn open(&self, zone: Box<str>, tx: mpsc::Sender<Frame>) -> u32 {
         let mut sessions = self.sessions();
         sessions.next_id += 1;
         let id = sessions.next_id;
-        sessions.open.insert(id, Session { tx, seen: 0 });
+        sessions.open.insert(id, Session { zone, tx, seen: 0 });
         id
     }
 
@@ -133,9 +132,9 @@
                 tracing::info!(event = "TS2504", version, "deployment in force");
             }
             _ = ticks.tick() => {
-                let frame = members(&parts, directory.ingresses.len());
+                let frame = members(&parts, directory);
                 directory.ingresses.broadcast(&frame);
-                directory.registry().prune(directory.now());
+                directory.prune();
             }
         }
         if let Some(version) = *deployments.borrow() {
@@ -146,10 +145,10 @@
     }
 }
 
-fn members(parts: &Parts, ingresses: usize) -> Frame {
+fn members(parts: &Parts, directory: &Directory) -> Frame {
     Frame::Members {
         links: parts.peers.members(),
-        ingresses: ingresses as u32,
+        ingress_zones: directory.ingresses.zones(),
     }
 }
 
@@ -158,7 +157,9 @@
     let Some(directory) = &parts.directory else {
         return;
     };
-    let id = directory.ingresses.open(link.tx.clone());
+    let id = directory
+        .ingresses
+        .open(link.peer.zone.clone(), link.tx.clone());
     tracing::info!(event = "TS2505", ingress = %link.peer.name, "ingress linked");
     if welcome(&parts, &link.tx) {
         while let Some(frame) = link.rx.recv().await {
@@ -191,7 +192,7 @@
     };
     let push = 0;
     let registrations = tx.try_send(Frame::Registrations { push, records });
-    let members = tx.try_send(members(parts, directory.ingresses.len()));
+    let members = tx.try_send(members(parts, directory));
     let version = parts.driver.state().deployment_version();
     let head = match version {
         Some(version) => tx.try_send(Frame::DeploymentHead { version }),
--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -28,6 +28,9 @@
 use crate::settings::DeploymentSettings;
 use ingresses::Ingresses;
 
+/// Time for which a suspicion counts, in milliseconds.
+const SUSPICION_MS: u64 = 5_000;
+
 /// State of the part that serves a platform.
 #[derive(Debug)]
 pub struct Directory {
@@ -36,6 +39,7 @@
     /// Links to ingress instances.
     pub ingresses: Ingresses,
     registry: Mutex<Registry>,
+    /// Time of the latest suspicion against each address, in milliseconds.
     suspicions: Mutex<BTreeMap<SocketAddr, u64>>,
     decoded: Mutex<Option<Arc<Deployment>>>,
     heartbeat_ms: u64,
@@ -104,6 +108,14 @@
         suspicions.get(&address).copied()
     }
 
+    /// Forgets what happened long ago.
+    pub(crate) fn prune(&self) {
+        let now = self.now();
+        self.registry().prune(now);
+        let mut suspicions = self.suspicions.lock().expect("no holder panics");
+        suspicions.retain(|_, time| now < *time + SUSPICION_MS);
+    }
+
     /// The deployment in `document`, decoded once a version.
     pub(crate) fn decode(&self, document: &DeploymentDocument) -> Option<Arc<Deployment>> {
         let mut decoded = self.decoded.lock().expect("no holder panics");
--- a/crates/toucanshelf-control/src/directory/reconciler.rs
+++ b/crates/toucanshelf-control/src/directory/reconciler.rs
@@ -3,7 +3,7 @@
 //! Only the leader of the log gives orders. Each order carries the number of orders that the
 //! engine has begun, so that one that is carried out late does nothing after a newer one.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use toucanshelf_core::ids::Incarnation;
 use toucanshelf_core::layers::LayerRange;
 use toucanshelf_core::registration::Readiness;
-use toucanshelf_core::registry::Entry;
+use toucanshelf_core::registry::{Entry, Registry};
 use toucanshelf_link::exchange::{ExchangeError, exchange};
 use toucanshelf_routing::placement::{Card, ModelShape, Retiling, plan};
 
@@ -29,10 +29,11 @@
 const SETTLE_MS: u64 = 400;
 /// Heartbeats that an engine may miss before its layers are given to others.
 const MISSED_HEARTBEATS: f64 = 2.6;
-/// Heartbeats that an engine may miss where an ingress sees it fail, too.
-const MISSED_WHEN_SUSPECTED: f64 = 1.4;
-/// Time for which a suspicion counts, in milliseconds.
-const SUSPICION_MS: u64 = 5_000;
+/// Heartbeats that most engines of a zone have missed where the zone is cut off.
+// Fewer than for a single engine, so that a cut is noticed before its first engine is given up.
+const MISSED_IN_CUT: f64 = 1.3;
+/// Heartbeats that a new leader waits for the word of all engines.
+const HEARTBEATS_TO_LEAD: f64 = 1.4;
 /// Age of a gap after which the borders of a whole zone may move, in milliseconds.
 // Engines that crash are mostly back within some seconds, and moving borders costs many loads.
 const RETILE_AFTER_MS: u64 = 4_000;
@@ -76,7 +77,7 @@
         }
         let led_since = *memory.led_since.get_or_insert(now);
         // The word of every engine must have had time to arrive.
-        if now < led_since + heartbeats(directory, MISSED_WHEN_SUSPECTED) {
+        if now < led_since + heartbeats(directory, HEARTBEATS_TO_LEAD) {
             continue;
         }
         reconcile(&parts, directory, &deployment, &mut memory, now);
@@ -148,9 +149,14 @@
     let registry = directory.registry();
     let mut orders = memory.orders.lock().expect("no holder panics");
     let mut zones: BTreeMap<Box<str>, u16> = BTreeMap::new();
-    let alive = registry
-        .entries()
-        .filter(|entry| &*entry.record.service == service && is_alive(directory, entry, now));
+    let cut = cut_zones(directory, &registry, now);
+    // Nothing is known of engines that are cut off, so nothing is changed there.
+    let alive = registry.entries().filter(|entry| {
+        let record = &entry.record;
+        &*record.service == service
+            && !cut.contains(&record.zone)
+            && is_alive(directory, entry, now)
+    });
     let mut out = Vec::new();
     for entry in alive {
         let record = &entry.record;
@@ -177,19 +183,35 @@
 }
 
 fn is_alive(directory: &Directory, entry: &Entry, now: u64) -> bool {
-    if entry.record.readiness != Readiness::Ready {
-        return false;
+    entry.record.readiness == Readiness::Ready
+        && !is_silent(directory, entry, now)
+        && !is_suspected(directory, entry)
+}
+
+fn is_silent(directory: &Directory, entry: &Entry, now: u64) -> bool {
+    now.saturating_sub(entry.heard) > heartbeats(directory, MISSED_HEARTBEATS)
+}
+
+/// Whether an ingress saw an engine fail since its last word.
+fn is_suspected(directory: &Directory, entry: &Entry) -> bool {
+    let suspected = directory.suspected_at(entry.record.address);
+    suspected.is_some_and(|at| at >= entry.heard)
+}
+
+/// Zones most of whose engines are silent: cut off from here rather than lost.
+fn cut_zones(directory: &Directory, registry: &Registry, now: u64) -> BTreeSet<Box<str>> {
+    let mut zones: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+    let ready = registry.entries();
+    for entry in ready.filter(|entry| entry.record.readiness == Readiness::Ready) {
+        let (silent, all) = zones.entry(&entry.record.zone).or_default();
+        let missed = now.saturating_sub(entry.heard);
+        *silent += usize::from(missed > heartbeats(directory, MISSED_IN_CUT));
+        *all += 1;
     }
-    let silence = now.saturating_sub(entry.heard);
-    let suspected = directory
-        .suspected_at(entry.record.address)
-        .is_some_and(|at| at >= entry.first_heard && now < at + SUSPICION_MS);
-    let allowed = if suspected {
-        MISSED_WHEN_SUSPECTED
-    } else {
-        MISSED_HEARTBEATS
-    };
-    silence < heartbeats(directory, allowed)
+    let cut = zones
+        .into_iter()
+        .filter(|(_, (silent, all))| 2 * silent >= *all);
+    cut.map(|(zone, _)| zone.into()).collect()
 }
 
 /// Time to load `layers` layers, in milliseconds.
@@ -205,7 +227,7 @@
     layers: u32,
     now: u64,
 ) {
-    let zones: std::collections::BTreeSet<_> = cards.iter().map(|card| card.zone).collect();
+    let zones: BTreeSet<_> = cards.iter().map(|card| card.zone).collect();
     let lacks = |zone: u16| {
         let ranges = cards.iter().zip(wanted);
         let ranges: Vec<_> = ranges
--- a/crates/toucanshelf-control/src/peers.rs
+++ b/crates/toucanshelf-control/src/peers.rs
@@ -239,7 +239,7 @@
                 let members = parts.peers.members();
                 let frame = Frame::Members {
                     links: members,
-                    ingresses: 0,
+                    ingress_zones: Vec::new(),
                 };
                 if link.tx.try_send(frame).is_err() {
                     return;
--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -26,7 +26,7 @@
     #[error("not sent: {0}")]
     NotSent(Box<str>),
     /// The target states that the request has not run.
-    #[error("not run ({status})")]
+    #[error("not run ({status}), at fault: {at_fault:?}")]
     NotRun {
         /// Status of the answer.
         status: StatusCode,
--- a/crates/toucanshelf-ingress/src/control.rs
+++ b/crates/toucanshelf-ingress/src/control.rs
@@ -126,8 +126,11 @@
     frame: Frame,
 ) -> bool {
     match frame {
-        Frame::Members { links, ingresses } => {
-            shared.note_ingresses(ingresses);
+        Frame::Members {
+            links,
+            ingress_zones,
+        } => {
+            shared.note_ingresses(&ingress_zones);
             learn(shared, key, links);
             true
         }
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod control;
 pub mod events;
 pub mod front;
+pub mod live_route;
 pub mod metrics;
 pub mod plain;
 pub mod pool;
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -1,7 +1,7 @@
 //! State that all parts of an ingress share.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Instant;
 
@@ -19,6 +19,19 @@
 use crate::settings::IngressSettings;
 use crate::targets::Targets;
 
+/// Time after which a lower count of ingresses is believed, in milliseconds.
+// A control instance that has just started counts only those that have linked again.
+const FEWER_INGRESSES_MS: u64 = 20_000;
+
+/// Highest recent count of ingresses, and when it was heard.
+#[derive(Clone, Copy, Debug, Default)]
+struct IngressCount {
+    all: u32,
+    /// Those of the own zone.
+    own_zone: u32,
+    heard: u64,
+}
+
 /// State that all parts of an ingress share.
 #[derive(Debug)]
 pub struct Shared {
@@ -39,7 +52,7 @@
     targets: Mutex<Targets>,
     budgets: Mutex<BTreeMap<Box<str>, RepeatBudget>>,
     /// Ingress instances of the whole system, as control counts them.
-    ingresses: AtomicU32,
+    ingresses: Mutex<IngressCount>,
     failures: watch::Sender<u64>,
     started: Instant,
     stopping: AtomicBool,
@@ -58,7 +71,7 @@
             limits: watch::Sender::new(ConnectionLimits::default()),
             targets: Mutex::new(Targets::new(&settings.zone)),
             budgets: Mutex::default(),
-            ingresses: AtomicU32::new(1),
+            ingresses: Mutex::default(),
             failures: watch::Sender::new(0),
             started: Instant::now(),
             stopping: AtomicBool::new(false),
@@ -123,10 +136,17 @@
     /// Takes one repeated send to `service` from the budget, if there is one left.
     pub fn take_repeat(&self, service: &str) -> bool {
         let now = self.now();
-        let instances = self.ingresses.load(Ordering::Relaxed);
+        let instances = self.ingresses.lock().expect("no holder panics").all;
         self.with_budget(service, |budget| budget.take_repeat(now, instances))
     }
 
+    /// Whether the budget has a repeated send to `service` left.
+    pub fn has_repeat(&self, service: &str) -> bool {
+        let now = self.now();
+        let instances = self.ingresses.lock().expect("no holder panics").all;
+        self.with_budget(service, |budget| budget.has_repeat(now, instances))
+    }
+
     fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RepeatBudget) -> T) -> T {
         let mut budgets = self.budgets.lock().expect("no holder panics");
         if !budgets.contains_key(service) {
@@ -136,9 +156,19 @@
         act(budgets.get_mut(service).expect("it was just inserted"))
     }
 
-    /// Notes the number of ingress instances that control counts.
-    pub fn note_ingresses(&self, count: u32) {
-        self.ingresses.store(count.max(1), Ordering::Relaxed);
+    /// Notes the zones of the ingress instances that a control instance counts.
+    pub fn note_ingresses(&self, zones: &[Box<str>]) {
+        let own = zones.iter().filter(|zone| **zone == self.settings.zone);
+        let count = IngressCount {
+            all: zones.len() as u32,
+            own_zone: own.count() as u32,
+            heard: self.now(),
+        };
+        let mut known = self.ingresses.lock().expect("no holder panics");
+        if count.all >= known.all || count.heard >= known.heard + FEWER_INGRESSES_MS {
+            *known = count;
+            self.targets().set_sharers(count.own_zone);
+        }
     }
 
     /// Receiver that changes whenever a target is found to have failed.
--- a/crates/toucanshelf-ingress/src/stream.rs
+++ b/crates/toucanshelf-ingress/src/stream.rs
@@ -4,35 +4,28 @@
 //! within the same answer: the caller sees the head of the first engine and each event once.
 
 use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 
 use crate::answer::{Answer, Refusal, channel, full, refuse};
 use crate::attempt::{AttemptError, Destination, KeptConnection, OpenAnswer, send};
 use crate::events::EventSplitter;
-use crate::request::{CallerRequest, InFlight};
+use crate::live_route::{Failure, LiveRoute, take_down};
+use crate::request::CallerRequest;
 use crate::shared::{Shared, UnderWay};
 use crate::targets::{RouteHop, TargetKey};
 
-/// Wait for a first event after which the route is looked into.
-const FIRST_EVENT_CHECK: Duration = Duration::from_millis(600);
-/// Gap between events after which the route is looked into.
-const GAP_CHECK: Duration = Duration::from_millis(450);
-/// Time between further looks.
-const CHECK_AGAIN: Duration = Duration::from_millis(250);
-/// Gap after which a stream goes on elsewhere, whatever the reports say.
-// Callers leave after 2 s without an event.
-const GAP_LIMIT: Duration = Duration::from_millis(1_400);
 /// Routes that are offered a request before it is refused.
 const MAX_OFFERS: u32 = 6;
 /// Time after which a caller may come back where no route can take its request.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
+const RETRY_AFTER: Duration = Duration::from_millis(2_500);
 
 /// Runs a request whose answer is a stream.
 pub async fn run(shared: Arc<Shared>, req: CallerRequest, under_way: UnderWay) -> Answer {
@@ -86,31 +79,12 @@
     Left,
 }
 
-/// Why a stream can't go on where it is.
-#[derive(Debug, thiserror::Error)]
-enum Failure {
-    #[error("connection broke: {0}")]
-    Broken(Box<str>),
-    #[error("an engine further on has failed")]
-    RouteFailed,
-    #[error("the first engine does not answer")]
-    FirstSilent,
-    #[error("no event in time")]
-    Frozen,
-    #[error("the deadline has passed")]
-    Expired,
-}
-
 /// A stream from an engine.
 struct Source {
     body: Incoming,
     kept: KeptConnection,
     splitter: EventSplitter,
-    route: Vec<RouteHop>,
-    last_heard: Instant,
-    check_due: Instant,
-    failures: watch::Receiver<u64>,
-    _in_flight: InFlight,
+    route: LiveRoute,
 }
 
 impl Source {
@@ -124,7 +98,10 @@
 struct StreamRun {
     shared: Arc<Shared>,
     req: CallerRequest,
+    /// Engines that have refused the request.
     excluded: Vec<TargetKey>,
+    /// First engines whose answers were lost; they are better than none.
+    avoided: Vec<TargetKey>,
     /// Attempts that may have run, on engines that are still there.
     runs: u32,
     offers: u32,
@@ -133,6 +110,10 @@
     last_event: Option<u64>,
     events: u64,
     first_event_ms: Option<u64>,
+    last_delivered: Instant,
+    longest_gap: Duration,
+    first: Option<SocketAddr>,
+    crossings: usize,
 }
 
 impl StreamRun {
@@ -142,12 +123,17 @@
             shared,
             req,
             excluded: Vec::new(),
+            avoided: Vec::new(),
             runs: 0,
             offers: 0,
             may_have_run: false,
             last_event,
             events: 0,
             first_event_ms: None,
+            last_delivered: Instant::now(),
+            longest_gap: Duration::ZERO,
+            first: None,
+            crossings: 0,
         }
     }
 
@@ -176,9 +162,7 @@
         if self.offers >= MAX_OFFERS {
             return None;
         }
-        let now = shared.now();
-        let route = shared.targets().choose_route(service, &self.excluded, now);
-        let route = route.filter(|route| !route.is_empty())?;
+        let route = self.find_route()?;
         (self.offers == 0 || shared.take_repeat(service)).then_some(route)
     }
 
@@ -188,26 +172,20 @@
             return Err(AttemptError::NotSent("the engine has left".into()));
         };
         let hops: Vec<_> = route.iter().map(|hop| (hop.address, hop.layers)).collect();
-        let tokens = self.req.expected_tokens();
-        let reserved = route
-            .iter()
-            .map(|hop| (hop.key, tokens * f64::from(hop.layers.len())));
-        let in_flight = InFlight::new(&self.shared, reserved.collect());
         let destination = Destination {
             id: &id,
             address: first.address,
             hops: &hops,
             last_event: self.last_event.filter(|_| self.events > 0),
         };
-        let failures = self.shared.failures();
-        let sent = Instant::now();
-        let result = self
-            .send_watched(&destination, &route, failures.clone())
-            .await;
+        self.first = Some(first.address);
+        self.crossings = self.shared.targets().crossings(&route);
+        let mut live = LiveRoute::new(&self.shared, &self.req, route);
+        let result = self.send_watched(&destination, &mut live).await;
         let open = match result {
             Ok(open) => open,
             Err(e) => {
-                self.note_refused(&route, &e);
+                self.note_refused(&live, &e);
                 return Err(e);
             }
         };
@@ -225,11 +203,7 @@
             body,
             kept,
             splitter: EventSplitter::new(),
-            route,
-            last_heard: sent,
-            check_due: sent + FIRST_EVENT_CHECK,
-            failures,
-            _in_flight: in_flight,
+            route: live,
         };
         Ok(Opened::Stream(head, Box::new(source)))
     }
@@ -238,25 +212,16 @@
     async fn send_watched(
         &self,
         destination: &Destination<'_>,
-        route: &[RouteHop],
-        mut failures: watch::Receiver<u64>,
+        route: &mut LiveRoute,
     ) -> Result<OpenAnswer, AttemptError> {
-        let sent = Instant::now();
-        let mut check_due = sent + FIRST_EVENT_CHECK;
         let due = self.req.answer_due();
         let sending = send(&self.shared, &self.req, destination, due);
         let mut sending = std::pin::pin!(sending);
         loop {
             tokio::select! {
                 result = &mut sending => return result,
-                _ = failures.changed() => {
-                    if self.route_has_failed(route) {
-                        return Err(AttemptError::Lost("an engine of the route has failed".into()));
-                    }
-                }
-                () = sleep_until(check_due) => {
-                    check_due = Instant::now() + CHECK_AGAIN;
-                    if let Some(failure) = self.look_into(route, sent).await {
+                failure = route.watch() => {
+                    if !self.stays(&failure, route) {
                         return Err(AttemptError::Lost(failure.to_string().into()));
                     }
                 }
@@ -264,6 +229,32 @@
         }
     }
 
+    /// Whether a stream that is held up has nowhere else to go.
+    fn stays(&self, failure: &Failure, route: &mut LiveRoute) -> bool {
+        let stays = failure.may_pass() && !self.can_go_elsewhere();
+        if stays {
+            route.wait_on();
+        }
+        stays
+    }
+
+    fn can_go_elsewhere(&self) -> bool {
+        self.may_go_on()
+            && self.offers < MAX_OFFERS
+            && self.find_route().is_some()
+            && self.shared.has_repeat(&self.req.service)
+    }
+
+    /// Cheapest route without engines that have refused or, if possible, lost the request.
+    fn find_route(&self) -> Option<Vec<RouteHop>> {
+        let (targets, now) = (self.shared.targets(), self.shared.now());
+        let both: Vec<_> = self.excluded.iter().chain(&self.avoided).copied().collect();
+        let service = &self.req.service;
+        let route = targets.choose_route(service, &both, now);
+        let route = route.or_else(|| targets.choose_route(service, &self.excluded, now));
+        route.filter(|route| !route.is_empty())
+    }
+
     /// Next event of a stream; `caller` tells when the caller has left.
     async fn next(
         &self,
@@ -287,8 +278,7 @@
                 frame = source.body.frame() => match frame {
                     Some(Ok(frame)) => {
                         let Ok(bytes) = frame.into_data() else { continue };
-                        source.last_heard = Instant::now();
-                        source.check_due = source.last_heard + GAP_CHECK;
+                        source.route.note_event();
                         if let Err(e) = source.splitter.push(&bytes) {
                             return Next::Failed(Failure::Broken(e.to_string().into()));
                         }
@@ -300,14 +290,8 @@
                     None => return Next::End,
                 },
                 () = left => return Next::Left,
-                _ = source.failures.changed() => {
-                    if self.route_has_failed(&source.route) {
-                        return Next::Failed(Failure::RouteFailed);
-                    }
-                }
-                () = sleep_until(source.check_due) => {
-                    source.check_due = Instant::now() + CHECK_AGAIN;
-                    if let Some(failure) = self.look_into(&source.route, source.last_heard).await {
+                failure = source.route.watch() => {
+                    if !self.stays(&failure, &mut source.route) {
                         return Next::Failed(failure);
                     }
                 }
@@ -320,92 +304,54 @@
         self.last_event.is_some_and(|last| id <= last)
     }
 
-    fn route_has_failed(&self, route: &[RouteHop]) -> bool {
-        let now = self.shared.now();
-        let targets = self.shared.targets();
-        route.iter().any(|hop| targets.has_failed(hop.key, now))
-    }
-
-    /// Asks the first engine of a silent route what the stream waits for.
-    async fn look_into(&self, route: &[RouteHop], last_heard: Instant) -> Option<Failure> {
-        let first = route[0];
-        let report = self.shared.reports.get(&self.shared, first.address).await;
-        let Some(report) = report else {
-            self.take_down(first.key, first.address, "the first engine does not answer");
-            return Some(Failure::FirstSilent);
-        };
-        let stalled = report.stalled.iter();
-        let on_route = stalled
-            .filter(|stalled| route.iter().any(|hop| hop.address == stalled.address))
-            .find(|stalled| &*stalled.request_id == self.req.id());
-        if let Some(stalled) = on_route {
-            let key = self.shared.targets().at_address(stalled.address);
-            if let Some(key) = key {
-                self.take_down(key, stalled.address, "requests stall there");
-            }
-            return Some(Failure::RouteFailed);
-        }
-        (last_heard.elapsed() >= GAP_LIMIT).then_some(Failure::Frozen)
-    }
-
-    fn take_down(&self, key: TargetKey, address: std::net::SocketAddr, cause: &str) {
-        let now = self.shared.now();
-        if self.shared.targets().note_down(key, now) {
-            tracing::warn!(event = "TS4303", request = self.req.id(), %address, cause, "target left alone");
-            self.shared.pool.forget(address);
-            self.shared.control.report_suspicion(address);
-            self.shared.announce_failure();
-        }
-    }
-
     /// Draws conclusions from an attempt that was not taken.
-    fn note_refused(&mut self, route: &[RouteHop], error: &AttemptError) {
-        let first = route[0];
+    fn note_refused(&mut self, route: &LiveRoute, error: &AttemptError) {
+        let first = route.hops()[0];
         let now = self.shared.now();
         match error {
             AttemptError::NotSent(_) => {
-                self.take_down(first.key, first.address, "it can't be reached");
+                take_down(&self.shared, self.req.id(), first, "it can't be reached");
             }
             AttemptError::NotRun { status, at_fault } => {
                 let address = at_fault.unwrap_or(first.address);
                 let mut targets = self.shared.targets();
-                let hop = route.iter().find(|hop| hop.address == address);
+                let hop = route.hops().iter().find(|hop| hop.address == address);
                 let key = hop.map_or(first.key, |hop| hop.key);
                 if *status == http::StatusCode::MISDIRECTED_REQUEST {
                     targets.note_misplaced(key, now);
+                } else if targets.is_on_trial(key) {
+                    targets.note_down(key, now);
                 } else {
                     targets.note_refusal(key, now);
                 }
                 self.excluded.push(key);
             }
-            AttemptError::Lost(_) | AttemptError::TimedOut => {
-                self.may_have_run = true;
-                if !self.route_has_failed(route) {
-                    self.runs += 1;
-                    self.excluded.push(first.key);
-                }
-            }
+            AttemptError::Lost(_) | AttemptError::TimedOut => self.count_run(route),
+        }
+    }
+
+    /// Counts an attempt that may have run; a failed engine is left out and does not count.
+    fn count_run(&mut self, route: &LiveRoute) {
+        self.may_have_run = true;
+        if !route.has_failed() {
+            self.runs += 1;
+            self.avoided.push(route.hops()[0].key);
         }
     }
 
     /// Draws conclusions from a stream that can't go on where it is.
     fn note_failure(&mut self, source: &Source, failure: &Failure) {
-        self.may_have_run = true;
         tracing::info!(
             event = "TS4305",
             request = self.req.id(),
-            first = %source.route[0].address,
-            hops = source.route.len(),
+            first = %source.route.hops()[0].address,
+            hops = source.route.hops().len(),
             last_event = self.last_event,
-            silent_ms = source.last_heard.elapsed().as_millis() as u64,
+            silent_ms = source.route.silence().as_millis() as u64,
             cause = %failure,
             "stream broke off"
         );
-        // A failed engine is left out anyway and does not count as a run.
-        if !self.route_has_failed(&source.route) {
-            self.runs += 1;
-            self.excluded.push(source.route[0].key);
-        }
+        self.count_run(&source.route);
     }
 
     fn may_go_on(&self) -> bool {
@@ -474,6 +420,11 @@
     }
 
     fn note_delivered(&mut self, bytes: &Bytes) {
+        let now = Instant::now();
+        if self.events > 0 {
+            self.longest_gap = self.longest_gap.max(now - self.last_delivered);
+        }
+        self.last_delivered = now;
         self.events += 1;
         if let Some(id) = crate::events::event_id(bytes) {
             self.last_event = Some(id);
@@ -516,7 +467,10 @@
             runs = self.runs,
             offers = self.offers,
             events = self.events,
+            first = ?self.first,
+            crossings = self.crossings,
             first_event_ms = self.first_event_ms,
+            longest_gap_ms = self.longest_gap.as_millis() as u64,
             ms = self.req.age_ms(),
             "stream ended"
         );
--- a/crates/toucanshelf-ingress/src/targets.rs
+++ b/crates/toucanshelf-ingress/src/targets.rs
@@ -14,9 +14,10 @@
 use toucanshelf_routing::hops::{HopCosts, Stage, cheapest_route};
 
 /// Shortest time for which a failed target is left alone, in milliseconds.
-const DOWN_MIN_MS: u64 = 700;
+// An engine that was started anew or emptied registers sooner, as another incarnation.
+const DOWN_MIN_MS: u64 = 2_500;
 /// Longest time for which a failed target is left alone, in milliseconds.
-const DOWN_MAX_MS: u64 = 5_000;
+const DOWN_MAX_MS: u64 = 10_000;
 /// Time for which a target that has refused a request is avoided, in milliseconds.
 const REFUSAL_MS: u64 = 250;
 /// Time for which an engine that lacked its layers is left out unless it registers anew, in
@@ -33,12 +34,16 @@
 const OTHER_ZONE_COST: f64 = 3.0;
 /// How much the share of memory in use counts against an engine's layers.
 const LOAD_COST: f64 = 2.0;
+/// Share of memory in use above which an engine counts as nearly full.
+const NEARLY_FULL: f64 = 0.7;
+/// How much the share of memory beyond that counts.
+const NEARLY_FULL_COST: f64 = 12.0;
 /// Costs of going from engine to engine, in milliseconds a token.
 // A hop to another zone takes the pipe between zones, which all transfers share.
 const HOP_COSTS: HopCosts = HopCosts {
     same_zone: 0.1,
-    other_zone: 3.0,
-    remote_entry: 8.0,
+    other_zone: 20.0,
+    remote_entry: 30.0,
 };
 
 /// Key of a target.
@@ -113,6 +118,8 @@
     by_id: HashMap<Box<str>, TargetKey>,
     zones: Vec<Box<str>>,
     models: BTreeMap<Box<str>, ModelSpec>,
+    /// Ingress instances of the own zone, which share its engines.
+    sharers: u32,
 }
 
 impl Targets {
@@ -125,6 +132,7 @@
             // The own zone comes first.
             zones: vec![zone.into()],
             models: BTreeMap::new(),
+            sharers: 1,
         }
     }
 
@@ -136,6 +144,11 @@
             .collect();
     }
 
+    /// Notes the number of ingress instances of the own zone.
+    pub fn set_sharers(&mut self, count: u32) {
+        self.sharers = count.max(1);
+    }
+
     /// Whether the targets of `service` are engines that hold layers.
     pub fn has_model(&self, service: &str) -> bool {
         self.models.contains_key(service)
@@ -237,7 +250,7 @@
             &*target.record.service == service && target.is_usable(now) && !excluded.contains(key)
         });
         let stages: Vec<_> = usable
-            .filter_map(|(key, target)| stage(model, key, target, now))
+            .filter_map(|(key, target)| stage(model, key, target, now, f64::from(self.sharers)))
             .collect();
         let hops = cheapest_route(&stages, model.layers, 0, &HOP_COSTS)?;
         let hops = hops.into_iter().filter_map(|hop| {
@@ -251,11 +264,97 @@
         Some(hops.collect())
     }
 
+    /// Replaces the failed parts of a route by other engines; the first part stays.
+    ///
+    /// None where the first engine has failed, or nobody else holds what is missing.
+    pub fn mend_route(
+        &self,
+        service: &str,
+        route: &[RouteHop],
+        excluded: &[TargetKey],
+        now: u64,
+    ) -> Option<Vec<RouteHop>> {
+        let model = self.models.get(service)?;
+        let failed = |hop: &RouteHop| self.has_failed(hop.key, now) || excluded.contains(&hop.key);
+        if failed(route.first()?) {
+            return None;
+        }
+        let on_route = |key: &TargetKey| route.iter().any(|hop| hop.key == *key);
+        let usable = self.arena.iter().filter(|(key, target)| {
+            &*target.record.service == service
+                && target.is_usable(now)
+                && !excluded.contains(key)
+                && !on_route(key)
+        });
+        let mut stages: Vec<_> = usable
+            .filter_map(|(key, target)| stage(model, key, target, now, f64::from(self.sharers)))
+            .collect();
+        let mut mended = Vec::new();
+        for part in route.chunk_by(|a, b| failed(a) == failed(b)) {
+            if !failed(&part[0]) {
+                mended.extend_from_slice(part);
+                continue;
+            }
+            let from = part[0].layers.from();
+            let to = part[part.len() - 1].layers.to();
+            let hops = self.fill(&stages, from, to)?;
+            stages.retain(|stage| hops.iter().all(|hop| hop.key != stage.key));
+            mended.extend(hops);
+        }
+        Some(mended)
+    }
+
+    /// Cheapest way to run the layers `from..to` over `stages`.
+    fn fill(&self, stages: &[Stage<TargetKey>], from: u32, to: u32) -> Option<Vec<RouteHop>> {
+        let clipped = stages.iter().filter_map(|stage| {
+            let (start, end) = (stage.layers.from().max(from), stage.layers.to().min(to));
+            let layers = LayerRange::new(start - from, end.checked_sub(from)?).ok()?;
+            Some(Stage { layers, ..*stage })
+        });
+        let clipped: Vec<_> = clipped.collect();
+        let hops = cheapest_route(&clipped, to - from, 0, &HOP_COSTS)?;
+        let hops = hops.into_iter().filter_map(|hop| {
+            let address = self.arena.get(hop.key)?.record.address;
+            let layers = LayerRange::new(hop.layers.from() + from, hop.layers.to() + from).ok()?;
+            Some(RouteHop {
+                key: hop.key,
+                address,
+                layers,
+            })
+        });
+        Some(hops.collect())
+    }
+
     /// Identity of a target, unless it has left.
     pub fn id(&self, key: TargetKey) -> Option<Box<str>> {
         self.arena.get(key).map(|target| target.record.id.clone())
     }
 
+    /// Engines of a route in other zones than this ingress and the route's first engine.
+    pub fn remote(&self, route: &[RouteHop]) -> Vec<TargetKey> {
+        let zone = |hop: &RouteHop| self.arena.get(hop.key).map(|target| target.zone);
+        let first = route.first().and_then(zone);
+        let remote = route.iter().filter(|hop| zone(hop) != first);
+        remote.map(|hop| hop.key).collect()
+    }
+
+    /// Number of times that a route changes zones, its start from here included.
+    pub fn crossings(&self, route: &[RouteHop]) -> usize {
+        let zones = route.iter().filter_map(|hop| self.arena.get(hop.key));
+        let zones: Vec<_> = [0]
+            .into_iter()
+            .chain(zones.map(|target| target.zone))
+            .collect();
+        zones.windows(2).filter(|pair| pair[0] != pair[1]).count()
+    }
+
+    /// Whether a target was tried again after a failure and has not served since.
+    pub fn is_on_trial(&self, key: TargetKey) -> bool {
+        self.arena
+            .get(key)
+            .is_some_and(|target| target.failures > 0)
+    }
+
     /// Whether a target has failed or left.
     pub fn has_failed(&self, key: TargetKey, now: u64) -> bool {
         self.arena
@@ -327,7 +426,13 @@
 }
 
 /// An engine as a stage of routes; none where it holds nothing that can be used.
-fn stage(model: &ModelSpec, key: TargetKey, target: &Target, now: u64) -> Option<Stage<TargetKey>> {
+fn stage(
+    model: &ModelSpec,
+    key: TargetKey,
+    target: &Target,
+    now: u64,
+    sharers: f64,
+) -> Option<Stage<TargetKey>> {
     let layers = target.record.layers?;
     if now < target.misplaced_until {
         return None;
@@ -335,7 +440,8 @@
     let accelerator = model.accelerator(target.record.accelerator.as_deref()?)?;
     let room_mb = accelerator.memory_mb - f64::from(layers.len()) * model.layer_mb;
     let room = (room_mb / model.token_layer_mb()).max(1.0);
-    let load = LOAD_COST * target.reserved / room;
+    let used = sharers * target.reserved / room;
+    let load = LOAD_COST * used + NEARLY_FULL_COST * (used - NEARLY_FULL).max(0.0);
     let step_ms = model.step_ms * accelerator.step_factor / f64::from(model.layers.max(1));
     Some(Stage {
         key,
--- a/crates/toucanshelf-link/src/dialect.rs
+++ b/crates/toucanshelf-link/src/dialect.rs
@@ -169,6 +169,12 @@
     /// Fails when a field is of another type.
     fn report(&self, body: &[u8]) -> Result<EngineReport, DecodeError>;
 
+    /// Call that moves a request under way to the route over `hops`, at its first engine.
+    fn reroute_call(&self, request_id: &str, hops: &[(SocketAddr, LayerRange)]) -> EngineCall;
+
+    /// Engine that is the cause of a refused order, where the answer names one.
+    fn refused_at(&self, body: &[u8]) -> Option<SocketAddr>;
+
     /// Call that orders an engine to hold `layers`, if it has begun `orders_begun` orders.
     fn place_call(&self, layers: LayerRange, orders_begun: Option<u64>) -> EngineCall;
 }
--- a/crates/toucanshelf-link/src/frame.rs
+++ b/crates/toucanshelf-link/src/frame.rs
@@ -127,8 +127,8 @@
     Members {
         /// The addresses.
         links: Vec<SocketAddr>,
-        /// Ingress instances that are linked to the sender.
-        ingresses: u32,
+        /// Availability zones of the ingress instances that are linked to the sender.
+        ingress_zones: Vec<Box<str>>,
     },
 
     /// Control to ingress: version of the deployment in force.
--- a/crates/toucanshelf-routing/src/budget.rs
+++ b/crates/toucanshelf-routing/src/budget.rs
@@ -59,8 +59,8 @@
         self.bucket(now).requests += 1;
     }
 
-    /// Takes one repeated send, if this instance's part of the budget has one left.
-    pub fn take_repeat(&mut self, now: u64, instances: u32) -> bool {
+    /// Whether this instance's part of the budget has a repeated send left.
+    pub fn has_repeat(&self, now: u64, instances: u32) -> bool {
         let oldest = (now / BUCKET_MS).saturating_sub(self.buckets.len() as u64 - 1);
         let recent = self.buckets.iter().filter(|bucket| bucket.period >= oldest);
         let (requests, repeats) = recent.fold((0, 0), |(requests, repeats), bucket| {
@@ -68,10 +68,15 @@
         });
         let slack = self.limits.slack / f64::from(instances.max(1));
         let allowed = USED_SHARE * (self.limits.ratio * f64::from(requests) + slack);
-        if f64::from(repeats) + 1.0 > allowed {
-            return false;
+        f64::from(repeats) + 1.0 <= allowed
+    }
+
+    /// Takes one repeated send, if there is one left.
+    pub fn take_repeat(&mut self, now: u64, instances: u32) -> bool {
+        let taken = self.has_repeat(now, instances);
+        if taken {
+            self.bucket(now).repeats += 1;
         }
-        self.bucket(now).repeats += 1;
-        true
+        taken
     }
 }
--- a/crates/toucanshelf-routing/src/placement.rs
+++ b/crates/toucanshelf-routing/src/placement.rs
@@ -3,7 +3,8 @@
 //! Each availability zone holds the whole model by itself where its accelerators allow. Layers
 //! that are held stay where they are; a gap is filled by engines that are empty or hold only
 //! what others hold too, then by their neighbours, and only as a last resort by moving the
-//! borders of the whole zone.
+//! borders of the whole zone. What is not needed stands by: it holds the layers of as many others
+//! as fit, so that requests under way can move there at once.
 //!
 //! ```
 //! use toucanshelf_routing::placement::{Card, ModelShape, Retiling, plan};
@@ -18,12 +19,14 @@
 
 /// Share of a zone's even room for requests that an engine in a gap must keep.
 const GAP_ROOM: f64 = 0.5;
+/// Share of a zone's even room that an engine keeps while it only stands by for others.
+const STAND_BY_ROOM: f64 = 0.12;
 /// Share of a zone's even room below which a neighbour is not stretched over a gap.
 const STRETCH_ROOM: f64 = 0.2;
-/// Share of a zone's even room that must be left where one engine is kept in reserve.
-const RESERVE_ROOM: f64 = 0.85;
-/// Fewest engines of a zone that keeps one in reserve.
-const RESERVE_MIN_ENGINES: usize = 6;
+/// Least share of a zone's even room that a tiling leaves, to be faster and keep a reserve.
+const LEAST_ROOM: f64 = 0.65;
+/// Tilings that are compared between the least room and all of it.
+const ROOM_STEPS: u32 = 14;
 /// Steps of the search for a zone's even room.
 const SEARCH_STEPS: u32 = 40;
 
@@ -124,6 +127,15 @@
     whole
 }
 
+/// A way to hold the whole model once.
+#[derive(Debug, Default)]
+struct Tiling {
+    /// Cards with their layers.
+    ranges: Vec<(usize, LayerRange)>,
+    /// Time of a decoding step, in layers of an accelerator of factor 1.
+    time: f64,
+}
+
 /// Cards that hold the model together.
 struct Group<'a> {
     shape: &'a ModelShape,
@@ -162,8 +174,9 @@
             if self.first_gap().is_some() && retiling == Retiling::Allowed {
                 self.retile();
             }
+            self.trim_stand_ins();
         }
-        self.use_the_empty();
+        self.stand_by();
     }
 
     /// Number of cards that hold each layer.
@@ -187,36 +200,40 @@
         LayerRange::new(from as u32, (from + len) as u32).ok()
     }
 
-    /// Gives each card layers in proportion to its memory; the slowest may stay in reserve.
+    /// Tiles the model over the fastest cards that leave enough room; the rest stay in reserve.
     fn tile_afresh(&mut self) {
         let mut order = self.members.clone();
         order.sort_by(|a, b| {
             let (a, b) = (&self.cards[*a], &self.cards[*b]);
-            b.memory_mb
-                .total_cmp(&a.memory_mb)
-                .then(a.step_factor.total_cmp(&b.step_factor))
+            a.step_factor
+                .total_cmp(&b.step_factor)
+                .then(b.memory_mb.total_cmp(&a.memory_mb))
         });
-        if let Some(reserve) = self.reserve() {
-            order.retain(|i| *i != reserve);
+        let steps = (0..=ROOM_STEPS).map(|step| {
+            let share = 1.0 - (1.0 - LEAST_ROOM) * f64::from(step) / f64::from(ROOM_STEPS);
+            self.fastest_first(&order, share * self.room)
+        });
+        let best = steps.flatten().min_by(|a, b| a.time.total_cmp(&b.time));
+        for (i, range) in best.into_iter().flat_map(|tiling| tiling.ranges) {
+            self.wanted[i] = Some(range);
         }
-        self.tile(&order);
     }
 
-    /// Card that the group can spare: the slowest, if enough room is left without it.
-    fn reserve(&self) -> Option<usize> {
-        if self.members.len() < RESERVE_MIN_ENGINES {
-            return None;
+    /// Tiling that fills the cards in `order`, each with room for `tokens` tokens.
+    fn fastest_first(&self, order: &[usize], tokens: f64) -> Option<Tiling> {
+        let mut tiling = Tiling::default();
+        let mut from = 0;
+        for i in order {
+            let card = &self.cards[*i];
+            let fits = self.shape.capacity(card, tokens);
+            let to = (from + fits).min(self.shape.layers);
+            if let Ok(range) = LayerRange::new(from, to) {
+                tiling.time += f64::from(range.len()) * card.step_factor;
+                tiling.ranges.push((*i, range));
+            }
+            from = to;
         }
-        let slowest = self.members.iter().copied().max_by(|a, b| {
-            let (a, b) = (&self.cards[*a], &self.cards[*b]);
-            a.step_factor
-                .total_cmp(&b.step_factor)
-                .then(b.memory_mb.total_cmp(&a.memory_mb))
-        })?;
-        let others = self.members.iter().filter(|i| **i != slowest);
-        let others: Vec<_> = others.map(|i| &self.cards[*i]).collect();
-        let room = self.shape.even_room(&others)?;
-        (room >= RESERVE_ROOM * self.room).then_some(slowest)
+        (from == self.shape.layers).then_some(tiling)
     }
 
     /// Tiles the model over the cards in this order.
@@ -324,8 +341,27 @@
         self.tile(&order);
     }
 
-    /// Puts empty cards where the layers have the least room for requests.
-    fn use_the_empty(&mut self) {
+    /// Lets cards that stand in for others give up what others hold, to have room for requests.
+    fn trim_stand_ins(&mut self) {
+        for i in self.members.clone() {
+            let Some(range) = self.wanted[i] else {
+                continue;
+            };
+            if range.len() <= self.shape.capacity(&self.cards[i], GAP_ROOM * self.room) {
+                continue;
+            }
+            let coverage = self.coverage();
+            let alone = |layer: &u32| coverage[*layer as usize] == 1;
+            let first = (range.from()..range.to()).find(alone);
+            let last = (range.from()..range.to()).rev().find(alone);
+            if let (Some(first), Some(last)) = (first, last) {
+                self.wanted[i] = LayerRange::new(first, last + 1).ok();
+            }
+        }
+    }
+
+    /// Has empty cards stand by for as many others as they can hold the layers of.
+    fn stand_by(&mut self) {
         let empty: Vec<_> = self
             .members
             .iter()
@@ -333,38 +369,23 @@
             .filter(|i| self.wanted[*i].is_none())
             .collect();
         for i in empty {
-            let len = self.shape.capacity(&self.cards[i], self.room);
-            if len == 0 {
-                continue;
-            }
-            let room = self.room_by_layer();
+            let len = self
+                .shape
+                .capacity(&self.cards[i], STAND_BY_ROOM * self.room);
             let starts = 0..=(self.shape.layers - len);
-            let weakest = starts.min_by(|a, b| {
-                let sum = |from: u32| {
-                    room[from as usize..(from + len) as usize]
-                        .iter()
-                        .sum::<f64>()
-                };
-                sum(*a).total_cmp(&sum(*b))
-            });
-            let from = weakest.unwrap_or(0);
+            let best = starts.max_by_key(|from| self.gain_of(*from, from + len));
+            let from = best.unwrap_or(0);
             self.wanted[i] = LayerRange::new(from, from + len).ok();
         }
     }
 
-    /// Tokens for which each layer has room, over all cards that hold it.
-    fn room_by_layer(&self) -> Vec<f64> {
-        let mut out = vec![0.0; self.shape.layers as usize];
-        for i in &self.members {
-            let Some(range) = self.wanted[*i] else {
-                continue;
-            };
-            let layers = f64::from(range.len());
-            let free = self.cards[*i].memory_mb - layers * self.shape.layer_mb;
-            for layer in range.from()..range.to().min(self.shape.layers) {
-                out[layer as usize] += free / layers / self.shape.token_layer_mb;
-            }
-        }
-        out
+    /// Layers of cards that would have a stand-in, and layers that would be held twice.
+    fn gain_of(&self, from: u32, to: u32) -> (u32, u32) {
+        let coverage = self.coverage();
+        let ranges = self.members.iter().filter_map(|i| self.wanted[*i]);
+        let alone = |layer: u32| u32::from(coverage[layer as usize] == 1);
+        let inside = ranges.filter(|range| from <= range.from() && range.to() <= to);
+        let unbacked = inside.map(|range| (range.from()..range.to()).map(alone).sum::<u32>());
+        (unbacked.sum(), (from..to).map(alone).sum())
     }
 }
