Keep a held-up stream until another is open, count its run, tile faster

Change: a held-up stream stays open until the other route answers; a run counts unless its first engine has failed.

--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -138,14 +138,17 @@
 }
 
 /// Starts serving the platform, where the settings ask for it.
-pub(crate) async fn start(parts: &Arc<Parts>) -> Result<(), Box<str>> {
+///
+/// Returns the address of the platform's calls.
+pub(crate) async fn start(parts: &Arc<Parts>) -> Result<Option<SocketAddr>, Box<str>> {
     let (Some(settings), Some(_)) = (&parts.settings.deployment, &parts.directory) else {
-        return Ok(());
+        return Ok(None);
     };
     let listen = settings.listen;
     let listener = TcpListener::bind(listen)
         .await
         .map_err(|e| format!("listening on {listen}: {e}"))?;
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
     let context = Arc::clone(parts);
     let handler = move |req| calls::handle(Arc::clone(&context), req);
     tokio::spawn(async move {
@@ -156,8 +159,8 @@
     });
     tokio::spawn(reconciler::run(Arc::clone(parts)));
     tokio::spawn(ingresses::announce(Arc::clone(parts)));
-    tracing::info!(event = "TS2503", %listen, "platform calls are served");
-    Ok(())
+    tracing::info!(event = "TS2503", %address, "platform calls are served");
+    Ok(Some(address))
 }
 
 /// Passes words on to the other control instances.
--- a/crates/toucanshelf-control/src/lib.rs
+++ b/crates/toucanshelf-control/src/lib.rs
@@ -51,6 +51,7 @@
     parts: Arc<Parts>,
     address: SocketAddr,
     link_address: SocketAddr,
+    platform_address: Option<SocketAddr>,
     server: dropshot::HttpServer<Arc<Parts>>,
 }
 
@@ -126,7 +127,7 @@
         let (links_tx, links) = mpsc::channel(64);
         tokio::spawn(link::serve(listener, hello, key, links_tx));
         tokio::spawn(accept_links(Arc::clone(&parts), links));
-        directory::start(&parts).await?;
+        let platform_address = directory::start(&parts).await?;
         let server = api::serve(&parts)?;
         let address = server.local_addr();
         tracing::info!(event = "TS2001", http = %address, link = %link_address, "control listens");
@@ -134,6 +135,7 @@
             parts,
             address,
             link_address,
+            platform_address,
             server,
         })
     }
@@ -148,6 +150,11 @@
         self.link_address
     }
 
+    /// Address for the platform's operators and targets, where one is served.
+    pub fn platform_address(&self) -> Option<SocketAddr> {
+        self.platform_address
+    }
+
     /// Parts that handlers share.
     pub fn parts(&self) -> &Arc<Parts> {
         &self.parts
--- a/crates/toucanshelf-ingress/src/stream.rs
+++ b/crates/toucanshelf-ingress/src/stream.rs
@@ -31,7 +31,7 @@
 pub async fn run(shared: Arc<Shared>, req: CallerRequest, under_way: UnderWay) -> Answer {
     let mut run = StreamRun::new(shared, req);
     loop {
-        let open = match run.open().await {
+        let open = match run.open(Avoided::IfNeeded).await {
             Ok(open) => open,
             Err(refusal) => return run.refuse(refusal),
         };
@@ -70,6 +70,15 @@
     Failure(Answer),
 }
 
+/// Whether first engines that have lost the request's answer may get it again.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Avoided {
+    /// Only where there is no other.
+    IfNeeded,
+    /// They may not.
+    Never,
+}
+
 /// What comes next on a stream.
 enum Next {
     Event(Bytes),
@@ -138,12 +147,12 @@
     }
 
     /// Opens the stream at the first route that takes it.
-    async fn open(&mut self) -> Result<Opened, Refusal> {
+    async fn open(&mut self, avoided: Avoided) -> Result<Opened, Refusal> {
         loop {
             if self.req.answer_due() <= Instant::now() {
                 return Err(self.expired());
             }
-            let Some(route) = self.next_route() else {
+            let Some(route) = self.next_route(avoided) else {
                 return Err(self.refusal());
             };
             self.offers += 1;
@@ -157,12 +166,12 @@
         }
     }
 
-    fn next_route(&mut self) -> Option<Vec<RouteHop>> {
+    fn next_route(&mut self, avoided: Avoided) -> Option<Vec<RouteHop>> {
         let (shared, service) = (&self.shared, &self.req.service);
         if self.offers >= MAX_OFFERS {
             return None;
         }
-        let route = self.find_route()?;
+        let route = self.find_route(avoided)?;
         (self.offers == 0 || shared.take_repeat(service)).then_some(route)
     }
 
@@ -231,27 +240,32 @@
 
     /// Whether a stream that is held up has nowhere else to go.
     fn stays(&self, failure: &Failure, route: &mut LiveRoute) -> bool {
-        let stays = failure.may_pass() && !self.can_go_elsewhere();
+        let stays = failure.may_pass() && !self.can_go_elsewhere(route);
         if stays {
             route.wait_on();
         }
         stays
     }
 
-    fn can_go_elsewhere(&self) -> bool {
+    /// Whether another run is allowed beside the one on `route`, and there is a route for it.
+    fn can_go_elsewhere(&self, route: &LiveRoute) -> bool {
         self.may_go_on()
+            && self.runs + self.runs_on(route) < self.req.max_attempts
             && self.offers < MAX_OFFERS
-            && self.find_route().is_some()
+            && self.find_route(Avoided::Never).is_some()
             && self.shared.has_repeat(&self.req.service)
     }
 
     /// Cheapest route without engines that have refused or, if possible, lost the request.
-    fn find_route(&self) -> Option<Vec<RouteHop>> {
+    fn find_route(&self, avoided: Avoided) -> Option<Vec<RouteHop>> {
         let (targets, now) = (self.shared.targets(), self.shared.now());
         let both: Vec<_> = self.excluded.iter().chain(&self.avoided).copied().collect();
         let service = &self.req.service;
         let route = targets.choose_route(service, &both, now);
-        let route = route.or_else(|| targets.choose_route(service, &self.excluded, now));
+        let route = match (route, avoided) {
+            (None, Avoided::IfNeeded) => targets.choose_route(service, &self.excluded, now),
+            (route, _) => route,
+        };
         route.filter(|route| !route.is_empty())
     }
 
@@ -291,9 +305,10 @@
                 },
                 () = left => return Next::Left,
                 failure = source.route.watch() => {
-                    if !self.stays(&failure, &mut source.route) {
+                    if !failure.may_pass() || self.can_go_elsewhere(&source.route) {
                         return Next::Failed(failure);
                     }
+                    source.route.wait_on();
                 }
                 () = sleep_until(self.req.deadline) => return Next::Failed(Failure::Expired),
             }
@@ -330,15 +345,24 @@
         }
     }
 
-    /// Counts an attempt that may have run; a failed engine is left out and does not count.
+    /// Counts an attempt that may have run, unless its first engine has failed.
+    // An engine further on that has failed does not undo the run on the first one.
     fn count_run(&mut self, route: &LiveRoute) {
         self.may_have_run = true;
-        if !route.has_failed() {
-            self.runs += 1;
+        let runs = self.runs_on(route);
+        self.runs += runs;
+        if runs > 0 {
             self.avoided.push(route.hops()[0].key);
         }
     }
 
+    /// 1 where the first engine of a route lives, else 0.
+    fn runs_on(&self, route: &LiveRoute) -> u32 {
+        let first = route.hops()[0].key;
+        let failed = self.shared.targets().has_failed(first, self.shared.now());
+        u32::from(!failed)
+    }
+
     /// Draws conclusions from a stream that can't go on where it is.
     fn note_failure(&mut self, source: &Source, failure: &Failure) {
         tracing::info!(
@@ -383,10 +407,23 @@
                     return self.finish("served", 200);
                 }
                 Next::Left => return self.finish("caller-left", 200),
+                Next::Failed(failure) if failure.may_pass() => {
+                    // What can't be opened elsewhere may still go on where it is.
+                    let next = if self.can_go_elsewhere(&source.route) {
+                        self.go_on(&source, &tx, Avoided::Never).await
+                    } else {
+                        None
+                    };
+                    if let Some(next) = next {
+                        self.note_failure(&source, &failure);
+                        source = next;
+                    } else {
+                        source.route.wait_on();
+                    }
+                }
                 Next::Failed(failure) => {
                     self.note_failure(&source, &failure);
-                    drop(source);
-                    let Some(next) = self.go_on(&tx).await else {
+                    let Some(next) = self.go_on(&source, &tx, Avoided::IfNeeded).await else {
                         // An error breaks the connection off, so that the answer looks cut.
                         let cut = io::Error::other("the stream can't go on");
                         drop(tx.send(Err(cut)).await);
@@ -398,13 +435,20 @@
         }
     }
 
-    /// Opens the rest of the stream elsewhere.
-    async fn go_on(&mut self, tx: &mpsc::Sender<io::Result<Bytes>>) -> Option<Box<Source>> {
+    /// Opens the rest of the stream at another route than that of `source`.
+    async fn go_on(
+        &mut self,
+        source: &Source,
+        tx: &mpsc::Sender<io::Result<Bytes>>,
+        avoided: Avoided,
+    ) -> Option<Box<Source>> {
+        let first = source.route.hops()[0].key;
+        self.avoided.push(first);
         if !self.may_go_on() || self.last_event.is_none() {
             return None;
         }
         let opened = tokio::select! {
-            opened = self.open() => opened,
+            opened = self.open(avoided) => opened,
             () = tx.closed() => return None,
         };
         match opened {
--- a/crates/toucanshelf-routing/src/placement.rs
+++ b/crates/toucanshelf-routing/src/placement.rs
@@ -24,7 +24,7 @@
 /// Share of a zone's even room below which a neighbour is not stretched over a gap.
 const STRETCH_ROOM: f64 = 0.2;
 /// Least share of a zone's even room that a tiling leaves, to be faster and keep a reserve.
-const LEAST_ROOM: f64 = 0.65;
+const LEAST_ROOM: f64 = 0.6;
 /// Tilings that are compared between the least room and all of it.
 const ROOM_STEPS: u32 = 14;
 /// Steps of the search for a zone's even room.
--- /dev/null
+++ b/tests/testsuite/budget.rs
@@ -0,0 +1,52 @@
+//! Budget of repeated sends over all ingresses.
+
+use proptest::prelude::*;
+use toucanshelf_routing::budget::{BudgetLimits, RepeatBudget};
+
+const LIMITS: BudgetLimits = BudgetLimits {
+    ratio: 0.2,
+    slack: 60.0,
+    window_ms: 10_000,
+};
+
+#[test]
+fn slack_is_shared() {
+    let mut budget = RepeatBudget::new(LIMITS);
+    let taken = (0..100).filter(|_| budget.take_repeat(0, 6)).count();
+    assert!(taken <= 10, "a sixth of the slack, but {taken} were taken");
+    assert!(taken >= 5, "only {taken} were taken");
+}
+
+#[test]
+fn window_passes() {
+    let mut budget = RepeatBudget::new(LIMITS);
+    while budget.take_repeat(0, 6) {}
+    assert!(!budget.has_repeat(9_000, 6));
+    assert!(budget.has_repeat(12_000, 6));
+}
+
+proptest! {
+    /// Whatever the order of requests and repeats, no window exceeds what the limits allow.
+    #[test]
+    fn sum_stays_within(steps in prop::collection::vec((0_u64..400, any::<bool>()), 1..600)) {
+        let mut budget = RepeatBudget::new(LIMITS);
+        let mut now = 0;
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        for (pause, is_request) in steps {
+            now += pause;
+            if is_request {
+                budget.count_request(now);
+                requests.push(now);
+            } else if budget.take_repeat(now, 1) {
+                repeats.push(now);
+            }
+            let since = now.saturating_sub(LIMITS.window_ms);
+            let recent = |times: &[u64]| times.iter().filter(|at| **at > since).count() as f64;
+            // The users count the requests of the window before as well.
+            let before = since.saturating_sub(LIMITS.window_ms);
+            let counted = requests.iter().filter(|at| **at > before).count() as f64;
+            prop_assert!(recent(&repeats) <= LIMITS.ratio * counted + LIMITS.slack);
+        }
+    }
+}
--- /dev/null
+++ b/tests/testsuite/ingress.rs
@@ -0,0 +1,325 @@
+//! Requests through an ingress: whole answers, at most once, streams that go on elsewhere.
+
+use std::time::Duration;
+
+use http::Request;
+
+use crate::platform_support::{Act, DeploymentBuilder, Platform, Target, send};
+
+const ID: (&str, &str) = ("x-toucanshelf-request-id", "r1");
+
+fn document() -> DeploymentBuilder {
+    DeploymentBuilder::new(1)
+        .route("read", "a.example", "/read/", "plain")
+        .route_of_kind("book", "/book/", "plain", "non_idempotent")
+}
+
+#[tokio::test]
+async fn forwarded_byte_for_byte() {
+    let target = Target::start([Act::Answer(200, "answer")]).await;
+    let document = document().organisation("crew", &["k1"]).build();
+    let platform = Platform::start(&document, &[("plain", &target)]).await;
+    let headers = [
+        ID,
+        ("api-key", "k1"),
+        ("x-toucanshelf-tenant", "forged"),
+        ("x-toucanshelf-deadline-ms", "1500"),
+        ("x-other", "kept"),
+        ("connection", "x-hop"),
+        ("x-hop", "dropped"),
+    ];
+    let got = platform.call("POST", "/read/a%20b?q=%2F&r", &headers).await;
+    assert_eq!((got.status, &*got.body), (200, "answer"));
+    assert!(
+        got.headers["x-toucanshelf-response-seal"]
+            .to_str()
+            .unwrap()
+            .starts_with("sealed")
+    );
+    let seen = &target.seen()[0];
+    assert_eq!(
+        (seen.method.as_str(), &*seen.path),
+        ("POST", "/read/a%20b?q=%2F&r")
+    );
+    assert_eq!(&*seen.body, b"body");
+    assert_eq!(seen.header("x-toucanshelf-tenant"), "crew");
+    assert_eq!(seen.header("x-toucanshelf-expect-instance"), "t0");
+    assert_eq!(seen.header("x-other"), "kept");
+    assert_eq!(seen.header("api-key"), "");
+    assert_eq!(seen.header("x-hop"), "");
+    let left: u64 = seen.header("x-toucanshelf-deadline-ms").parse().unwrap();
+    assert!(left <= 1_500);
+}
+
+#[tokio::test]
+async fn denied_by_deployment() {
+    let target = Target::start([]).await;
+    let document = document().organisation("crew", &["k1"]).build();
+    let platform = Platform::start(&document, &[("plain", &target)]).await;
+    assert_eq!(platform.call("GET", "/read/", &[ID]).await.status, 401);
+    let wrong = [ID, ("api-key", "k2")];
+    assert_eq!(platform.call("GET", "/read/", &wrong).await.status, 401);
+    let right = [ID, ("api-key", "k1")];
+    assert_eq!(platform.call("GET", "/nowhere/", &right).await.status, 404);
+    assert!(target.seen().is_empty());
+}
+
+#[tokio::test]
+async fn failed_read_tried_elsewhere() {
+    let targets = [
+        Target::start([Act::Answer(500, "broken"), Act::Answer(500, "broken")]).await,
+        Target::start([Act::Answer(500, "broken"), Act::Answer(500, "broken")]).await,
+    ];
+    let named = [("plain", &targets[0]), ("plain", &targets[1])];
+    let platform = Platform::start(&document().build(), &named).await;
+    let got = platform.call("GET", "/read/", &[ID]).await;
+    assert_eq!(
+        (got.status, &*got.body),
+        (500, "broken"),
+        "the target's own failure is passed on"
+    );
+    assert_eq!(
+        targets[0].seen().len() + targets[1].seen().len(),
+        2,
+        "once at each target"
+    );
+}
+
+#[tokio::test]
+async fn lost_booking_sent_once() {
+    let targets = [
+        Target::start([Act::Break(&["half"]), Act::Break(&["half"])]).await,
+        Target::start([Act::Break(&["half"]), Act::Break(&["half"])]).await,
+    ];
+    let named = [("plain", &targets[0]), ("plain", &targets[1])];
+    let platform = Platform::start(&document().build(), &named).await;
+    let got = platform.call("POST", "/book/", &[ID]).await;
+    assert_eq!(
+        got.status, 502,
+        "nothing is promised of a booking that may have run"
+    );
+    assert_eq!(targets[0].seen().len() + targets[1].seen().len(), 1);
+}
+
+#[tokio::test]
+async fn answer_of_another_request() {
+    let target = Target::start([Act::AnswerOther]).await;
+    let platform = Platform::start(&document().build(), &[("plain", &target)]).await;
+    let got = platform.call("POST", "/book/", &[ID]).await;
+    assert_eq!(got.status, 502);
+    assert!(!got.body.contains("another caller"));
+}
+
+#[tokio::test]
+async fn not_run_is_true() {
+    let target = Target::start([Act::NotRun(None)]).await;
+    let platform = Platform::start(&document().build(), &[("plain", &target)]).await;
+    let got = platform.call("POST", "/book/", &[ID]).await;
+    assert_eq!(got.status, 503);
+    assert!(got.headers.contains_key("retry-after"));
+    assert_eq!(target.seen().len(), 1, "the only target is not asked again");
+}
+
+#[tokio::test]
+async fn no_target_is_refused() {
+    let platform = Platform::start(&document().build(), &[]).await;
+    let got = platform.call("POST", "/book/", &[ID]).await;
+    assert_eq!(got.status, 503);
+    assert!(got.headers.contains_key("retry-after"));
+}
+
+#[tokio::test]
+async fn body_too_large() {
+    let target = Target::start([]).await;
+    let platform = Platform::start(&document().build(), &[("plain", &target)]).await;
+    let request = Request::post("/read/").header("host", "a.example");
+    let request = request.body("x".repeat(70_000)).unwrap();
+    assert_eq!(send(platform.ingress.address(), request).await.status, 413);
+    assert!(target.seen().is_empty());
+}
+
+/// Registers `targets` as engines with layers, each pair holding the whole model.
+async fn with_engines(targets: &[&Target], held: &[(&str, u32, u32)]) -> Platform {
+    let document = DeploymentBuilder::new(1)
+        .model_service("model")
+        .route_of_kind("draft", "/draft/", "model", "streaming");
+    let platform = Platform::start(&document.build(), &[]).await;
+    for (n, (target, (zone, from, to))) in targets.iter().zip(held).enumerate() {
+        let beat = serde_json::json!({
+            "service": "model", "address": target.address, "zone": zone, "version": "v1",
+            "slots": 8, "state": "ready", "seq": 1, "born": 1000 + n, "kind": "card",
+            "layers": { "from": from, "target": to, "version": 1 }
+        });
+        assert_eq!(platform.beat(&format!("e{n}"), &beat).await, 200);
+    }
+    let routes = async {
+        while platform
+            .ingress
+            .shared()
+            .targets()
+            .choose_route("model", &[], 0)
+            .is_none()
+        {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_mins(1), routes)
+        .await
+        .unwrap();
+    platform
+}
+
+#[tokio::test]
+async fn stream_goes_on_elsewhere() {
+    let first = Target::start([Act::Break(&["id: 1\n\nid: 2\nda", "ta: x\n\nid: 3\ndat"])]).await;
+    let second = Target::start([Act::Stream(&["id: 3\ndata: y\n\n", "id: 4\n\n"])]).await;
+    let rest = Target::start([]).await;
+    // The second engine is in another zone, so that it is asked only after the first.
+    let held = [("z", 0, 2), ("y", 0, 2), ("z", 2, 4)];
+    let platform = with_engines(&[&first, &second, &rest], &held).await;
+    let got = platform.call("POST", "/draft/", &[ID]).await;
+    assert_eq!(got.status, 200);
+    assert!(got.whole);
+    assert_eq!(
+        got.body,
+        "id: 1\n\nid: 2\ndata: x\n\nid: 3\ndata: y\n\nid: 4\n\n"
+    );
+    assert_eq!(second.seen()[0].header("last-event-id"), "2");
+    let seal = got.headers["x-toucanshelf-response-seal"].to_str().unwrap();
+    assert_eq!(
+        seal,
+        format!("sealed-by-{}", first.address.port()),
+        "the first engine's head stays"
+    );
+}
+
+#[tokio::test]
+async fn hops_name_every_layer() {
+    let first = Target::start([Act::Stream(&["id: 1\n\n"])]).await;
+    let rest = Target::start([]).await;
+    let platform = with_engines(&[&first, &rest], &[("z", 0, 2), ("z", 2, 4)]).await;
+    assert_eq!(platform.call("POST", "/draft/", &[ID]).await.status, 200);
+    let hops = format!("{}=0-2,{}=2-4", first.address, rest.address);
+    assert_eq!(first.seen()[0].header("x-toucanshelf-hops"), hops);
+}
+
+#[tokio::test]
+async fn stream_that_breaks_twice() {
+    let broken = || {
+        [
+            Act::Break(&["id: 1\n\n"]),
+            Act::Break(&["id: 2\n\n"]),
+            Act::Break(&[]),
+        ]
+    };
+    let first = Target::start(broken()).await;
+    let rest = Target::start([]).await;
+    let platform = with_engines(&[&first, &rest], &[("z", 0, 2), ("z", 2, 4)]).await;
+    let got = platform.call("POST", "/draft/", &[ID]).await;
+    assert!(!got.whole, "an answer cut short must not look complete");
+    assert!(
+        first.seen().len() <= 2,
+        "no more runs than the route allows"
+    );
+}
+
+/// The engine further on stalls on every route, while the first engines live.
+#[tokio::test]
+async fn stalls_count_as_runs() {
+    let hang = || [Act::Hang(&["id: 1\n\n"])];
+    let firsts = [
+        Target::start(hang()).await,
+        Target::start(hang()).await,
+        Target::start(hang()).await,
+    ];
+    let rests = [
+        Target::start([]).await,
+        Target::start([]).await,
+        Target::start([]).await,
+    ];
+    for (first, rest) in firsts.iter().zip(&rests) {
+        first.stall_at(rest.address);
+    }
+    let engines: Vec<_> = firsts.iter().chain(&rests).collect();
+    let held = [
+        ("z", 0, 2),
+        ("y", 0, 2),
+        ("x", 0, 2),
+        ("z", 2, 4),
+        ("y", 2, 4),
+        ("x", 2, 4),
+    ];
+    let platform = with_engines(&engines, &held).await;
+    let got = platform.call("POST", "/draft/", &[ID]).await;
+    assert!(!got.whole);
+    let runs: usize = firsts.iter().map(|first| first.seen().len()).sum();
+    assert_eq!(
+        runs, 2,
+        "the route allows two attempts, and no first engine has ended"
+    );
+}
+
+#[tokio::test]
+async fn deployment_read_back() {
+    let target = Target::start([]).await;
+    let document = document().build();
+    let platform = Platform::start(&document, &[("plain", &target)]).await;
+    let read = || async {
+        let request = Request::get("/api/config").header("host", "control");
+        send(platform.calls(), request.body(String::new()).unwrap()).await
+    };
+    assert_eq!(read().await.body, document);
+    let other = DeploymentBuilder::new(1).build();
+    assert_eq!(
+        platform.put(&other).await,
+        200,
+        "the same version again changes nothing"
+    );
+    assert_eq!(read().await.body, document);
+    assert_eq!(
+        platform.put(&other[..other.len() - 2]).await,
+        400,
+        "invalid under an old version"
+    );
+    let newer = DeploymentBuilder::new(7).build();
+    assert_eq!(platform.put(&newer).await, 200);
+    assert_eq!(read().await.body, newer);
+    platform.in_step().await;
+    assert_eq!(platform.call("GET", "/read/", &[ID]).await.status, 404);
+}
+
+#[tokio::test]
+async fn drained_target_gets_nothing() {
+    let targets = [Target::start([]).await, Target::start([]).await];
+    let named = [("plain", &targets[0]), ("plain", &targets[1])];
+    let platform = Platform::start(&document().build(), &named).await;
+    let drains = serde_json::json!({
+        "service": "plain", "address": targets[0].address, "zone": "z", "version": "v1",
+        "slots": 8, "state": "draining", "seq": 2, "born": 1000
+    });
+    assert_eq!(platform.beat("t0", &drains).await, 200);
+    // The acknowledgement says that every ingress obeys, so nothing is waited for.
+    for _ in 0..6 {
+        assert_eq!(platform.call("GET", "/read/", &[ID]).await.status, 200);
+    }
+    assert!(targets[0].seen().is_empty());
+    assert_eq!(targets[1].seen().len(), 6);
+}
+
+#[tokio::test]
+async fn malformed_heartbeat_is_refused() {
+    let target = Target::start([]).await;
+    let platform = Platform::start(&document().build(), &[("plain", &target)]).await;
+    let broken = serde_json::json!({ "service": "plain", "address": 7, "state": "ready" });
+    assert_eq!(platform.beat("t0", &broken).await, 400);
+    let unknown = serde_json::json!({
+        "service": "plain", "address": target.address, "zone": "z", "state": "odd", "seq": 3,
+        "born": 1000
+    });
+    assert_eq!(platform.beat("t0", &unknown).await, 400);
+    assert_eq!(
+        platform.call("GET", "/read/", &[ID]).await.status,
+        200,
+        "the last good one holds"
+    );
+}
