Give a zone several first engines, and room by the time that requests stay

Tilings by a share of all memory also kept more room than fast accelerators need. Change: the shortest part comes first, and reserves hold it, too, for as many requests as the tiling has room for; ingresses leave a first engine whose slots fill; room is planned in proportion to the mean step factor. A test found that a plan that was carried out asked for more (stand-ins were told by the wrong room); mended.

--- a/crates/toucanshelf-control/src/directory/reconciler.rs
+++ b/crates/toucanshelf-control/src/directory/reconciler.rs
@@ -105,6 +105,8 @@
             layers: model.layers,
             layer_mb: model.layer_mb,
             token_layer_mb: model.token_layer_mb(),
+            slots: model.slots,
+            usual_tokens: model.usual_prompt + model.usual_answer,
         };
         let gap_is_old = memory
             .gap_since
--- a/crates/toucanshelf-ingress/src/request.rs
+++ b/crates/toucanshelf-ingress/src/request.rs
@@ -91,7 +91,7 @@
 #[derive(Debug)]
 pub struct InFlight {
     shared: Arc<Shared>,
-    /// Targets, with the tokens times layers that the request takes there.
+    /// Targets, the first of the route first, with the tokens times layers that the request takes there.
     targets: Vec<(TargetKey, f64)>,
 }
 
@@ -100,8 +100,8 @@
     pub fn new(shared: &Arc<Shared>, targets: Vec<(TargetKey, f64)>) -> Self {
         {
             let mut table = shared.targets();
-            for (key, token_layers) in &targets {
-                table.begin(*key, *token_layers);
+            for (i, (key, token_layers)) in targets.iter().enumerate() {
+                table.begin(*key, *token_layers, i == 0);
             }
         }
         Self {
@@ -114,8 +114,8 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         let mut table = self.shared.targets();
-        for (key, token_layers) in &self.targets {
-            table.end(*key, *token_layers);
+        for (i, (key, token_layers)) in self.targets.iter().enumerate() {
+            table.end(*key, *token_layers, i == 0);
         }
     }
 }
--- a/crates/toucanshelf-ingress/src/targets.rs
+++ b/crates/toucanshelf-ingress/src/targets.rs
@@ -38,6 +38,10 @@
 const NEARLY_FULL: f64 = 0.7;
 /// How much the share of memory beyond that counts.
 const NEARLY_FULL_COST: f64 = 12.0;
+/// Share of a first engine's slots that may be taken before another one is preferred.
+const SLOTS_FREE: f64 = 0.5;
+/// How much the share of slots beyond that counts, in milliseconds a token.
+const SLOTS_COST: f64 = 30.0;
 /// Costs of going from engine to engine, in milliseconds a token.
 // A hop to another zone takes the pipe between zones, which all transfers share.
 const HOP_COSTS: HopCosts = HopCosts {
@@ -55,6 +59,8 @@
     record: Registration,
     zone: u16,
     under_way: u32,
+    /// Requests under way that entered the system here.
+    entered: u32,
     /// Tokens times layers of the requests under way.
     reserved: f64,
     failures: u32,
@@ -70,6 +76,7 @@
             record,
             zone,
             under_way: 0,
+            entered: 0,
             reserved: 0.0,
             failures: 0,
             down_until: 0,
@@ -362,17 +369,19 @@
             .is_none_or(|target| now < target.down_until)
     }
 
-    /// Counts a request of `tokens` tokens at the engine or target behind `key`.
-    pub fn begin(&mut self, key: TargetKey, token_layers: f64) {
+    /// Counts a request at the target behind `key`, which may be the first of its route.
+    pub fn begin(&mut self, key: TargetKey, token_layers: f64, is_first: bool) {
         if let Some(target) = self.arena.get_mut(key) {
             target.under_way += 1;
+            target.entered += u32::from(is_first);
             target.reserved += token_layers;
         }
     }
 
     /// Counts a request as ended.
-    pub fn end(&mut self, key: TargetKey, token_layers: f64) {
+    pub fn end(&mut self, key: TargetKey, token_layers: f64, is_first: bool) {
         if let Some(target) = self.arena.get_mut(key) {
+            target.entered = target.entered.saturating_sub(u32::from(is_first));
             target.under_way = target.under_way.saturating_sub(1);
             target.reserved = (target.reserved - token_layers).max(0.0);
         }
@@ -442,12 +451,14 @@
     let room = (room_mb / model.token_layer_mb()).max(1.0);
     let used = sharers * target.reserved / room;
     let load = LOAD_COST * used + NEARLY_FULL_COST * (used - NEARLY_FULL).max(0.0);
+    let taken = sharers * f64::from(target.entered) / f64::from(model.slots.max(1));
     let step_ms = model.step_ms * accelerator.step_factor / f64::from(model.layers.max(1));
     Some(Stage {
         key,
         zone: target.zone,
         layers,
         layer_cost: step_ms * (1.0 + load),
+        first_cost: SLOTS_COST * (taken - SLOTS_FREE).max(0.0),
         entry_cost: if target.is_on_trial(now) {
             TRIAL_COST
         } else {
--- a/crates/toucanshelf-routing/src/hops.rs
+++ b/crates/toucanshelf-routing/src/hops.rs
@@ -18,6 +18,8 @@
     pub layer_cost: f64,
     /// Cost of entering this engine, whatever it runs.
     pub entry_cost: f64,
+    /// Cost of beginning a route here, beside that of entering.
+    pub first_cost: f64,
 }
 
 /// Costs of going from engine to engine.
@@ -119,7 +121,7 @@
         } else {
             costs.remote_entry
         };
-        return Some((remote + stage.entry_cost, None));
+        return Some((remote + stage.entry_cost + stage.first_cost, None));
     }
     let arrivals = ending.iter().map(|id| {
         let step = &steps[*id];
--- a/crates/toucanshelf-routing/src/placement.rs
+++ b/crates/toucanshelf-routing/src/placement.rs
@@ -9,7 +9,13 @@
 //! ```
 //! use toucanshelf_routing::placement::{Card, ModelShape, Retiling, plan};
 //!
-//! let shape = ModelShape { layers: 8, layer_mb: 10.0, token_layer_mb: 0.01 };
+//! let shape = ModelShape {
+//!     layers: 8,
+//!     layer_mb: 10.0,
+//!     token_layer_mb: 0.01,
+//!     slots: 64,
+//!     usual_tokens: 1_000.0,
+//! };
 //! let card = |memory_mb| Card { zone: 0, memory_mb, step_factor: 1.0, held: None };
 //! let wanted = plan(&shape, &[card(120.0), card(60.0)], Retiling::Allowed);
 //! assert_eq!(wanted.iter().flatten().map(|range| range.len()).sum::<u32>(), 8);
@@ -17,16 +23,21 @@
 
 use toucanshelf_core::layers::LayerRange;
 
-/// Share of a zone's even room for requests that an engine in a gap must keep.
-const GAP_ROOM: f64 = 0.5;
-/// Share of a zone's even room that an engine keeps while it only stands by for others.
-const STAND_BY_ROOM: f64 = 0.12;
-/// Share of a zone's even room below which a neighbour is not stretched over a gap.
-const STRETCH_ROOM: f64 = 0.2;
-/// Least share of a zone's even room that a tiling leaves, to be faster and keep a reserve.
-const LEAST_ROOM: f64 = 0.6;
-/// Tilings that are compared between the least room and all of it.
-const ROOM_STEPS: u32 = 14;
+/// Share of a tiling's room that an engine in a gap must keep.
+const GAP_ROOM: f64 = 0.8;
+/// Share of a tiling's room below which an engine counts as one that only stands by.
+const WORKING_ROOM: f64 = 0.6;
+/// Share of a tiling's room below which a neighbour is not stretched over a gap.
+const STRETCH_ROOM: f64 = 0.3;
+/// Share of a tiling's room that an engine keeps while it only stands by for others.
+const STAND_BY_ROOM: f64 = 0.2;
+/// Share of a zone's even room that a tiling leaves for each step factor of its mean layer.
+// Requests stay as long as their tokens take, so that faster tilings need less room.
+const ROOM_BY_FACTOR: f64 = 0.08;
+/// Tilings that are compared between no room and the even room.
+const ROOM_STEPS: u32 = 40;
+/// Share of its slots that a first engine is planned for.
+const SLOTS_USED: f64 = 0.8;
 /// Steps of the search for a zone's even room.
 const SEARCH_STEPS: u32 = 40;
 
@@ -39,6 +50,10 @@
     pub layer_mb: f64,
     /// Memory of one token of a request in one layer, in megabytes.
     pub token_layer_mb: f64,
+    /// Requests that an engine takes as the first of a route.
+    pub slots: u32,
+    /// Tokens that a request usually holds.
+    pub usual_tokens: f64,
 }
 
 /// An engine that can be given layers.
@@ -134,6 +149,63 @@
     ranges: Vec<(usize, LayerRange)>,
     /// Time of a decoding step, in layers of an accelerator of factor 1.
     time: f64,
+    /// Tokens for which each card has room.
+    room: f64,
+}
+
+/// Fastest tiling that leaves enough room for the time that requests then stay.
+fn best_tiling(shape: &ModelShape, cards: &[Card], members: &[usize]) -> Option<Tiling> {
+    let refs: Vec<_> = members.iter().map(|i| &cards[*i]).collect();
+    let even = shape.even_room(&refs)?;
+    let mut order = members.to_vec();
+    order.sort_by(|a, b| {
+        let (a, b) = (&cards[*a], &cards[*b]);
+        a.step_factor
+            .total_cmp(&b.step_factor)
+            .then(b.memory_mb.total_cmp(&a.memory_mb))
+    });
+    let layers = f64::from(shape.layers);
+    let steps = (1..=ROOM_STEPS).filter_map(|step| {
+        let share = f64::from(step) / f64::from(ROOM_STEPS);
+        let tiling = fastest_first(shape, cards, &order, share * even)?;
+        let needed = ROOM_BY_FACTOR * tiling.time / layers;
+        (share >= needed || step == ROOM_STEPS).then_some(tiling)
+    });
+    steps.min_by(|a, b| a.time.total_cmp(&b.time))
+}
+
+/// Tiling that fills the cards in `order`, each with room for `tokens` tokens.
+fn fastest_first(
+    shape: &ModelShape,
+    cards: &[Card],
+    order: &[usize],
+    tokens: f64,
+) -> Option<Tiling> {
+    let mut counts = Vec::new();
+    let mut left = shape.layers;
+    for i in order {
+        let count = shape.capacity(&cards[*i], tokens).min(left);
+        left -= count;
+        counts.push((*i, count));
+    }
+    if left > 0 {
+        return None;
+    }
+    counts.retain(|(_, count)| *count > 0);
+    // The last card holds what is left; a short first part is easily held by others, too.
+    counts.rotate_right(1);
+    let mut tiling = Tiling {
+        room: tokens,
+        ..Tiling::default()
+    };
+    let mut from = 0;
+    for (i, count) in counts {
+        let range = LayerRange::new(from, from + count).ok()?;
+        tiling.time += f64::from(count) * cards[i].step_factor;
+        tiling.ranges.push((i, range));
+        from += count;
+    }
+    Some(tiling)
 }
 
 /// Cards that hold the model together.
@@ -142,6 +214,7 @@
     cards: &'a [Card],
     members: Vec<usize>,
     wanted: &'a mut [Option<LayerRange>],
+    /// Tokens for which a tiling by these cards would have room.
     room: f64,
 }
 
@@ -152,8 +225,7 @@
         members: Vec<usize>,
         wanted: &'a mut [Option<LayerRange>],
     ) -> Self {
-        let refs: Vec<_> = members.iter().map(|i| &cards[*i]).collect();
-        let room = shape.even_room(&refs).unwrap_or(0.0);
+        let room = best_tiling(shape, cards, &members).map_or(0.0, |tiling| tiling.room);
         Self {
             shape,
             cards,
@@ -202,38 +274,41 @@
 
     /// Tiles the model over the fastest cards that leave enough room; the rest stay in reserve.
     fn tile_afresh(&mut self) {
-        let mut order = self.members.clone();
-        order.sort_by(|a, b| {
-            let (a, b) = (&self.cards[*a], &self.cards[*b]);
-            a.step_factor
-                .total_cmp(&b.step_factor)
-                .then(b.memory_mb.total_cmp(&a.memory_mb))
-        });
-        let steps = (0..=ROOM_STEPS).map(|step| {
-            let share = 1.0 - (1.0 - LEAST_ROOM) * f64::from(step) / f64::from(ROOM_STEPS);
-            self.fastest_first(&order, share * self.room)
-        });
-        let best = steps.flatten().min_by(|a, b| a.time.total_cmp(&b.time));
+        let best = best_tiling(self.shape, self.cards, &self.members);
         for (i, range) in best.into_iter().flat_map(|tiling| tiling.ranges) {
             self.wanted[i] = Some(range);
         }
     }
 
-    /// Tiling that fills the cards in `order`, each with room for `tokens` tokens.
-    fn fastest_first(&self, order: &[usize], tokens: f64) -> Option<Tiling> {
-        let mut tiling = Tiling::default();
-        let mut from = 0;
-        for i in order {
-            let card = &self.cards[*i];
-            let fits = self.shape.capacity(card, tokens);
-            let to = (from + fits).min(self.shape.layers);
-            if let Ok(range) = LayerRange::new(from, to) {
-                tiling.time += f64::from(range.len()) * card.step_factor;
-                tiling.ranges.push((*i, range));
+    /// Shortest first part, and the number of cards that should hold it to take all requests
+    /// for which the whole tiling has room.
+    fn first_part(&self) -> Option<(LayerRange, usize)> {
+        let ranges = self.members.iter().filter_map(|i| self.wanted[*i]);
+        let firsts = ranges.filter(|range| range.from() == 0);
+        let first = firsts.min_by_key(|range| range.len())?;
+        let room = self
+            .room_by_layer()
+            .into_iter()
+            .fold(f64::INFINITY, f64::min);
+        let requests = room / self.shape.usual_tokens.max(1.0);
+        let wanted = requests / (SLOTS_USED * f64::from(self.shape.slots.max(1)));
+        Some((first, wanted.ceil() as usize))
+    }
+
+    /// Tokens for which each layer has room, over all cards that hold it.
+    fn room_by_layer(&self) -> Vec<f64> {
+        let mut out = vec![0.0; self.shape.layers as usize];
+        for i in &self.members {
+            let Some(range) = self.wanted[*i] else {
+                continue;
+            };
+            let layers = f64::from(range.len());
+            let free = self.cards[*i].memory_mb - layers * self.shape.layer_mb;
+            for layer in range.from()..range.to().min(self.shape.layers) {
+                out[layer as usize] += free / layers / self.shape.token_layer_mb;
             }
-            from = to;
         }
-        (from == self.shape.layers).then_some(tiling)
+        out
     }
 
     /// Tiles the model over the cards in this order.
@@ -347,7 +422,11 @@
             let Some(range) = self.wanted[i] else {
                 continue;
             };
-            if range.len() <= self.shape.capacity(&self.cards[i], GAP_ROOM * self.room) {
+            if range.len()
+                <= self
+                    .shape
+                    .capacity(&self.cards[i], WORKING_ROOM * self.room)
+            {
                 continue;
             }
             let coverage = self.coverage();
@@ -369,6 +448,10 @@
             .filter(|i| self.wanted[*i].is_none())
             .collect();
         for i in empty {
+            if let Some(first) = self.missing_first_part(i) {
+                self.wanted[i] = Some(first);
+                continue;
+            }
             let len = self
                 .shape
                 .capacity(&self.cards[i], STAND_BY_ROOM * self.room);
@@ -379,6 +462,15 @@
         }
     }
 
+    /// First part, if too few cards hold it and card `i` can.
+    fn missing_first_part(&self, i: usize) -> Option<LayerRange> {
+        let (first, wanted) = self.first_part()?;
+        let ranges = self.members.iter().filter_map(|i| self.wanted[*i]);
+        let held = ranges.filter(|range| range.covers(first)).count();
+        let fits = self.shape.capacity(&self.cards[i], GAP_ROOM * self.room) >= first.len();
+        (held < wanted && fits).then_some(first)
+    }
+
     /// Layers of cards that would have a stand-in, and layers that would be held twice.
     fn gain_of(&self, from: u32, to: u32) -> (u32, u32) {
         let coverage = self.coverage();
--- a/tests/testsuite/hops.rs
+++ b/tests/testsuite/hops.rs
@@ -17,6 +17,7 @@
         layers: LayerRange::new(from, to).unwrap(),
         layer_cost,
         entry_cost: 0.0,
+        first_cost: 0.0,
     }
 }
 
@@ -46,6 +47,18 @@
     assert_eq!(keys(&route), [0, 2, 1]);
 }
 
+#[test]
+fn full_entry_is_left() {
+    let mut stages = [
+        stage(0, 0, 0, 5, 1.0),
+        stage(1, 0, 0, 5, 2.0),
+        stage(2, 0, 5, 10, 1.0),
+    ];
+    stages[0].first_cost = 10.0;
+    let route = cheapest_route(&stages, 10, 0, &COSTS).unwrap();
+    assert_eq!(keys(&route), [1, 2]);
+}
+
 #[test]
 fn gap_has_no_route() {
     let stages = [stage(0, 0, 0, 4, 1.0), stage(1, 0, 5, 10, 1.0)];
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -8,6 +8,8 @@
     layers: 80,
     layer_mb: 1_750.0,
     token_layer_mb: 0.007_375,
+    slots: 192,
+    usual_tokens: 1_000.0,
 };
 
 fn card(zone: u16, memory_mb: f64, step_factor: f64) -> Card {
@@ -108,6 +110,23 @@
     assert!(stand_in.is_some(), "the stand-in gives up all but {range}");
 }
 
+#[test]
+fn entries_for_all_requests() {
+    let mut cards = vec![card(0, 72_000.0, 2.4); 4];
+    cards.extend(vec![card(0, 14_400.0, 5.3); 10]);
+    cards.extend(vec![card(0, 21_600.0, 16.0); 11]);
+    place(&mut cards, Retiling::Allowed);
+    assert!(is_whole(&cards, 0));
+    let firsts = cards
+        .iter()
+        .filter_map(|card| card.held)
+        .filter(|held| held.from() == 0);
+    assert!(
+        firsts.count() > 1,
+        "one engine's slots can't take what so many have room for"
+    );
+}
+
 #[test]
 fn zones_too_small_alone() {
     let mut cards = [zone(0, 1, 0), zone(1, 2, 1)].concat();
