--- a/crates/toucanshelf-routing/src/placement.rs
+++ b/crates/toucanshelf-routing/src/placement.rs
@@ -31,9 +31,12 @@
 const STRETCH_ROOM: f64 = 0.3;
 /// Share of a tiling's room that an engine keeps while it only stands by for others.
 const STAND_BY_ROOM: f64 = 0.2;
-/// Share of a zone's even room that a tiling leaves for each step factor of its mean layer.
+/// Share of a zone's even room that every tiling leaves.
+// Requests that wait for a failed engine pile up however fast the others are.
+const LEAST_ROOM: f64 = 0.35;
+/// Further share for each step factor of the mean layer.
 // Requests stay as long as their tokens take, so that faster tilings need less room.
-const ROOM_BY_FACTOR: f64 = 0.08;
+const ROOM_BY_FACTOR: f64 = 0.035;
 /// Tilings that are compared between no room and the even room.
 const ROOM_STEPS: u32 = 40;
 /// Share of its slots that a first engine is planned for.
@@ -168,7 +171,7 @@
     let steps = (1..=ROOM_STEPS).filter_map(|step| {
         let share = f64::from(step) / f64::from(ROOM_STEPS);
         let tiling = fastest_first(shape, cards, &order, share * even)?;
-        let needed = ROOM_BY_FACTOR * tiling.time / layers;
+        let needed = LEAST_ROOM + ROOM_BY_FACTOR * tiling.time / layers;
         (share >= needed || step == ROOM_STEPS).then_some(tiling)
     });
     steps.min_by(|a, b| a.time.total_cmp(&b.time))
