--- /dev/null
+++ b/crates/toucanshelf-control/src/driver/apply.rs
@@ -0,0 +1,31 @@
+//! Applies committed entries to the control state.
+
+use std::collections::BTreeMap;
+
+use toucanshelf_coordination::replica::{Entry, Index, Term};
+use toucanshelf_core::state::ControlState;
+use toucanshelf_link::frame::SubmitError;
+
+use super::ReplySender;
+
+/// Applies one entry and answers whoever waits for it.
+pub(super) fn apply_entry(
+    state: &mut ControlState,
+    entry: &Entry,
+    pending: &mut BTreeMap<Index, (Term, ReplySender)>,
+) {
+    let reply = entry.command().map(|bytes| {
+        let command = ciborium::from_reader(bytes);
+        state.apply(command.expect("a command was written by this program's leader"))
+    });
+    let Some((term, sender)) = pending.remove(&entry.index) else {
+        return;
+    };
+    let answer = match reply {
+        Some(reply) if term == entry.term => Ok(reply),
+        _ => Err(SubmitError::NotTaken(
+            "another leader's entry took its place".into(),
+        )),
+    };
+    let _ = sender.send(answer);
+}
--- a/crates/toucanshelf-control/src/driver.rs
+++ b/crates/toucanshelf-control/src/driver/mod.rs
@@ -1,5 +1,8 @@
 //! Thread that runs the replica, stores its state and applies committed commands.
 
+mod apply;
+mod founding;
+
 use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
@@ -8,8 +11,8 @@
 
 use tokio::sync::{oneshot, watch};
 use toucanshelf_coordination::replica::{
-    Entry, Index, MAX_VOTERS, Membership, Message, Persisted, Ready, Replica, ReplicaConfig,
-    ReplicaId, Role, Term, VoterPolicy, next_membership,
+    Entry, Index, MAX_VOTERS, Membership, Message, Persisted, Replica, ReplicaConfig, ReplicaId,
+    Role, Term, VoterPolicy, next_membership,
 };
 use toucanshelf_coordination::store::{LogStore, RedbStore, StoreError};
 use toucanshelf_core::ids::{LogTimeMs, Revision};
@@ -18,6 +21,8 @@
 
 use crate::Parts;
 use crate::settings::ControlSettings;
+use apply::apply_entry;
+use founding::rand_u64;
 
 /// Time between ticks of the replica.
 const TICK: Duration = Duration::from_millis(20);
@@ -28,8 +33,6 @@
 /// Silence after which another replica may take a voter's place, in milliseconds.
 // Longer than a freeze of some seconds, so that a voter that wakes again keeps its place.
 const VOTER_SILENCE_MS: u64 = 6_000;
-/// Disk number of the replicas that found a log together.
-const FOUNDING_DISK: u32 = 0;
 /// Most commands that are stored in one write.
 const MAX_BATCH: usize = 512;
 /// Time without a leader after which this instance does not call itself current.
@@ -93,15 +96,10 @@
     /// Fails when the data folder can't be used or is damaged.
     pub fn open(settings: &ControlSettings) -> Result<Self, StoreError> {
         let founders = settings.founders();
-        let disk = if founders.is_empty() {
-            (rand_u64() as u32).max(FOUNDING_DISK + 1)
-        } else {
-            FOUNDING_DISK
-        };
-        let fresh = ReplicaId::new(instance_number(&settings.name), disk);
+        let fresh = founding::fresh_identity(&settings.name, founders.is_empty());
         let (mut store, replica, mut persisted) = RedbStore::open(&settings.data_folder, fresh)?;
         if !founders.is_empty() && persisted == Persisted::default() {
-            persisted = found_together(&mut store, &founders)?;
+            persisted = founding::found_together(&mut store, &founders)?;
         }
         if settings.deployment.is_none()
             && settings.is_alone()
@@ -480,48 +478,6 @@
     }
 }
 
-/// Stores the membership of a new log, the same on the disk of each founder.
-fn found_together(store: &mut RedbStore, founders: &[Box<str>]) -> Result<Persisted, StoreError> {
-    let ids = founders.iter();
-    let ids = ids.map(|name| ReplicaId::new(instance_number(name), FOUNDING_DISK));
-    let persisted = Persisted::with_voters(ids);
-    store.store(&Ready {
-        snapshot: Some(persisted.snapshot.clone()),
-        ..Ready::default()
-    })?;
-    Ok(persisted)
-}
-
-fn apply_entry(
-    state: &mut ControlState,
-    entry: &Entry,
-    pending: &mut BTreeMap<Index, (Term, ReplySender)>,
-) {
-    let reply = entry.command().map(|bytes| {
-        let command = ciborium::from_reader(bytes);
-        state.apply(command.expect("a command was written by this program's leader"))
-    });
-    let Some((term, sender)) = pending.remove(&entry.index) else {
-        return;
-    };
-    let answer = match reply {
-        Some(reply) if term == entry.term => Ok(reply),
-        _ => Err(SubmitError::NotTaken(
-            "another leader's entry took its place".into(),
-        )),
-    };
-    let _ = sender.send(answer);
-}
-
-/// Number of an instance, from its name.
-fn instance_number(name: &str) -> u32 {
-    toucanshelf_core::digest::Digest::of(name.as_bytes()).prefix() as u32
-}
-
-fn rand_u64() -> u64 {
-    uuid::Uuid::new_v4().as_u64_pair().0
-}
-
 fn unix_ms() -> u64 {
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     now.map_or(0, |now| now.as_millis() as u64)
--- a/crates/toucanshelf-ingress/src/targets.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -3,6 +3,8 @@
 //! What this ingress has seen itself goes before what control tells: a target that fails here is
 //! left alone for a while and then tried again, whatever its registration says.
 
+mod stages;
+
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 
@@ -13,6 +15,8 @@
 use toucanshelf_core::registry::{Change, Registry};
 use toucanshelf_routing::hops::{HopCosts, Stage, cheapest_route};
 
+use stages::stage;
+
 /// Shortest time for which a failed target is left alone, in milliseconds.
 // An engine that was started anew or emptied registers sooner, as another incarnation.
 const DOWN_MIN_MS: u64 = 2_500;
@@ -32,16 +36,6 @@
 const ERROR_COST: f64 = 8.0;
 /// How much another availability zone counts against a target, in requests under way.
 const OTHER_ZONE_COST: f64 = 3.0;
-/// How much the share of memory in use counts against an engine's layers.
-const LOAD_COST: f64 = 2.0;
-/// Share of memory in use above which an engine counts as nearly full.
-const NEARLY_FULL: f64 = 0.7;
-/// How much the share of memory beyond that counts.
-const NEARLY_FULL_COST: f64 = 12.0;
-/// Share of a first engine's slots that may be taken before another one is preferred.
-const SLOTS_FREE: f64 = 0.5;
-/// How much the share of slots beyond that counts, in milliseconds a token.
-const SLOTS_COST: f64 = 30.0;
 /// Costs of going from engine to engine, in milliseconds a token.
 // A hop to another zone takes the pipe between zones, which all transfers share.
 const HOP_COSTS: HopCosts = HopCosts {
@@ -433,36 +427,3 @@
         found.map(|(key, _)| key)
     }
 }
-
-/// An engine as a stage of routes; none where it holds nothing that can be used.
-fn stage(
-    model: &ModelSpec,
-    key: TargetKey,
-    target: &Target,
-    now: u64,
-    sharers: f64,
-) -> Option<Stage<TargetKey>> {
-    let layers = target.record.layers?;
-    if now < target.misplaced_until {
-        return None;
-    }
-    let accelerator = model.accelerator(target.record.accelerator.as_deref()?)?;
-    let room_mb = accelerator.memory_mb - f64::from(layers.len()) * model.layer_mb;
-    let room = (room_mb / model.token_layer_mb()).max(1.0);
-    let used = sharers * target.reserved / room;
-    let load = LOAD_COST * used + NEARLY_FULL_COST * (used - NEARLY_FULL).max(0.0);
-    let taken = sharers * f64::from(target.entered) / f64::from(model.slots.max(1));
-    let step_ms = model.step_ms * accelerator.step_factor / f64::from(model.layers.max(1));
-    Some(Stage {
-        key,
-        zone: target.zone,
-        layers,
-        layer_cost: step_ms * (1.0 + load),
-        first_cost: SLOTS_COST * (taken - SLOTS_FREE).max(0.0),
-        entry_cost: if target.is_on_trial(now) {
-            TRIAL_COST
-        } else {
-            0.0
-        },
-    })
-}
--- a/crates/toucanshelf-runtime/src/serve.rs
+++ b/crates/toucanshelf-runtime/src/serve.rs
@@ -17,6 +17,11 @@
 /// Smallest buffer for a head that the HTTP library takes, in bytes.
 const MIN_HEAD_BYTES: usize = 8 * 1024;
 
+/// Time for which a connection may be idle before a deployment says otherwise.
+const DEFAULT_IDLE: Duration = Duration::from_secs(30);
+/// Largest head before a deployment says otherwise, in bytes.
+const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
+
 /// Bounds on a caller's connection.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ConnectionLimits {
@@ -29,8 +34,8 @@
 impl Default for ConnectionLimits {
     fn default() -> Self {
         Self {
-            max_head_bytes: 16 * 1024,
-            idle_timeout: Duration::from_secs(30),
+            max_head_bytes: DEFAULT_HEAD_BYTES,
+            idle_timeout: DEFAULT_IDLE,
         }
     }
 }
--- a/tests/testsuite/ingress.rs
+++ b/tests/testsuite/ingress.rs
@@ -259,6 +259,36 @@
     );
 }
 
+#[tokio::test]
+async fn held_up_stream_is_kept() {
+    let first = Target::start([Act::Pause(&["id: 1\n\n", "id: 2\n\n"])]).await;
+    let second = Target::start([Act::NotRun(None), Act::NotRun(None)]).await;
+    let rest = Target::start([]).await;
+    let held = [("z", 0, 2), ("y", 0, 2), ("z", 2, 4)];
+    let platform = with_engines(&[&first, &second, &rest], &held).await;
+    let got = platform.call("POST", "/draft/", &[ID]).await;
+    assert!(
+        got.whole,
+        "a stream is not cut for another one that refuses"
+    );
+    assert_eq!(got.body, "id: 1\n\nid: 2\n\n");
+    assert!(!second.seen().is_empty(), "the other route was asked");
+}
+
+#[tokio::test]
+async fn first_engine_is_not_blamed() {
+    let first = Target::start([Act::Hang(&["id: 1\n\n"])]).await;
+    let rest = Target::start([]).await;
+    // What waits for its own first engine has lost the way back from another zone.
+    first.stall_at(first.address);
+    let platform = with_engines(&[&first, &rest], &[("z", 0, 2), ("y", 2, 4)]).await;
+    assert!(!platform.call("POST", "/draft/", &[ID]).await.whole);
+    let shared = platform.ingress.shared();
+    let targets = shared.targets();
+    let key = targets.at_address(first.address).unwrap();
+    assert!(!targets.is_on_trial(key), "it has answered the report");
+}
+
 #[tokio::test]
 async fn deployment_read_back() {
     let target = Target::start([]).await;
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -74,7 +74,10 @@
     }
 
     pub fn route_of_kind(self, name: &str, prefix: &str, service: &str, kind: &str) -> Self {
-        let more = serde_json::json!({ "service": service, "kind": kind, "resumable": true });
+        let timeout_ms = if kind == "streaming" { 6_000 } else { 2_000 };
+        let more = serde_json::json!({
+            "service": service, "kind": kind, "resumable": true, "timeout_ms": timeout_ms
+        });
         self.push_route(name, "a.example", prefix, &more)
     }
 
@@ -161,6 +164,8 @@
     Break(&'static [&'static str]),
     /// Sends these bytes of a stream, then nothing more.
     Hang(&'static [&'static str]),
+    /// Sends these bytes of a stream with a pause of 2.2 s before each.
+    Pause(&'static [&'static str]),
     /// Answers another request.
     AnswerOther,
 }
@@ -261,6 +266,7 @@
         Act::Stream(chunks) => respond(200, &headers, stream(chunks, End::Whole)),
         Act::Break(chunks) => respond(200, &headers, stream(chunks, End::Breaks)),
         Act::Hang(chunks) => respond(200, &headers, stream(chunks, End::Never)),
+        Act::Pause(chunks) => respond(200, &headers, stream(chunks, End::Late)),
         Act::AnswerOther => {
             headers.insert("x-toucanshelf-request-id", "another".parse().unwrap());
             respond(200, &headers, full("for another caller"))
@@ -288,6 +294,7 @@
 #[derive(Clone, Copy, PartialEq)]
 enum End {
     Whole,
+    Late,
     Breaks,
     Never,
 }
@@ -299,8 +306,9 @@
     let cut = (end == End::Breaks).then(|| Err(std::io::Error::other("breaks off")));
     let chunks: Vec<_> = good.chain(cut).collect();
     // A pause lets what was sent leave before the connection breaks.
-    let chunks = futures_util::stream::iter(chunks).then(|chunk| async move {
-        tokio::time::sleep(Duration::from_millis(5)).await;
+    let pause = Duration::from_millis(if end == End::Late { 2_200 } else { 5 });
+    let chunks = futures_util::stream::iter(chunks).then(move |chunk| async move {
+        tokio::time::sleep(pause).await;
         chunk
     });
     let silence = futures_util::stream::pending().take(usize::from(end == End::Never));
