Count the work under way in one place

Cause: read of the whole change: gate and ingress each had the same count of requests under way, the same guard and the same wait for a stop; an open answer kept facts that nobody read; two variants of an error were matched to be treated alike. No behaviour changes.

--- a/crates/toucanshelf-gate/src/api.rs
+++ b/crates/toucanshelf-gate/src/api.rs
@@ -366,7 +366,10 @@
 #[endpoint { method = GET, path = "/metrics" }]
 async fn metrics(rqctx: Context) -> Answer {
     let shared = rqctx.context();
-    shared.metrics.under_way.set(shared.under_way() as i64);
+    shared
+        .metrics
+        .under_way
+        .set(shared.under_way().get() as i64);
     shared
         .metrics
         .revision
--- a/crates/toucanshelf-gate/src/completions/mod.rs
+++ b/crates/toucanshelf-gate/src/completions/mod.rs
@@ -61,7 +61,7 @@
         deadline,
     };
     let (tx, mut rx) = mpsc::channel(QUEUED_EVENTS);
-    let guard = shared.begin_request();
+    let guard = shared.under_way().begin();
     let task = Arc::clone(shared);
     let run = async move {
         let _guard = guard;
--- a/crates/toucanshelf-gate/src/lib.rs
+++ b/crates/toucanshelf-gate/src/lib.rs
@@ -43,8 +43,6 @@
 /// Time after the last request for which a stopping gate still refuses new ones.
 // A connection that closes under a caller's request looks like a crash to the caller.
 const STOP_LINGER: Duration = Duration::from_secs(1);
-/// Time between looks at the work that is left while stopping.
-const STOP_POLL: Duration = Duration::from_millis(20);
 
 /// A running gate.
 pub struct Gate {
@@ -111,19 +109,15 @@
         self.shared.begin_stop();
         tracing::info!(
             event = "TS3002",
-            under_way = self.shared.under_way(),
+            under_way = self.shared.under_way().get(),
             "gate stops"
         );
         let limit = Duration::from_millis(self.shared.settings.stop_timeout_ms);
-        let idle = async {
-            while self.shared.under_way() > 0 {
-                tokio::time::sleep(STOP_POLL).await;
-            }
-        };
+        let idle = self.shared.under_way().idle();
         if tokio::time::timeout(limit, idle).await.is_err() {
             tracing::error!(
                 event = "TS3003",
-                under_way = self.shared.under_way(),
+                under_way = self.shared.under_way().get(),
                 "stop timeout; work is cut off"
             );
         }
--- a/crates/toucanshelf-gate/src/services.rs
+++ b/crates/toucanshelf-gate/src/services.rs
@@ -68,7 +68,7 @@
         .saturating_sub(shared.now())
         .min(shared.settings.service_timeout_ms);
     let timeout = Duration::from_millis(left);
-    let _guard = shared.begin_request();
+    let _guard = shared.under_way().begin();
     let outgoing = ServiceCall {
         method: call.method.clone(),
         path: call.path.clone(),
@@ -353,7 +353,7 @@
     /// it may run.
     fn settle(&self, command: ClaimCommand) {
         let claim = self.clone();
-        let guard = self.shared.begin_request();
+        let guard = self.shared.under_way().begin();
         tokio::spawn(async move {
             let _guard = guard;
             let due = tokio::time::Instant::now() + RECORD_TIMEOUT;
--- a/crates/toucanshelf-gate/src/shared.rs
+++ b/crates/toucanshelf-gate/src/shared.rs
@@ -1,6 +1,6 @@
 //! State that all parts of a gate share.
 
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock, RwLockReadGuard};
 use std::time::Instant;
 
@@ -12,6 +12,7 @@
 use toucanshelf_link::engine::{EngineClient, HttpEngineClient};
 use toucanshelf_link::frame::LogId;
 use toucanshelf_link::service::{HttpServiceClient, ServiceClient};
+use toucanshelf_runtime::under_way::UnderWayCount;
 
 use crate::control_link::ControlLink;
 use crate::fleets::Fleets;
@@ -61,7 +62,7 @@
     policy: Mutex<Policy>,
     started: Instant,
     stopping: AtomicBool,
-    under_way: AtomicUsize,
+    under_way: UnderWayCount,
     ended: watch::Sender<bool>,
 }
 
@@ -81,7 +82,7 @@
             policy: Mutex::new(Policy::new()),
             started: Instant::now(),
             stopping: AtomicBool::new(false),
-            under_way: AtomicUsize::new(0),
+            under_way: UnderWayCount::new(),
             ended: watch::Sender::new(false),
             settings,
         }
@@ -211,27 +212,7 @@
     }
 
     /// Requests that are under way.
-    pub fn under_way(&self) -> usize {
-        self.under_way.load(Ordering::Relaxed)
-    }
-
-    /// Counts a request as under way until the guard is dropped.
-    pub fn begin_request(self: &Arc<Self>) -> UnderWay {
-        self.under_way.fetch_add(1, Ordering::Relaxed);
-        UnderWay {
-            shared: Arc::clone(self),
-        }
-    }
-}
-
-/// Counts a request as under way.
-#[derive(Debug)]
-pub struct UnderWay {
-    shared: Arc<Shared>,
-}
-
-impl Drop for UnderWay {
-    fn drop(&mut self) {
-        self.shared.under_way.fetch_sub(1, Ordering::Relaxed);
+    pub fn under_way(&self) -> &UnderWayCount {
+        &self.under_way
     }
 }
--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -9,10 +9,10 @@
 use tokio::time::{Instant, timeout_at};
 use toucanshelf_core::deployment::RequestKind;
 use toucanshelf_core::layers::LayerRange;
-use toucanshelf_link::dialect::{AnswerFacts, TargetHead};
+use toucanshelf_link::dialect::TargetHead;
 
 use crate::answer::strip_connection_headers;
-use crate::pool::{self, ConnectError, Sender};
+use crate::pool::{self, Sender};
 use crate::request::CallerRequest;
 use crate::shared::Shared;
 
@@ -76,8 +76,6 @@
 pub struct OpenAnswer {
     /// Head and body.
     pub response: Response<Incoming>,
-    /// What the head says beyond plain HTTP.
-    pub facts: AnswerFacts,
     sender: Sender,
     address: SocketAddr,
 }
@@ -147,7 +145,6 @@
     }
     Ok(OpenAnswer {
         response,
-        facts,
         sender,
         address: to.address,
     })
@@ -161,7 +158,7 @@
 ) -> Result<(Sender, Response<Incoming>), AttemptError> {
     let sender = match timeout_at(due, pool::connect(to.address)).await {
         Ok(Ok(sender)) => sender,
-        Ok(Err(e @ (ConnectError::Refused(_) | ConnectError::Timeout))) => {
+        Ok(Err(e)) => {
             return Err(AttemptError::NotSent(e.to_string().into()));
         }
         Err(_) => return Err(AttemptError::NotSent("no time left to connect".into())),
--- a/crates/toucanshelf-ingress/src/front.rs
+++ b/crates/toucanshelf-ingress/src/front.rs
@@ -24,7 +24,7 @@
 
 /// Answers a caller.
 pub async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> Answer {
-    let under_way = shared.begin_request();
+    let under_way = shared.under_way().begin();
     let facts = shared.dialect.request_facts(req.headers());
     let id = facts.id.clone();
     let req = match read(&shared, facts, req).await {
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -38,6 +38,7 @@
 use tokio::sync::watch;
 use toucanshelf_link::dialect::Dialect;
 use toucanshelf_runtime::serve::{ConnectionLimits, serve};
+use toucanshelf_runtime::under_way::STOP_POLL;
 
 use crate::settings::IngressSettings;
 use crate::shared::Shared;
@@ -45,8 +46,6 @@
 /// Time after a stop for which new connections are still taken.
 // The platform needs two missed probes, a second apart, to send callers elsewhere.
 const STOP_NOTICE: Duration = Duration::from_millis(2_800);
-/// Time between looks at the work that is left while stopping.
-const STOP_POLL: Duration = Duration::from_millis(20);
 
 /// A running ingress.
 pub struct Ingress {
@@ -113,21 +112,17 @@
     pub async fn stop(self) {
         let started = tokio::time::Instant::now();
         self.shared.begin_stop();
-        let under_way = self.shared.under_way();
+        let under_way = self.shared.under_way().get();
         tracing::info!(event = "TS4002", under_way, "ingress stops");
         tokio::time::sleep(STOP_NOTICE).await;
         self.stop.send_replace(true);
         let limit = Duration::from_millis(self.shared.settings.stop_timeout_ms);
-        let idle = async {
-            while self.shared.under_way() > 0 {
-                tokio::time::sleep(STOP_POLL).await;
-            }
-        };
+        let idle = self.shared.under_way().idle();
         if tokio::time::timeout_at(started + limit, idle)
             .await
             .is_err()
         {
-            let under_way = self.shared.under_way();
+            let under_way = self.shared.under_way().get();
             tracing::error!(event = "TS4003", under_way, "stop timeout; work is cut off");
         }
         // The last answers may still be on their way to the sockets.
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -1,7 +1,7 @@
 //! State that all parts of an ingress share.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Instant;
 
@@ -11,6 +11,7 @@
 use toucanshelf_routing::budget::RepeatBudget;
 use toucanshelf_routing::matcher::RouteTable;
 use toucanshelf_runtime::serve::ConnectionLimits;
+use toucanshelf_runtime::under_way::UnderWayCount;
 
 use crate::control::ControlLinks;
 use crate::metrics::Metrics;
@@ -56,7 +57,7 @@
     failures: watch::Sender<u64>,
     started: Instant,
     stopping: AtomicBool,
-    under_way: AtomicUsize,
+    under_way: UnderWayCount,
 }
 
 impl Shared {
@@ -75,7 +76,7 @@
             failures: watch::Sender::new(0),
             started: Instant::now(),
             stopping: AtomicBool::new(false),
-            under_way: AtomicUsize::new(0),
+            under_way: UnderWayCount::new(),
             settings,
             dialect,
         }
@@ -191,27 +192,7 @@
     }
 
     /// Requests that are under way.
-    pub fn under_way(&self) -> usize {
-        self.under_way.load(Ordering::Relaxed)
-    }
-
-    /// Counts a request as under way until the guard is dropped.
-    pub fn begin_request(self: &Arc<Self>) -> UnderWay {
-        self.under_way.fetch_add(1, Ordering::Relaxed);
-        UnderWay {
-            shared: Arc::clone(self),
-        }
-    }
-}
-
-/// Counts a request as under way.
-#[derive(Debug)]
-pub struct UnderWay {
-    shared: Arc<Shared>,
-}
-
-impl Drop for UnderWay {
-    fn drop(&mut self) {
-        self.shared.under_way.fetch_sub(1, Ordering::Relaxed);
+    pub fn under_way(&self) -> &UnderWayCount {
+        &self.under_way
     }
 }
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -15,13 +15,14 @@
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
+use toucanshelf_runtime::under_way::UnderWay;
 
 use crate::answer::{Answer, Refusal, channel, full, refuse};
 use crate::attempt::KeptConnection;
 use crate::events::EventSplitter;
 use crate::live_route::{Failure, LiveRoute};
 use crate::request::CallerRequest;
-use crate::shared::{Shared, UnderWay};
+use crate::shared::Shared;
 use crate::targets::TargetKey;
 
 /// Time after which a caller may come back where no route can take its request.
--- a/crates/toucanshelf-runtime/src/lib.rs
+++ b/crates/toucanshelf-runtime/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod settings;
 pub mod shutdown;
 pub mod trace;
+pub mod under_way;
