Place layers by the gain of each range; wait for an order before the next

The logs (registrations now tell the accelerator) showed layers with room for 88 requests beside an engine with room for 2,203: stand-ins were thin, engines gave up layers to thin stand-ins, a returning engine took what was left over, and an engine that was loading was ordered again and again, refused each, and its first order was forgotten. Change: a cost by layer (room, room after a loss, speed) decides what empty engines take, who closes a gap and which one engine of a zone moves; nobody moves while another loads; an engine gets no order until the one before is done. Log fields target_id in place of target, which the module's name overwrote.

--- a/crates/toucanshelf-control/src/directory/calls.rs
+++ b/crates/toucanshelf-control/src/directory/calls.rs
@@ -143,7 +143,7 @@
     let record = match directory.dialect.registration(id, body) {
         Ok(record) => record,
         Err(e) => {
-            tracing::warn!(event = "TS2513", target = %id, cause = %e, "heartbeat refused");
+            tracing::warn!(event = "TS2513", target_id = %id, cause = %e, "heartbeat refused");
             return problem(StatusCode::BAD_REQUEST, &e.to_string());
         }
     };
@@ -160,7 +160,7 @@
     let incarnation = directory.dialect.leaving_incarnation(body);
     let left = directory.registry().leave(id, incarnation, directory.now());
     if let Some(record) = left {
-        tracing::info!(event = "TS2514", target = %id, incarnation = record.incarnation.0, "target left");
+        tracing::info!(event = "TS2514", target_id = %id, incarnation = record.incarnation.0, "target left");
         publish(parts, directory, record, true).await;
     }
     done()
@@ -173,7 +173,7 @@
     gossip(parts, vec![record]);
     if wait {
         let missing = directory.ingresses.seen_by_all(push).await;
-        tracing::info!(event = "TS2515", target = %id, push, missing, "leave passed on");
+        tracing::info!(event = "TS2515", target_id = %id, push, missing, "leave passed on");
     }
 }
 
--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -83,11 +83,12 @@
         if change == Change::Changed {
             tracing::info!(
                 event = "TS2501",
-                target = %record.id,
+                target_id = %record.id,
                 incarnation = record.incarnation.0,
                 sequence = record.sequence,
                 service = %record.service,
                 address = %record.address,
+                accelerator = record.accelerator.as_deref(),
                 readiness = ?record.readiness,
                 layers = ?record.layers,
                 "registration changed"
--- a/crates/toucanshelf-control/src/directory/orders.rs
+++ b/crates/toucanshelf-control/src/directory/orders.rs
@@ -22,6 +22,8 @@
     Sent,
     /// The engine has begun it, or already holds what it asks for.
     Begun,
+    /// The engine holds what it asks for.
+    Done,
     /// There was no answer: it may run now, later or never.
     Unknown,
     /// The engine did not take it.
@@ -111,6 +113,16 @@
 }
 
 impl EngineOrders {
+    /// Notes what the engine says that it holds.
+    pub fn note_held(&mut self, held: Option<LayerRange>) {
+        if let Some(order) = &mut self.last
+            && matches!(order.fate, Fate::Begun | Fate::Unknown)
+            && held == Some(order.layers)
+        {
+            order.fate = Fate::Done;
+        }
+    }
+
     /// Layers that the engine will hold, as far as known.
     pub fn expected(&self, held: Option<LayerRange>, now: u64, load_ms: u64) -> Option<LayerRange> {
         match self.last {
@@ -119,15 +131,14 @@
         }
     }
 
-    /// Whether an order for `wanted` may be sent now.
-    pub fn may_order(&self, wanted: LayerRange, now: u64, load_ms: u64) -> bool {
-        let Some(order) = &self.last else {
-            return true;
-        };
-        match order.fate {
-            Fate::Sent => false,
-            Fate::Rejected => now >= order.sent + REJECTED_PAUSE_MS,
-            Fate::Begun | Fate::Unknown => order.layers != wanted || !order.is_open(now, load_ms),
+    /// Whether another order may be sent now.
+    ///
+    /// An engine takes no order while it carries one out.
+    pub fn may_order(&self, now: u64, load_ms: u64) -> bool {
+        match &self.last {
+            Some(order) if order.fate == Fate::Rejected => now >= order.sent + REJECTED_PAUSE_MS,
+            Some(order) => !order.is_open(now, load_ms),
+            None => true,
         }
     }
 }
@@ -138,7 +149,7 @@
             Fate::Sent => true,
             Fate::Begun => now < self.sent + load_ms + EFFECT_MS,
             Fate::Unknown => now < self.sent + UNANSWERED_MS,
-            Fate::Rejected => false,
+            Fate::Done | Fate::Rejected => false,
         }
     }
 }
--- a/crates/toucanshelf-control/src/directory/reconciler.rs
+++ b/crates/toucanshelf-control/src/directory/reconciler.rs
@@ -34,6 +34,7 @@
 const MISSED_IN_CUT: f64 = 1.3;
 /// Heartbeats that a new leader waits for the word of all engines.
 const HEARTBEATS_TO_LEAD: f64 = 1.4;
+
 /// Age of a gap after which the borders of a whole zone may move, in milliseconds.
 // Engines that crash are mostly back within some seconds, and moving borders costs many loads.
 const RETILE_AFTER_MS: u64 = 4_000;
@@ -42,10 +43,22 @@
 #[derive(Debug, Default)]
 struct Memory {
     led_since: Option<u64>,
+    /// Since when some zone lacks layers.
     gap_since: Option<u64>,
+    /// Latest plan of each service, with the cards that it was made for.
+    plans: BTreeMap<Box<str>, Plan>,
     orders: Arc<Mutex<Orders>>,
 }
 
+/// A plan and what it was made for.
+#[derive(Debug)]
+struct Plan {
+    shape: ModelShape,
+    retiling: Retiling,
+    cards: Vec<Card>,
+    wanted: Vec<Option<LayerRange>>,
+}
+
 /// One engine in a comparison.
 struct Candidate {
     entry: Entry,
@@ -108,15 +121,7 @@
             slots: model.slots,
             usual_tokens: model.usual_prompt + model.usual_answer,
         };
-        let gap_is_old = memory
-            .gap_since
-            .is_some_and(|since| now >= since + RETILE_AFTER_MS);
-        let retiling = if gap_is_old {
-            Retiling::Allowed
-        } else {
-            Retiling::Deferred
-        };
-        let wanted = plan(&shape, &cards, retiling);
+        let wanted = memory.wanted(&service.name, shape, &cards, now);
         note_gap(memory, &cards, &wanted, model.layers, now);
         for (candidate, wanted) in candidates.iter().zip(wanted) {
             if let Some(wanted) = wanted {
@@ -126,6 +131,39 @@
     }
 }
 
+impl Memory {
+    /// Layers that each card should hold; planned anew only where something has changed.
+    fn wanted(
+        &mut self,
+        service: &str,
+        shape: ModelShape,
+        cards: &[Card],
+        now: u64,
+    ) -> Vec<Option<LayerRange>> {
+        let gap_age = self.gap_since.map_or(0, |since| now.saturating_sub(since));
+        let retiling = if gap_age >= RETILE_AFTER_MS {
+            Retiling::Allowed
+        } else {
+            Retiling::Deferred
+        };
+        if let Some(known) = self.plans.get(service)
+            && (known.shape, known.retiling) == (shape, retiling)
+            && known.cards == cards
+        {
+            return known.wanted.clone();
+        }
+        let wanted = plan(&shape, cards, retiling);
+        let known = Plan {
+            shape,
+            retiling,
+            cards: cards.to_vec(),
+            wanted: wanted.clone(),
+        };
+        self.plans.insert(service.into(), known);
+        wanted
+    }
+}
+
 /// Whether enough is known for a placement; the first one waits for all engines.
 fn may_place(candidates: &[Candidate], memory: &Memory, now: u64) -> bool {
     let orders = memory.orders.lock().expect("no holder panics");
@@ -169,12 +207,14 @@
         let next_zone = zones.len() as u16;
         let zone = *zones.entry(record.zone.clone()).or_insert(next_zone);
         let known = orders.engine(entry, memory.led_since.unwrap_or(now));
+        known.note_held(record.layers);
         let held = known.expected(record.layers, now, load_ms(model, model.layers));
         let card = Card {
             zone,
             memory_mb: accelerator.memory_mb,
             step_factor: accelerator.step_factor,
             held,
+            loading: held != record.layers,
         };
         out.push(Candidate {
             entry: entry.clone(),
@@ -268,7 +308,7 @@
     }
     let mut orders = memory.orders.lock().expect("no holder panics");
     let known = orders.engine(entry, memory.led_since.unwrap_or(now));
-    if !known.may_order(wanted, now, load_ms(model, model.layers)) {
+    if !known.may_order(now, load_ms(model, model.layers)) {
         return;
     }
     known.last = Some(Order {
@@ -284,7 +324,7 @@
     };
     tracing::info!(
         event = "TS2522",
-        target = %target.id,
+        target_id = %target.id,
         address = %target.address,
         held = ?entry.record.layers,
         age_ms = now.saturating_sub(entry.heard),
@@ -326,7 +366,7 @@
         Err(_) => Fate::Unknown,
     };
     let status = answer.as_ref().map(|response| response.status().as_u16());
-    tracing::info!(event = "TS2523", target = %target.id, %wanted, ?begun, ?status, ?fate, "order answered");
+    tracing::info!(event = "TS2523", target_id = %target.id, %wanted, ?begun, ?status, ?fate, "order answered");
     let mut orders = orders.lock().expect("no holder panics");
     orders.settle(&target.id, target.incarnation, wanted, fate);
 }
@@ -342,7 +382,7 @@
     let report = match answer {
         Ok(response) => directory.dialect.report(response.body()),
         Err(e) => {
-            tracing::info!(event = "TS2524", target = %target.id, cause = %e, "no report");
+            tracing::info!(event = "TS2524", target_id = %target.id, cause = %e, "no report");
             return None;
         }
     };
@@ -354,7 +394,7 @@
             Some(begun)
         }
         Err(e) => {
-            tracing::warn!(event = "TS2524", target = %target.id, cause = %e, "no report");
+            tracing::warn!(event = "TS2524", target_id = %target.id, cause = %e, "no report");
             None
         }
     }
--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -101,7 +101,7 @@
         tracing::info!(
             event = "TS4301",
             request = req.id(),
-            target = to.id,
+            target_id = to.id,
             address = %to.address,
             last_event = to.last_event,
             age_ms = req.age_ms(),
--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -147,7 +147,7 @@
             Err(AttemptError::NotRun { .. }) => targets.note_refusal(target.key, now),
             Err(AttemptError::NotSent(cause)) => {
                 if targets.note_down(target.key, now) {
-                    tracing::warn!(event = "TS4303", target = %target.id, address = %target.address, %cause, "target left alone");
+                    tracing::warn!(event = "TS4303", target_id = %target.id, address = %target.address, %cause, "target left alone");
                 }
             }
             Err(AttemptError::Lost(_) | AttemptError::TimedOut) => {
--- a/crates/toucanshelf-routing/src/placement/tiling.rs
+++ b/crates/toucanshelf-routing/src/placement/tiling.rs
@@ -110,3 +110,32 @@
     }
     Some(tiling)
 }
+
+/// Tiling over the cards in `order`, each with about the same room; none where they hold too little.
+pub(super) fn even_tiling(
+    shape: &ModelShape,
+    cards: &[Card],
+    order: &[usize],
+) -> Option<Vec<(usize, LayerRange)>> {
+    let refs: Vec<_> = order.iter().map(|i| &cards[*i]).collect();
+    let room = shape.even_room(&refs)?;
+    let capacities = refs.iter().map(|card| shape.capacity(card, room));
+    let mut counts: Vec<_> = capacities.collect();
+    let excess = counts.iter().sum::<u32>().checked_sub(shape.layers)?;
+    for _ in 0..excess {
+        // The layers that take longest are the ones to give up.
+        let time = |i: usize| f64::from(counts[i]) * refs[i].step_factor;
+        let slowest = (0..counts.len()).max_by(|a, b| time(*a).total_cmp(&time(*b)))?;
+        counts[slowest] -= 1;
+    }
+    let mut from = 0;
+    let mut ranges = Vec::new();
+    for (i, count) in order.iter().zip(counts) {
+        // A card without layers has no range.
+        if let Ok(range) = LayerRange::new(from, from + count) {
+            ranges.push((*i, range));
+        }
+        from += count;
+    }
+    Some(ranges)
+}
