Soak the real programs with seeded faults from outside

Cause: promises under kills, pauses, lost disks and cut links were shown in single tests and traces, none of them drawn at random over the real processes.

--- a/crates/toucanshelf-replay/src/layout.rs
+++ b/crates/toucanshelf-replay/src/layout.rs
@@ -33,14 +33,21 @@
 /// A port that was free a moment ago may be taken by any outgoing connection, but those come from
 /// 127.0.0.1.
 #[derive(Debug)]
-pub(crate) struct Addresses {
+pub struct Addresses {
     ip: Ipv4Addr,
     /// Held until all addresses are given out, so that none is given twice.
     held: Vec<TcpListener>,
 }
 
+impl Default for Addresses {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl Addresses {
-    pub(crate) fn new() -> Self {
+    /// Takes a loopback address that no other deployment of this process has.
+    pub fn new() -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let n = NEXT.fetch_add(1, Ordering::Relaxed);
         let process = std::process::id();
@@ -56,7 +63,8 @@
         }
     }
 
-    pub(crate) fn take(&mut self) -> SocketAddr {
+    /// Address with a free port.
+    pub fn take(&mut self) -> SocketAddr {
         let listener = TcpListener::bind((self.ip, 0)).expect("loopback has free ports");
         let address = listener
             .local_addr()
@@ -65,7 +73,8 @@
         address
     }
 
-    pub(crate) fn take_many(&mut self, count: usize) -> Vec<SocketAddr> {
+    /// Addresses with free ports.
+    pub fn take_many(&mut self, count: usize) -> Vec<SocketAddr> {
         (0..count).map(|_| self.take()).collect()
     }
 }
--- /dev/null
+++ b/src/bin/toucanshelf-soak.rs
@@ -0,0 +1,10 @@
+//! Fault soak of toucanshelf.
+
+use std::process::ExitCode;
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    toucanshelf_soak::program::main()
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -22,5 +22,6 @@
 mod quarantine;
 mod registry;
 mod routes;
+mod soak;
 mod support;
 mod tickets;
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -1,14 +1,13 @@
 //! Real processes: settings, signals, kills, freezes and cuts.
 
-use std::collections::BTreeMap;
-use std::io::{BufRead as _, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Command, Output};
 use std::time::{Duration, Instant};
 
 use tempfile::TempDir;
 use toucanshelf_core::digest::Digest;
+use toucanshelf_soak::process::Process;
 
 /// Time after which a condition counts as never met; far beyond every stated target.
 const PATIENCE: Duration = Duration::from_secs(40);
@@ -29,58 +28,8 @@
     PROGRAMS.iter().find(|(known, _)| *known == name).unwrap().1
 }
 
-/// A running program that is killed, by its id, when the test ends.
-struct Process {
-    child: Child,
-    addresses: BTreeMap<String, SocketAddr>,
-}
-
-impl Process {
-    fn start(name: &str, settings: &Path) -> Self {
-        let mut child = Command::new(program(name))
-            .arg("--settings")
-            .arg(settings)
-            .stdout(Stdio::piped())
-            .spawn()
-            .unwrap();
-        let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
-        let line = lines
-            .by_ref()
-            .map_while(Result::ok)
-            .find(|line| line.contains(" listens "));
-        let line = line.unwrap_or_else(|| panic!("{name} does not listen"));
-        let words = line
-            .split_whitespace()
-            .filter_map(|word| word.split_once('='));
-        let addresses = words
-            .filter_map(|(k, v)| Some((k.to_owned(), v.parse().ok()?)))
-            .collect();
-        // Keeps the pipe empty.
-        std::thread::spawn(move || lines.for_each(drop));
-        Self { child, addresses }
-    }
-
-    fn signal(&self, signal: &str) {
-        let id = self.child.id().to_string();
-        assert!(
-            Command::new("kill")
-                .args([signal, &id])
-                .status()
-                .unwrap()
-                .success()
-        );
-    }
-
-    fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.kill();
-    }
+fn start(name: &str, settings: &Path) -> Process {
+    Process::start(Path::new(program(name)), settings).unwrap()
 }
 
 struct Folder(TempDir);
@@ -241,13 +190,13 @@
 fn stop_by_sigterm() {
     let folder = Folder::new();
     let links = links(11);
-    let mut control = Process::start("toucanshelf-control", &folder.control(0, &links[..1]));
-    let mut gate = Process::start("toucanshelf-gate", &folder.gate("gate-1", &links[..1]));
-    apply(&[control.addresses["http"]], &folder.ticket(1, 1));
-    gate.signal("-TERM");
-    assert_eq!(gate.child.wait().unwrap().code(), Some(0));
-    control.signal("-TERM");
-    assert_eq!(control.child.wait().unwrap().code(), Some(0));
+    let mut control = start("toucanshelf-control", &folder.control(0, &links[..1]));
+    let mut gate = start("toucanshelf-gate", &folder.gate("gate-1", &links[..1]));
+    apply(&[control.address("http")], &folder.ticket(1, 1));
+    gate.signal("-TERM").unwrap();
+    assert_eq!(gate.wait().unwrap().code(), Some(0));
+    control.signal("-TERM").unwrap();
+    assert_eq!(control.wait().unwrap().code(), Some(0));
 }
 
 /// A gate whose settings name a collector posts its spans there.
@@ -260,8 +209,8 @@
     let url = format!("http://{}/v1/traces", collector.local_addr().unwrap());
     let text = std::fs::read_to_string(&path).unwrap();
     std::fs::write(&path, format!("{text}[log]\ncollector = '{url}'\n")).unwrap();
-    let mut gate = Process::start("toucanshelf-gate", &path);
-    let mut caller = std::net::TcpStream::connect(gate.addresses["http"]).unwrap();
+    let mut gate = start("toucanshelf-gate", &path);
+    let mut caller = std::net::TcpStream::connect(gate.address("http")).unwrap();
     let trace = "4bf92f3577b34da6a3ce929d0e0e4736";
     let request = format!(
         "POST /v1/completions HTTP/1.1\r\nhost: gate\r\nconnection: close\r\n\
@@ -274,7 +223,7 @@
         answer.contains(&format!("traceparent: 00-{trace}-")),
         "{answer}"
     );
-    gate.signal("-TERM");
+    gate.signal("-TERM").unwrap();
     let (mut post, _) = collector.accept().unwrap();
     let mut text = String::new();
     while !text.contains(trace) {
@@ -285,7 +234,7 @@
     }
     post.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}")
         .unwrap();
-    assert_eq!(gate.child.wait().unwrap().code(), Some(0));
+    assert_eq!(gate.wait().unwrap().code(), Some(0));
 }
 
 /// Kills the leader, freezes the next one for longer than its lease, empties a data folder, and
@@ -297,11 +246,11 @@
     let settings: Vec<_> = (0..3).map(|n| folder.control(n, &links)).collect();
     let mut controls: Vec<_> = settings
         .iter()
-        .map(|path| Process::start("toucanshelf-control", path))
+        .map(|path| start("toucanshelf-control", path))
         .collect();
     let gates: Vec<_> = (1..=2)
         .map(|n| {
-            Process::start(
+            start(
                 "toucanshelf-gate",
                 &folder.gate(&format!("gate-{n}"), &links),
             )
@@ -310,7 +259,7 @@
     let addresses = |controls: &[Process]| -> Vec<_> {
         controls
             .iter()
-            .map(|process| process.addresses["http"])
+            .map(|process| process.address("http"))
             .collect()
     };
     apply(&addresses(&controls), &folder.ticket(1, 1));
@@ -321,24 +270,24 @@
     });
 
     let leader = leader_of(&addresses(&controls));
-    controls[leader].kill();
+    controls[leader].kill().unwrap();
     apply(&addresses(&controls), &folder.ticket(2, 1));
-    controls[leader] = Process::start("toucanshelf-control", &settings[leader]);
+    controls[leader] = start("toucanshelf-control", &settings[leader]);
 
     let next = leader_of(&addresses(&controls));
-    controls[next].signal("-STOP");
+    controls[next].signal("-STOP").unwrap();
     let awake: Vec<_> = (0..3)
         .filter(|n| *n != next)
-        .map(|n| controls[n].addresses["http"])
+        .map(|n| controls[n].address("http"))
         .collect();
     apply(&awake, &folder.ticket(3, 1));
-    controls[next].signal("-CONT");
-    apply(&[controls[next].addresses["http"]], &folder.ticket(4, 1));
+    controls[next].signal("-CONT").unwrap();
+    apply(&[controls[next].address("http")], &folder.ticket(4, 1));
 
     let emptied = (leader_of(&addresses(&controls)) + 1) % 3;
-    controls[emptied].kill();
+    controls[emptied].kill().unwrap();
     std::fs::remove_dir_all(folder.0.path().join(format!("data-{emptied}"))).unwrap();
-    controls[emptied] = Process::start("toucanshelf-control", &settings[emptied]);
+    controls[emptied] = start("toucanshelf-control", &settings[emptied]);
     apply(&addresses(&controls), &folder.ticket(5, 1));
 
     for number in 1..=5u64 {
@@ -357,7 +306,7 @@
     assert_eq!(output.status.code(), Some(1));
     assert!(String::from_utf8_lossy(&output.stdout).contains("conflict"));
     for gate in &gates {
-        wait_for(|| readiness(gate.addresses["http"])["revision"] == 5);
+        wait_for(|| readiness(gate.address("http"))["revision"] == 5);
     }
 }
 
