--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -17,6 +17,7 @@
 use toucanshelf_replay::results::Distribution;
 use toucanshelf_replay::trace::Trace;
 use toucanshelf_routing::fleet::{EngineInfo, Fleet};
+use toucanshelf_routing::placement::{Card, ModelShape, Retiling, plan};
 use toucanshelf_routing::planner::{Ask, FlowPlanner, Planner as _};
 
 /// Time over which an idle deployment is watched.
@@ -26,6 +27,9 @@
     for engines in [8, 10, 100, 1_000] {
         planner(engines);
     }
+    for engines in [10, 100, 1_000] {
+        placement(engines);
+    }
     for targets in [10, 100, 1_000] {
         membership(targets);
     }
@@ -75,6 +79,43 @@
     );
 }
 
+/// Time to place the layers of one zone, and to make up for the loss of its largest engine.
+fn placement(engines: usize) {
+    let shape = ModelShape {
+        layers: 80,
+        layer_mb: 1_750.0,
+        token_layer_mb: 0.007_375,
+        slots: 192,
+        usual_tokens: 1_000.0,
+    };
+    let kinds = [(72_000.0, 2.4), (14_400.0, 5.3), (21_600.0, 16.0)];
+    let cards = (0..engines).map(|n| {
+        let (memory_mb, step_factor) = kinds[n % kinds.len()];
+        Card {
+            zone: 0,
+            memory_mb,
+            step_factor,
+            held: None,
+            loading: false,
+        }
+    });
+    let mut cards: Vec<_> = cards.collect();
+    let started = Instant::now();
+    let wanted = plan(&shape, &cards, Retiling::Deferred);
+    let first = started.elapsed();
+    for (card, wanted) in cards.iter_mut().zip(wanted) {
+        card.held = wanted;
+    }
+    cards.remove(0);
+    let started = Instant::now();
+    plan(&shape, &cards, Retiling::Deferred);
+    println!(
+        "placement engines={engines} first_ms={:.2} loss_ms={:.2}",
+        first.as_secs_f64() * 1e3,
+        started.elapsed().as_secs_f64() * 1e3
+    );
+}
+
 fn membership(targets: usize) {
     let mut view: View<String> = View::new("g", 3_000);
     let payload = "x".repeat(180);
