--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -199,7 +199,7 @@
         holds(card(0, 14_400.0, 5.3), 76, 80),
     ];
     // Stand-ins for all but four layers of the second, with room for 7,000 tokens each.
-    for from in [36, 48, 60] {
+    for from in [36, 48, 56] {
         cards.push(holds(card(0, 21_600.0, 16.0), from, from + 12));
     }
     let before = least_room(&cards);
