Bound the closing of gaps; compute a window's gain in one place

Cause: read again, closing gaps ended only when no gap was left or nothing could move. Stretching a neighbour may raise the cost of a placement, and a later move may undo it, so that the loop need not end; it runs in the control leader's own task. The gain of a layer stood twice in best_window. Change: as many steps as there are layers; the next plan goes on. One closure for the gain. Plans that came to an end within that many steps are the same.

--- a/crates/toucanshelf-control/src/directory/reconciler.rs
+++ b/crates/toucanshelf-control/src/directory/reconciler.rs
@@ -34,7 +34,6 @@
 const MISSED_IN_CUT: f64 = 1.3;
 /// Heartbeats that a new leader waits for the word of all engines.
 const HEARTBEATS_TO_LEAD: f64 = 1.4;
-
 /// Age of a gap after which the borders of a whole zone may move, in milliseconds.
 // Engines that crash are mostly back within some seconds, and moving borders costs many loads.
 const RETILE_AFTER_MS: u64 = 4_000;
--- a/crates/toucanshelf-routing/src/placement/coverage.rs
+++ b/crates/toucanshelf-routing/src/placement/coverage.rs
@@ -157,22 +157,19 @@
     ) -> Option<Window> {
         let others = self.offers(wanted, Some(i));
         let before: Vec<_> = others.iter().map(|offer| self.cost(offer)).collect();
-        let gain_of = |range: LayerRange| {
-            let layers = range.from()..range.to().min(self.shape.layers);
-            let gains = layers.map(|layer| {
-                let offer = &others[layer as usize];
-                before[layer as usize] - self.cost(&self.with_card(offer, i, range.len(), layer))
-            });
-            gains.sum::<f64>()
+        let gain_in = |layer: u32, count: u32| {
+            let offer = &others[layer as usize];
+            before[layer as usize] - self.cost(&self.with_card(offer, i, count, layer))
         };
-        let held = wanted[i].map_or(0.0, gain_of);
+        let held = wanted[i].map_or(0.0, |range| {
+            let layers = range.from()..range.to().min(self.shape.layers);
+            layers.map(|layer| gain_in(layer, range.len())).sum()
+        });
         let mut best: Option<Window> = None;
         for count in 1..=self.shape.capacity(&self.cards[i], 0.0) {
-            let gains = (0..self.shape.layers).map(|layer| {
-                let offer = &others[layer as usize];
-                before[layer as usize] - self.cost(&self.with_card(offer, i, count, layer))
-            });
-            let gains: Vec<_> = gains.collect();
+            let gains: Vec<_> = (0..self.shape.layers)
+                .map(|layer| gain_in(layer, count))
+                .collect();
             let mut sum: f64 = gains[..count as usize].iter().sum();
             for from in 0..=(self.shape.layers - count) {
                 if from > 0 {
--- a/crates/toucanshelf-routing/src/placement/mod.rs
+++ b/crates/toucanshelf-routing/src/placement/mod.rs
@@ -167,7 +167,9 @@
 
     /// Closes gaps by the cards that lose least by it, then by stretching neighbours.
     fn close_gaps(&mut self) {
-        while let Some(gap) = self.first_gap() {
+        // A step closes one layer at least; one that opens another is made up for at the next plan.
+        for _ in 0..self.shape.layers {
+            let Some(gap) = self.first_gap() else { return };
             if let Some((i, window)) = self.best_move(Some(gap.from())) {
                 self.wanted[i] = Some(window.range);
             } else if !self.stretch_over(gap) {
