Log the shared prompt parts of streams and failed attempts

Cause: the logs could not tell whether crashes come from new requests with one part or from retries of one request, because no line said which parts a request has. No decision uses them.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -115,6 +115,7 @@
             address = %to.address,
             last_event = to.last_event,
             age_ms = req.age_ms(),
+            parts = %req.shared_parts(),
             cause = %e,
             "attempt failed"
         );
--- a/crates/toucanshelf-ingress/src/request.rs
+++ b/crates/toucanshelf-ingress/src/request.rs
@@ -67,6 +67,13 @@
         self.facts.id.as_deref().unwrap_or("-")
     }
 
+    /// Returns the shared parts of the prompt for logs, in hexadecimal, joined by commas.
+    pub fn shared_parts(&self) -> String {
+        let parts = self.facts.shared_parts.iter();
+        let parts: Vec<_> = parts.map(|part| format!("{:x}", part.0)).collect();
+        parts.join(",")
+    }
+
     /// Returns the time until the deadline, in milliseconds.
     ///
     /// Returns `None` if less than 1 ms is left.
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -439,6 +439,7 @@
             request = self.req.id(),
             route = %self.req.route,
             service = %self.req.service,
+            parts = %self.req.shared_parts(),
             version = self.req.version,
             status,
             outcome,
--- a/crates/toucanshelf-link/src/dialect.rs
+++ b/crates/toucanshelf-link/src/dialect.rs
@@ -14,7 +14,7 @@
 
 use http::{HeaderMap, Method};
 use toucanshelf_core::deployment::{Deployment, DeploymentError};
-use toucanshelf_core::ids::Incarnation;
+use toucanshelf_core::ids::{Incarnation, PromptPart};
 use toucanshelf_core::layers::LayerRange;
 use toucanshelf_core::registration::Registration;
 
@@ -56,6 +56,8 @@
     pub expected_output_tokens: Option<u32>,
     /// Number of the last event that the caller received of a resumed stream.
     pub last_event: Option<u64>,
+    /// Parts that the prompt shares with those of other requests, in order.
+    pub shared_parts: Box<[PromptPart]>,
 }
 
 /// Values that a [`Dialect`] writes to the headers of a request to a target.
