--- /dev/null
+++ b/tests/testsuite/crashing_content.rs
@@ -0,0 +1,80 @@
+//! Tests of requests whose content crashes the targets that run them.
+
+use std::time::Duration;
+
+use crate::ingress::with_engines;
+use crate::platform_support::{Platform, Target, TargetAction};
+
+/// Identifier of the prompt part that crashes engines.
+const DEADLY: &str = "deadbeef";
+/// Time after the fifth crash from which only few requests may reach engines (`contact_ms`).
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Number of requests that may still reach engines after that time.
+const MAX_LATE_REQUESTS: usize = 3;
+
+/// Starts `count` engines that crash on the part [`DEADLY`], and a platform with them.
+///
+/// A further engine holds the later layers of every route.
+async fn with_crashing_engines(count: usize) -> (Platform, Vec<Target>) {
+    let mut engines = Vec::new();
+    for _ in 0..count {
+        let script = vec![TargetAction::Stream(&["id: 1\n\n"]); 64];
+        let engine = Target::start_crashing(script, |req| {
+            req.header("x-toucanshelf-prompt-prefix").contains(DEADLY)
+        });
+        engines.push(engine.await);
+    }
+    engines.push(Target::start([]).await);
+    let mut placed = vec![("z", 0, 2); count];
+    placed.push(("z", 2, 4));
+    let platform = with_engines(&engines.iter().collect::<Vec<_>>(), &placed).await;
+    (platform, engines)
+}
+
+/// Sends request number `n` with the prompt parts `shared` and a part of its own.
+async fn call_with_parts(platform: &Platform, n: usize, shared: &str) -> u16 {
+    let id = format!("r{n}");
+    let prefix = format!("{shared},f{n:x}:9");
+    let headers = [
+        ("x-toucanshelf-request-id", &*id),
+        ("x-toucanshelf-prompt-prefix", &*prefix),
+    ];
+    platform.call("POST", "/draft/", &headers).await.status
+}
+
+/// Returns the number of requests with the part [`DEADLY`] that engines have received.
+fn deadly_requests(engines: &[Target]) -> usize {
+    let received = engines.iter().flat_map(Target::received_requests);
+    received
+        .filter(|req| req.header("x-toucanshelf-prompt-prefix").contains(DEADLY))
+        .count()
+}
+
+/// Guards against new requests with one part crashing engine after engine.
+#[tokio::test]
+async fn part_that_crashes_engines() {
+    let (platform, engines) = with_crashing_engines(14).await;
+    let deadly = format!("aa:40,{DEADLY}:7");
+    for n in 0..10 {
+        let crashes = engines.iter().filter(|engine| engine.has_crashed()).count();
+        if crashes >= 5 {
+            break;
+        }
+        assert_ne!(call_with_parts(&platform, n, &deadly).await, 200);
+        assert_eq!(call_with_parts(&platform, 100 + n, "aa:40").await, 200);
+    }
+    tokio::time::sleep(CONTACT_TIME).await;
+    let before = deadly_requests(&engines);
+    for n in 20..28 {
+        assert_ne!(call_with_parts(&platform, n, &deadly).await, 200);
+    }
+    let late = deadly_requests(&engines) - before;
+    assert!(late <= MAX_LATE_REQUESTS, "{late} requests reached engines");
+    for n in 120..128 {
+        assert_eq!(
+            call_with_parts(&platform, n, "aa:40").await,
+            200,
+            "a request that shares only the first part is sound"
+        );
+    }
+}
--- a/tests/testsuite/ingress.rs
+++ b/tests/testsuite/ingress.rs
@@ -170,7 +170,7 @@
 ///
 /// `placed` gives the zone of each engine and the range of its layers. The ranges must cover the
 /// model's layers, because the function waits until a route exists.
-async fn with_engines(targets: &[&Target], placed: &[(&str, u32, u32)]) -> Platform {
+pub async fn with_engines(targets: &[&Target], placed: &[(&str, u32, u32)]) -> Platform {
     let document = DeploymentBuilder::new(1)
         .model_service("model")
         .route_of_kind("draft", "/draft/", "model", "streaming");
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod charts;
 mod claims;
 mod control;
+mod crashing_content;
 mod delivery;
 mod deployment;
 mod docs;
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -5,7 +5,7 @@
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -201,8 +201,8 @@
     received_requests: Arc<Mutex<Vec<ReceivedRequest>>>,
     /// Engine that the target's reports name as the one at which a request stalls.
     stalled: Arc<Mutex<Option<SocketAddr>>>,
-    /// Dropping this sender stops the target.
-    _stop: watch::Sender<bool>,
+    /// Set to stop the target; dropping the sender stops it as well.
+    stop: Arc<watch::Sender<bool>>,
 }
 
 /// Body of a target's response.
@@ -211,6 +211,16 @@
 impl Target {
     /// Starts a target with its script.
     pub async fn start(script: impl IntoIterator<Item = TargetAction>) -> Self {
+        Self::start_crashing(script, |_| false).await
+    }
+
+    /// Starts a target that crashes as it begins to answer a request for which `crashes` holds.
+    ///
+    /// It sends the head of the response, aborts the connection and accepts no further one.
+    pub async fn start_crashing(
+        script: impl IntoIterator<Item = TargetAction>,
+        crashes: impl Fn(&ReceivedRequest) -> bool + Send + Sync + 'static,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let script = Arc::new(Mutex::new(script.into_iter().collect::<VecDeque<_>>()));
@@ -218,17 +228,23 @@
         let handler_requests = Arc::clone(&received_requests);
         let stalled = Arc::new(Mutex::new(None));
         let handler_stalled = Arc::clone(&stalled);
+        let (stop, stop_rx) = watch::channel(false);
+        let stop = Arc::new(stop);
+        let behaviour = Arc::new(Behaviour {
+            script,
+            crashes: Box::new(crashes),
+            stop: Arc::downgrade(&stop),
+        });
         let handler = move |req| {
             let stalled = *handler_stalled.lock().unwrap();
             handle_request(
-                Arc::clone(&script),
+                Arc::clone(&behaviour),
                 Arc::clone(&handler_requests),
                 address,
                 stalled,
                 req,
             )
         };
-        let (stop, stop_rx) = watch::channel(false);
         tokio::spawn(async move {
             let (_limits, limits) = watch::channel(ConnectionLimits::default());
             serve(listener, limits, stop_rx, handler).await;
@@ -237,10 +253,15 @@
             address,
             received_requests,
             stalled,
-            _stop: stop,
+            stop,
         }
     }
 
+    /// Whether the target has crashed.
+    pub fn has_crashed(&self) -> bool {
+        *self.stop.borrow()
+    }
+
     /// Makes the target's reports name an engine at which request `r1` stalls.
     pub fn report_stall_at(&self, address: SocketAddr) {
         *self.stalled.lock().unwrap() = Some(address);
@@ -252,9 +273,17 @@
     }
 }
 
+/// How a target answers requests.
+struct Behaviour {
+    script: Arc<Mutex<VecDeque<TargetAction>>>,
+    /// Whether a request crashes the target.
+    crashes: Box<dyn Fn(&ReceivedRequest) -> bool + Send + Sync>,
+    stop: Weak<watch::Sender<bool>>,
+}
+
 /// Answers a call of the target's API, or a caller's request as the script says.
 async fn handle_request(
-    script: Arc<Mutex<VecDeque<TargetAction>>>,
+    behaviour: Arc<Behaviour>,
     received_requests: Arc<Mutex<Vec<ReceivedRequest>>>,
     address: SocketAddr,
     stalled: Option<SocketAddr>,
@@ -277,13 +306,22 @@
         return respond(status, &HeaderMap::new(), bytes_body(report.into()));
     }
     let id = parts.headers.get("x-toucanshelf-request-id").cloned();
-    received_requests.lock().unwrap().push(ReceivedRequest {
+    let received = ReceivedRequest {
         method: parts.method,
         path: parts.uri.to_string(),
         headers: parts.headers,
         body,
-    });
-    let action = script.lock().unwrap().pop_front();
+    };
+    let crashes = (behaviour.crashes)(&received);
+    received_requests.lock().unwrap().push(received);
+    let action = if crashes {
+        if let Some(stop) = behaviour.stop.upgrade() {
+            stop.send_replace(true);
+        }
+        Some(TargetAction::Break(&[]))
+    } else {
+        behaviour.script.lock().unwrap().pop_front()
+    };
     let mut headers = HeaderMap::new();
     if let Some(id) = id {
         headers.insert("x-toucanshelf-request-id", id);
