Refuse requests with content that crashes engine after engine

Cause: no ingress connected the end of an engine with the content of the requests that it ran, so each new request with the part was sent and crashed an engine, and its retry another one. Class: a failure that follows the input is treated as a failure of the machine. Change: each attempt reports to a crash ledger whether its engine answered or ended before the first event, by shared prompt part and by whole request. Findings are merged sets that control relays and keeps. Suspected content is sent one request at a time as a trial; an answer clears it, a crash refuses it for a time. Plain requests take the same way: a repeated request that crashes targets had the same cause. Frames: an older control instance is not sent findings, since it doesn't announce that it accepts them. Measured: crashing_content::part_that_crashes_engines failed before (8 of 8 late requests reached engines, 3 allowed) and passes.

--- a/crates/toucanshelf-control/src/directory/ingresses.rs
+++ b/crates/toucanshelf-control/src/directory/ingresses.rs
@@ -10,6 +10,7 @@
 
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
+use toucanshelf_core::crash::Finding;
 use toucanshelf_core::registration::Registration;
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::link::Link;
@@ -30,6 +31,8 @@
     tx: mpsc::Sender<Frame>,
     /// Highest push number that the ingress instance has acknowledged.
     acknowledged_push: u64,
+    /// Whether the instance shares findings about content that crashes targets.
+    shares_findings: bool,
 }
 
 /// Open links to ingress instances, and the number of the latest push.
@@ -76,6 +79,7 @@
                 zone,
                 tx,
                 acknowledged_push: 0,
+                shares_findings: false,
             },
         );
         id
@@ -129,6 +133,25 @@
         }
     }
 
+    /// Marks an ingress instance as one that shares findings; returns whether it is new.
+    fn add_finder(&self, id: u32) -> bool {
+        let mut sessions = self.sessions();
+        let session = sessions.open.get_mut(&id);
+        session.is_some_and(|session| !std::mem::replace(&mut session.shares_findings, true))
+    }
+
+    /// Sends findings to the ingress instances that share them, except to their sender.
+    fn forward_findings(&self, sender: u32, findings: &[Finding]) {
+        for (id, session) in &self.sessions().open {
+            if *id != sender && session.shares_findings {
+                let findings = findings.to_vec();
+                // A full queue drops the findings. The ingress may receive them through the other
+                // control instances, and receives all of them on its next link.
+                let _ = session.tx.try_send(Frame::CrashFindings { findings });
+            }
+        }
+    }
+
     fn broadcast(&self, frame: &Frame) {
         for session in self.sessions().open.values() {
             // A full queue drops the frame; the next announcement, within a second, replaces it.
@@ -174,6 +197,7 @@
     Frame::Members {
         links: shared.peers.members(),
         ingress_zones: directory.ingresses.zones(),
+        accepts_findings: true,
     }
 }
 
@@ -195,6 +219,15 @@
                     tracing::info!(event = "TS2506", ingress = %link.peer.name, %address, "target suspected");
                     directory.record_suspicion(address);
                 }
+                Frame::CrashFindings { findings } => {
+                    let new = directory.apply_findings(findings);
+                    if !new.is_empty() {
+                        directory.ingresses.forward_findings(id, &new);
+                    }
+                    if directory.ingresses.add_finder(id) && !send_findings(directory, &link.tx) {
+                        break;
+                    }
+                }
                 _ => {}
             }
         }
@@ -230,6 +263,14 @@
     registrations.is_ok() && members.is_ok() && head.is_ok()
 }
 
+/// Sends all findings about content that crashes targets to an ingress.
+///
+/// Returns `false` if the link's outgoing queue is full.
+fn send_findings(directory: &Directory, tx: &mpsc::Sender<Frame>) -> bool {
+    let findings = directory.crash_findings();
+    tx.try_send(Frame::CrashFindings { findings }).is_ok()
+}
+
 /// Sends the applied deployment to an ingress, if there is one.
 ///
 /// Returns `false` if the link's outgoing queue is full.
--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -20,12 +20,14 @@
 
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use toucanshelf_core::crash::Finding;
 use toucanshelf_core::deployment::Deployment;
 use toucanshelf_core::registration::Registration;
 use toucanshelf_core::registry::{Registry, RegistryChange};
 use toucanshelf_core::state::DeploymentDocument;
 use toucanshelf_link::dialect::Dialect;
 use toucanshelf_link::frame::Frame;
+use toucanshelf_routing::crash_ledger::CrashLedgers;
 use toucanshelf_runtime::serve::{ConnectionLimits, serve};
 
 use crate::Shared;
@@ -47,6 +49,8 @@
     ///
     /// In milliseconds since this instance started.
     suspicions: Mutex<BTreeMap<SocketAddr, u64>>,
+    /// Findings of the ingresses about content that crashes targets.
+    crash_ledgers: Mutex<CrashLedgers>,
     /// Deployment that was decoded last, kept to avoid decoding the same version again.
     decoded_deployment: Mutex<Option<Arc<Deployment>>>,
     /// Expected interval between a target's heartbeats, in milliseconds.
@@ -62,6 +66,7 @@
             ingresses: Ingresses::new(),
             registry: Mutex::default(),
             suspicions: Mutex::default(),
+            crash_ledgers: Mutex::default(),
             decoded_deployment: Mutex::default(),
             heartbeat_ms: settings.heartbeat_ms,
             started: Instant::now(),
@@ -119,10 +124,28 @@
         suspicions.get(&address).copied()
     }
 
-    /// Removes expired suspicions, and targets whose retention after leaving has ended.
+    fn crash_ledgers(&self) -> MutexGuard<'_, CrashLedgers> {
+        self.crash_ledgers.lock().expect("no lock holder panics")
+    }
+
+    /// Returns all findings about content that crashes targets.
+    pub(crate) fn crash_findings(&self) -> Vec<Finding> {
+        self.crash_ledgers().findings()
+    }
+
+    /// Adds findings of an ingress and returns those that were new.
+    pub(crate) fn apply_findings(&self, mut findings: Vec<Finding>) -> Vec<Finding> {
+        let now = self.now();
+        let mut ledgers = self.crash_ledgers();
+        findings.retain(|finding| ledgers.apply(now, finding));
+        findings
+    }
+
+    /// Removes expired suspicions and findings, and targets whose retention after leaving has ended.
     pub(crate) fn prune(&self) {
         let now = self.now();
         self.registry().prune(now);
+        self.crash_ledgers().prune(now);
         let mut suspicions = self.suspicions.lock().expect("no lock holder panics");
         suspicions.retain(|_, time| now < *time + SUSPICION_RETENTION_MS);
     }
--- a/crates/toucanshelf-control/src/peers.rs
+++ b/crates/toucanshelf-control/src/peers.rs
@@ -269,6 +269,7 @@
                 let frame = Frame::Members {
                     links: members,
                     ingress_zones: Vec::new(),
+                    accepts_findings: false,
                 };
                 if link.tx.try_send(frame).is_err() {
                     return;
--- a/crates/toucanshelf-core/src/ids.rs
+++ b/crates/toucanshelf-core/src/ids.rs
@@ -1,4 +1,4 @@
-//! Integer types for ticket numbers, revisions, incarnations, attempts, prompt parts and log times.
+//! Integer types for ticket numbers, revisions, incarnations, attempts, crashes, prompt parts and log times.
 
 use std::fmt;
 
@@ -39,6 +39,10 @@
     /// Number of an attempt to run a request, counted from 1.
     Attempt
 );
+number!(
+    /// Identifier of a target's crash, which stands for the incarnation that crashed.
+    CrashId
+);
 number!(
     /// Identifier of a part that the prompts of several requests share.
     PromptPart
--- a/crates/toucanshelf-core/src/lib.rs
+++ b/crates/toucanshelf-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod arena;
 pub mod claim;
 pub mod configuration;
+pub mod crash;
 pub mod deployment;
 pub mod digest;
 pub mod document;
--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, Uri, Version};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 use toucanshelf_core::deployment::RequestKind;
@@ -36,7 +36,12 @@
         /// Address of the engine that caused the refusal, if the response names one.
         at_fault: Option<SocketAddr>,
     },
-    /// The target may have run the request, but no valid response arrived.
+    /// The connection ended after the request was sent, before the response was complete.
+    ///
+    /// The target may have run the request, and may have crashed.
+    #[error("response lost: {0}")]
+    Disconnected(Box<str>),
+    /// The target may have run the request, but its response isn't valid.
     #[error("response lost: {0}")]
     Lost(Box<str>),
     /// No response arrived in time; the target may have run the request.
@@ -55,7 +60,7 @@
         match self {
             Self::NotSent(_) => "not-sent",
             Self::NotRun { .. } => "not-run",
-            Self::Lost(_) => "lost",
+            Self::Disconnected(_) | Self::Lost(_) => "lost",
             Self::TimedOut => "timed-out",
         }
     }
@@ -212,7 +217,7 @@
             Err(if unsent {
                 AttemptError::NotSent(cause)
             } else {
-                AttemptError::Lost(cause)
+                AttemptError::Disconnected(cause)
             })
         }
         Err(_) => Err(AttemptError::TimedOut),
@@ -254,7 +259,10 @@
         let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
         let body = match timeout_at(due, body).await {
             Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) => return Err(AttemptError::Lost(e.to_string().into())),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => {
+                return Err(AttemptError::Lost(e.to_string().into()));
+            }
+            Ok(Err(e)) => return Err(AttemptError::Disconnected(e.to_string().into())),
             Err(_) => return Err(AttemptError::TimedOut),
         };
         shared.pool.put(self.address, self.sender, &parts.headers);
--- /dev/null
+++ b/crates/toucanshelf-ingress/src/content_guard.rs
@@ -0,0 +1,294 @@
+//! Limits the number of targets that requests with the same content can crash.
+//!
+//! Each attempt to send a request reports whether the target answered it or crashed. The findings
+//! are shared with the other ingresses, and a [`CrashLedger`] decides from all of them which
+//! requests are sent, tried one at a time, or refused.
+
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use tokio::sync::watch;
+use tokio::time::{Instant, timeout_at};
+use toucanshelf_core::crash::{Content, Finding, Outcome, WHOLE_REQUEST_POSITION};
+use toucanshelf_core::digest::Digest;
+use toucanshelf_core::ids::CrashId;
+use toucanshelf_routing::crash_ledger::{CrashLedger, CrashLedgers, Handling};
+
+use crate::request::CallerRequest;
+use crate::shared::Shared;
+
+/// Findings of all ingresses about content that crashes targets.
+#[derive(Debug)]
+pub struct ContentGuard {
+    ledgers: Mutex<CrashLedgers>,
+    /// Counter that is raised by each new finding.
+    changed: watch::Sender<u64>,
+}
+
+impl Default for ContentGuard {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl ContentGuard {
+    /// Creates a guard that knows no findings.
+    pub fn new() -> Self {
+        Self {
+            ledgers: Mutex::default(),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    fn ledgers(&self) -> MutexGuard<'_, CrashLedgers> {
+        self.ledgers.lock().expect("no holder panics")
+    }
+
+    /// Returns all findings, for a new link to a control instance.
+    pub fn findings(&self) -> Vec<Finding> {
+        self.ledgers().findings()
+    }
+
+    /// Forgets content without recent crashes; `now` is in milliseconds.
+    pub fn prune(&self, now: u64) {
+        self.ledgers().prune(now);
+    }
+
+    /// Adds findings of this ingress or of others.
+    ///
+    /// Each finding that changes how requests are handled is logged. Returns whether any was new.
+    pub fn apply(&self, now: u64, findings: &[Finding]) -> bool {
+        let mut ledgers = self.ledgers();
+        let mut any_new = false;
+        for finding in findings {
+            let before = handling(&ledgers, finding, now);
+            any_new |= ledgers.apply(now, finding);
+            let after = handling(&ledgers, finding, now);
+            if before.name() != after.name() {
+                let ledger = ledgers.get(&finding.service);
+                let crashes = ledger.map_or(0, |ledger| ledger.unexplained(finding.content).len());
+                tracing::warn!(
+                    event = "TS4311",
+                    service = %finding.service,
+                    content = %finding.content,
+                    before = before.name(),
+                    after = after.name(),
+                    crashes,
+                    "handling of content changed"
+                );
+            }
+        }
+        drop(ledgers);
+        if any_new {
+            self.changed.send_modify(|count| *count += 1);
+        }
+        any_new
+    }
+}
+
+fn handling(ledgers: &CrashLedgers, finding: &Finding, now: u64) -> Handling {
+    let ledger = ledgers.get(&finding.service);
+    ledger.map_or(Handling::Normal, |ledger| {
+        ledger.handling(finding.content, now)
+    })
+}
+
+/// Content of a request with its position in the request.
+type PositionedContent = (Content, u8);
+
+/// Returns the contents of a request, the most specific one first.
+fn contents(req: &CallerRequest) -> Vec<PositionedContent> {
+    let parts = req.facts.shared_parts.iter().enumerate();
+    let parts = parts.map(|(i, part)| {
+        let position = i.min(usize::from(WHOLE_REQUEST_POSITION) - 1);
+        (Content::Part(*part), position as u8)
+    });
+    let whole = (Content::Request(fingerprint(req)), WHOLE_REQUEST_POSITION);
+    parts.chain([whole]).rev().collect()
+}
+
+/// Returns a hash of a request's caller, method, path, shared prompt parts and body.
+fn fingerprint(req: &CallerRequest) -> u64 {
+    let caller = req.organisation.as_deref().unwrap_or_default();
+    let (method, uri, parts) = (&req.method, &req.uri, req.shared_parts());
+    let mut text = format!("{caller}\n{method}\n{uri}\n{parts}\n").into_bytes();
+    text.extend_from_slice(&req.body);
+    Digest::of(&text).prefix()
+}
+
+/// Whether and how an attempt may be made now.
+enum Decision {
+    Send(ContentAttempt),
+    /// Another request with the same content is on trial until this time at most.
+    Wait {
+        busy_until: u64,
+    },
+    Refuse {
+        until: u64,
+    },
+}
+
+/// An attempt to send a request, which reports what happened to its target.
+#[derive(Debug)]
+pub struct ContentAttempt {
+    shared: Arc<Shared>,
+    service: Box<str>,
+    /// Content with crashes that were known when the attempt began.
+    ///
+    /// An answer proves that the content has not caused these crashes.
+    known: Vec<(PositionedContent, Vec<CrashId>)>,
+    /// Content that the attempt tries, the most specific one first.
+    trial: Vec<PositionedContent>,
+    settled: bool,
+}
+
+/// Waits until a request may be sent, and begins an attempt.
+///
+/// While another request with suspected content is on trial, this waits for its outcome, at most for
+/// the latency objective of the request.
+///
+/// # Errors
+///
+/// If the request must not be sent, returns the time after which it may be sent again.
+pub async fn begin_attempt(
+    shared: &Arc<Shared>,
+    req: &CallerRequest,
+) -> Result<ContentAttempt, Duration> {
+    let wait_until = (Instant::now() + req.objective).min(req.response_due());
+    let mut changes = shared.content.changed.subscribe();
+    loop {
+        let wait = match decide(shared, req) {
+            Decision::Send(attempt) => return Ok(attempt),
+            Decision::Refuse { until } => return Err(time_until(shared, until)),
+            Decision::Wait { busy_until } => time_until(shared, busy_until),
+        };
+        if Instant::now() >= wait_until {
+            return Err(wait);
+        }
+        let wake_at = (Instant::now() + wait).min(wait_until);
+        // A timeout also leads to a new decision: a trial that takes too long makes room for the
+        // next one.
+        drop(timeout_at(wake_at, changes.changed()).await);
+    }
+}
+
+fn time_until(shared: &Shared, time: u64) -> Duration {
+    Duration::from_millis(time.saturating_sub(shared.now()))
+}
+
+/// Decides on an attempt, and starts a trial if one is needed.
+fn decide(shared: &Arc<Shared>, req: &CallerRequest) -> Decision {
+    let now = shared.now();
+    let mut attempt = ContentAttempt {
+        shared: Arc::clone(shared),
+        service: req.service.clone(),
+        known: Vec::new(),
+        trial: Vec::new(),
+        settled: false,
+    };
+    let mut busy_until = 0;
+    {
+        let ledgers = shared.content.ledgers();
+        let Some(ledger) = ledgers.get(&req.service) else {
+            return Decision::Send(attempt);
+        };
+        for (content, position) in contents(req) {
+            match ledger.handling(content, now) {
+                Handling::Refused { until } => return Decision::Refuse { until },
+                Handling::Trial { busy_until: until } => {
+                    busy_until = until.max(busy_until);
+                    attempt.trial.push((content, position));
+                }
+                Handling::Normal => {}
+            }
+            attempt.remember(ledger, content, position);
+        }
+    }
+    if now < busy_until {
+        attempt.settled = true;
+        return Decision::Wait { busy_until };
+    }
+    if !attempt.trial.is_empty() {
+        for content in attempt.trial.clone() {
+            tracing::info!(event = "TS4312", request = req.id(), content = %content.0, "trial started");
+            attempt.publish(content, Outcome::TrialStarted);
+        }
+    }
+    Decision::Send(attempt)
+}
+
+impl ContentAttempt {
+    fn remember(&mut self, ledger: &CrashLedger, content: Content, position: u8) {
+        let crashes = ledger.unexplained(content);
+        if !crashes.is_empty() {
+            self.known.push(((content, position), crashes));
+        }
+    }
+
+    /// Records that the target answered the request.
+    ///
+    /// Calls after the first outcome have no effect.
+    pub fn record_served(&mut self) {
+        if std::mem::replace(&mut self.settled, true) {
+            return;
+        }
+        for (content, despite) in std::mem::take(&mut self.known) {
+            self.publish(content, Outcome::Served { despite });
+        }
+    }
+
+    /// Records that the target crashed before it answered `req`, the request of this attempt.
+    ///
+    /// Calls after the first outcome have no effect.
+    pub fn record_crash(&mut self, req: &CallerRequest, crash: CrashId) {
+        if std::mem::replace(&mut self.settled, true) {
+            return;
+        }
+        let trial = std::mem::take(&mut self.trial);
+        let tried = trial.first().map(|(content, _)| *content);
+        let contents = contents(req);
+        tracing::info!(
+            event = "TS4310",
+            request = req.id(),
+            service = %self.service,
+            crash = crash.0,
+            parts = %req.shared_parts(),
+            tried = tried.map(|content| content.to_string()),
+            "target crashed before it answered"
+        );
+        for content in contents {
+            let in_trial = tried == Some(content.0);
+            self.publish(content, Outcome::Crashed { crash, in_trial });
+        }
+        for content in trial.into_iter().skip(1) {
+            self.publish(content, Outcome::TrialEnded);
+        }
+    }
+
+    /// Adds a finding to those of this ingress and sends it to the control instances.
+    fn publish(&self, (content, position): PositionedContent, outcome: Outcome) {
+        let finding = Finding {
+            service: self.service.clone(),
+            content,
+            position,
+            outcome,
+        };
+        let shared = &self.shared;
+        if shared
+            .content
+            .apply(shared.now(), std::slice::from_ref(&finding))
+        {
+            shared.control.share_finding(&finding);
+        }
+    }
+}
+
+impl Drop for ContentAttempt {
+    fn drop(&mut self) {
+        if !self.settled {
+            for content in std::mem::take(&mut self.trial) {
+                self.publish(content, Outcome::TrialEnded);
+            }
+        }
+    }
+}
--- a/crates/toucanshelf-ingress/src/control.rs
+++ b/crates/toucanshelf-ingress/src/control.rs
@@ -12,6 +12,7 @@
 
 use tokio::sync::mpsc;
 use tokio::time::Instant;
+use toucanshelf_core::crash::Finding;
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::handshake::{Hello, SharedKey};
 use toucanshelf_link::link::{self, Link};
@@ -23,10 +24,18 @@
 /// Time after which the ingress may request a deployment again, from any instance.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// An open link to a control instance.
+#[derive(Debug)]
+struct OpenLink {
+    tx: mpsc::Sender<Frame>,
+    /// Whether findings about content that crashes targets are sent on the link.
+    shares_findings: bool,
+}
+
 #[derive(Debug, Default)]
 struct LinkTable {
-    /// Channels for frames to the control instances that are connected now, by address.
-    open: BTreeMap<SocketAddr, mpsc::Sender<Frame>>,
+    /// Links to the control instances that are connected now, by address.
+    open: BTreeMap<SocketAddr, OpenLink>,
     /// Addresses of control instances for which a task keeps a link open.
     known: Vec<SocketAddr>,
     /// Version of the deployment that was last requested, and the time of the request.
@@ -56,13 +65,32 @@
 
     /// Reports the target at `address` to all connected control instances as suspected.
     pub fn report_suspected(&self, address: SocketAddr) {
-        for tx in self.links().open.values() {
+        for link in self.links().open.values() {
             // An error, from a full or closed channel, is ignored: the report is only a hint, and
             // control also detects failures by itself.
-            let _ = tx.try_send(Frame::Suspected { address });
+            let _ = link.tx.try_send(Frame::Suspected { address });
+        }
+    }
+
+    /// Sends a finding about content that crashes targets to the connected control instances.
+    pub fn share_finding(&self, finding: &Finding) {
+        for link in self.links().open.values() {
+            if link.shares_findings {
+                let findings = vec![finding.clone()];
+                // A full channel drops the finding: it also takes the other links, and all findings
+                // are sent again when a link is established.
+                let _ = link.tx.try_send(Frame::CrashFindings { findings });
+            }
         }
     }
 
+    /// Marks a link as one on which findings are shared; returns whether it is new.
+    fn add_finding_link(&self, address: SocketAddr) -> bool {
+        let mut links = self.links();
+        let link = links.open.get_mut(&address);
+        link.is_some_and(|link| !std::mem::replace(&mut link.shares_findings, true))
+    }
+
     /// Returns whether to request the deployment `version` now, and records the request.
     ///
     /// The answer is `false` if that version or a newer one was already requested within the last
@@ -120,10 +148,14 @@
 async fn run_link(shared: &Arc<Shared>, key: &SharedKey, address: SocketAddr, mut link: Link) {
     tracing::info!(event = "TS4102", %address, "control link established");
     let tx = link.tx.clone();
-    shared.control.links().open.insert(address, tx);
+    let open = OpenLink {
+        tx,
+        shares_findings: false,
+    };
+    shared.control.links().open.insert(address, open);
     shared.metrics.control_links.inc();
     while let Some(frame) = link.rx.recv().await {
-        if !handle_frame(shared, key, &link.tx, frame) {
+        if !handle_frame(shared, key, address, &link.tx, frame) {
             break;
         }
     }
@@ -132,12 +164,13 @@
     tracing::warn!(event = "TS4103", %address, "control link lost");
 }
 
-/// Handles a frame from a control instance.
+/// Handles a frame from the control instance at `address`.
 ///
 /// Returns `false` if the link must be closed, because a reply could not be queued.
 fn handle_frame(
     shared: &Arc<Shared>,
     key: &SharedKey,
+    address: SocketAddr,
     tx: &mpsc::Sender<Frame>,
     frame: Frame,
 ) -> bool {
@@ -145,9 +178,17 @@
         Frame::Members {
             links,
             ingress_zones,
+            accepts_findings,
         } => {
             shared.record_ingresses(&ingress_zones);
+            shared.content.prune(shared.now());
             connect_new(shared, key, links);
+            !accepts_findings
+                || !shared.control.add_finding_link(address)
+                || send_findings(shared, tx)
+        }
+        Frame::CrashFindings { findings } => {
+            shared.content.apply(shared.now(), &findings);
             true
         }
         Frame::DeploymentHead { version } => {
@@ -174,6 +215,12 @@
     }
 }
 
+/// Sends all findings of this ingress on a new link; returns `false` if its queue is full.
+fn send_findings(shared: &Shared, tx: &mpsc::Sender<Frame>) -> bool {
+    let findings = shared.content.findings();
+    tx.try_send(Frame::CrashFindings { findings }).is_ok()
+}
+
 /// Decodes, validates and activates a deployment.
 ///
 /// A deployment that isn't newer than the active one is ignored.
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -20,6 +20,7 @@
 //! ```
 
 pub mod attempt;
+pub mod content_guard;
 pub mod control;
 pub mod events;
 pub mod front;
--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use crate::attempt::{AttemptError, Destination, send};
+use crate::content_guard::{ContentAttempt, begin_attempt};
 use crate::request::{CallerRequest, InFlight};
 use crate::response::{ProxyResponse, Refusal, full_body, refusal_response};
 use crate::shared::Shared;
@@ -23,7 +24,7 @@
 const ATTEMPT_TIMEOUT_OBJECTIVES: f64 = 1.5;
 /// Maximum number of attempts after the first one.
 const MAX_REPEATED_ATTEMPTS: u32 = 3;
-/// `Retry-After` time sent to the caller if the request fails without having run.
+/// Default `Retry-After` time sent to the caller if the request fails without having run.
 const RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Final response to a request, with the outcome's name for logs and metrics.
@@ -41,6 +42,7 @@
         runs: 0,
         total_attempts: 0,
         error_response: None,
+        retry_after: RETRY_AFTER,
     };
     let completed = session.run().await;
     let kind = "plain";
@@ -76,6 +78,8 @@
     total_attempts: u32,
     /// Latest server error from a target, returned if no other target answers.
     error_response: Option<Response<Bytes>>,
+    /// `Retry-After` time for the caller if the request has not run.
+    retry_after: Duration,
 }
 
 impl PlainSession<'_> {
@@ -84,11 +88,18 @@
             if self.req.response_due() <= Instant::now() {
                 return self.final_response(Refusal::ExpiredUnrun, Refusal::Expired);
             }
+            let content = match begin_attempt(self.shared, self.req).await {
+                Ok(content) => content,
+                Err(retry_after) => {
+                    self.retry_after = retry_after;
+                    return self.final_response(Refusal::Quarantined, Refusal::Lost);
+                }
+            };
             let Some(target) = self.next_target() else {
                 return self.final_response(Refusal::NoTarget, Refusal::Lost);
             };
             self.total_attempts += 1;
-            let result = self.attempt(&target).await;
+            let result = self.attempt(&target, content).await;
             self.excluded.push(target.key);
             match result {
                 Ok(response) if response.status().is_server_error() && self.may_run_again() => {
@@ -128,8 +139,13 @@
     /// Sends the request to a target and reads the whole response.
     ///
     /// The attempt is counted in `runs` unless the request has certainly not run.
-    async fn attempt(&mut self, target: &ChosenTarget) -> Result<Response<Bytes>, AttemptError> {
+    async fn attempt(
+        &mut self,
+        target: &ChosenTarget,
+        mut content: ContentAttempt,
+    ) -> Result<Response<Bytes>, AttemptError> {
         let (shared, req) = (self.shared, self.req);
+        let crash = shared.targets().crash_id(target.key);
         let _in_flight = InFlight::new(shared, vec![(target.key, 0.0)]);
         let destination = Destination {
             id: &target.id,
@@ -151,6 +167,11 @@
         if !matches!(&response, Err(e) if e.has_not_run()) {
             self.runs += 1;
         }
+        match (&response, crash) {
+            (Ok(_), _) => content.record_served(),
+            (Err(AttemptError::Disconnected(_)), Some(crash)) => content.record_crash(req, crash),
+            _ => {}
+        }
         self.record_result(target, &response);
         response
     }
@@ -171,7 +192,7 @@
                     tracing::warn!(event = "TS4303", target_id = %target.id, address = %target.address, %cause, "target marked down");
                 }
             }
-            Err(AttemptError::Lost(_) | AttemptError::TimedOut) => {
+            Err(AttemptError::Disconnected(_) | AttemptError::Lost(_) | AttemptError::TimedOut) => {
                 targets.record_outcome(target.key, false);
                 targets.record_refusal(target.key, now);
             }
@@ -191,7 +212,7 @@
         } else {
             may_have_run
         };
-        let retry_after = (self.runs == 0).then_some(RETRY_AFTER);
+        let retry_after = (self.runs == 0).then_some(self.retry_after);
         CompletedRequest {
             response: refusal_response(refusal, retry_after),
             outcome: refusal.name(),
--- a/crates/toucanshelf-ingress/src/response.rs
+++ b/crates/toucanshelf-ingress/src/response.rs
@@ -46,6 +46,8 @@
     BodyBroken,
     /// No target can accept the request now; it has not run.
     NoTarget,
+    /// Requests with the same content have crashed targets; this one has not run.
+    Quarantined,
     /// The request's deadline has passed, and no target has run the request.
     ExpiredUnrun,
     /// A target may have run the request, but its response is lost.
@@ -58,7 +60,7 @@
     /// Returns the HTTP status of the error response.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NotConfigured | Self::NoTarget | Self::ExpiredUnrun => {
+            Self::NotConfigured | Self::NoTarget | Self::Quarantined | Self::ExpiredUnrun => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -79,6 +81,7 @@
             Self::BodyTooLarge => "body-too-large",
             Self::BodyBroken => "body-broken",
             Self::NoTarget => "no-target",
+            Self::Quarantined => "quarantined",
             Self::ExpiredUnrun => "expired-unrun",
             Self::Lost => "lost",
             Self::Expired => "expired",
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -17,6 +17,7 @@
 use toucanshelf_runtime::in_flight::InFlightCounter;
 use toucanshelf_runtime::serve::ConnectionLimits;
 
+use crate::content_guard::ContentGuard;
 use crate::control::ControlLinks;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
@@ -49,6 +50,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Connections to the control instances.
     pub control: ControlLinks,
+    /// Limits on requests whose content crashes targets.
+    pub content: ContentGuard,
     /// Idle connections to targets.
     pub pool: Pool,
     /// Cache of the state reports that engines send on request.
@@ -74,6 +77,7 @@
     pub fn new(settings: IngressSettings, dialect: Arc<dyn Dialect>) -> Self {
         Self {
             control: ControlLinks::new(),
+            content: ContentGuard::new(),
             pool: Pool::new(),
             reports: Reports::new(),
             metrics: Metrics::new(),
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -17,9 +17,11 @@
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
+use toucanshelf_core::ids::CrashId;
 use toucanshelf_runtime::in_flight::InFlightGuard;
 
 use crate::attempt::ReusableConnection;
+use crate::content_guard::ContentAttempt;
 use crate::events::EventSplitter;
 use crate::live_route::{LiveRoute, StreamFailure};
 use crate::request::CallerRequest;
@@ -27,7 +29,7 @@
 use crate::shared::Shared;
 use crate::targets::TargetKey;
 
-/// `Retry-After` time sent to the caller if the request fails without having run.
+/// Default `Retry-After` time sent to the caller if the request fails without having run.
 const RETRY_AFTER: Duration = Duration::from_millis(2_500);
 
 /// Sends a streaming request to an engine and returns the response to the caller.
@@ -131,9 +133,20 @@
     connection: ReusableConnection,
     splitter: EventSplitter,
     route: LiveRoute,
+    /// Identifier under which a crash of the first engine is reported.
+    crash: CrashId,
+    /// Report on the request's content; `None` if the caller had events when the attempt began.
+    content: Option<ContentAttempt>,
 }
 
 impl Upstream {
+    /// Reports that the first engine crashed, unless it had sent an event.
+    fn record_crash(&mut self, req: &CallerRequest) {
+        if let Some(content) = &mut self.content {
+            content.record_crash(req, self.crash);
+        }
+    }
+
     /// Returns the connection to the pool once the stream has ended.
     fn return_connection(self: Box<Self>, shared: &Shared) {
         self.connection.return_to_pool(shared);
@@ -178,6 +191,8 @@
     first_engine: Option<SocketAddr>,
     /// Number of times that the latest route passes from one zone to another.
     zone_crossings: usize,
+    /// `Retry-After` time for the caller if the request has not run.
+    retry_after: Duration,
 }
 
 impl StreamSession {
@@ -198,6 +213,7 @@
             longest_gap: Duration::ZERO,
             first_engine: None,
             zone_crossings: 0,
+            retry_after: RETRY_AFTER,
         }
     }
 
@@ -213,6 +229,9 @@
     ) -> StreamItem {
         loop {
             if let Some(event) = upstream.splitter.next_event() {
+                if let Some(content) = &mut upstream.content {
+                    content.record_served();
+                }
                 if event.id.is_some_and(|id| self.has_delivered(id)) {
                     continue;
                 }
@@ -228,9 +247,11 @@
                         }
                     }
                     Some(Err(e)) => {
+                        upstream.record_crash(&self.req);
                         return StreamItem::Failed(StreamFailure::Broken(e.to_string().into()))
                     }
                     None if upstream.splitter.holds_partial_event() => {
+                        upstream.record_crash(&self.req);
                         return StreamItem::Failed(StreamFailure::Broken(
                             "the stream ended within an event".into(),
                         ));
@@ -426,7 +447,7 @@
 
     fn refuse(&self, refusal: Refusal) -> ProxyResponse {
         self.finish(refusal.name(), refusal.status().as_u16());
-        let retry_after = (!self.may_have_run).then_some(RETRY_AFTER);
+        let retry_after = (!self.may_have_run).then_some(self.retry_after);
         refusal_response(refusal, retry_after)
     }
 
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use crate::attempt::{AttemptError, Destination, OpenResponse, send};
+use crate::content_guard::{ContentAttempt, begin_attempt};
 use crate::events::EventSplitter;
 use crate::live_route::{LiveRoute, StreamFailure, mark_down_and_report};
 use crate::response::{Refusal, full_body};
@@ -26,11 +27,12 @@
             if self.req.response_due() <= Instant::now() {
                 return Err(self.deadline_refusal());
             }
+            let content = self.begin_attempt().await?;
             let Some(route) = self.next_route(avoided) else {
                 return Err(self.unavailable_refusal());
             };
             self.total_attempts += 1;
-            match self.attempt(route).await {
+            match self.attempt(route, content).await {
                 Ok(opened) => return Ok(opened),
                 Err(e) if e.has_not_run() => {}
                 Err(_) if self.may_retry() => {}
@@ -40,6 +42,26 @@
         }
     }
 
+    /// Waits until the request may be sent.
+    ///
+    /// Returns `None` for a stream of which the caller has events: its content is sound.
+    async fn begin_attempt(&mut self) -> Result<Option<ContentAttempt>, Refusal> {
+        if self.events > 0 {
+            return Ok(None);
+        }
+        match begin_attempt(&self.shared, &self.req).await {
+            Ok(attempt) => Ok(Some(attempt)),
+            Err(retry_after) => {
+                self.retry_after = retry_after;
+                Err(if self.may_have_run {
+                    Refusal::Lost
+                } else {
+                    Refusal::Quarantined
+                })
+            }
+        }
+    }
+
     /// Chooses the route of the next attempt.
     ///
     /// Returns `None` if no route exists, or if the limit of attempts or the service's budget of
@@ -54,9 +76,17 @@
     }
 
     /// Sends the request to the first engine of a route and opens its response.
-    async fn attempt(&mut self, route: Vec<RouteHop>) -> Result<Opened, AttemptError> {
+    async fn attempt(
+        &mut self,
+        route: Vec<RouteHop>,
+        mut content: Option<ContentAttempt>,
+    ) -> Result<Opened, AttemptError> {
         let first = route[0];
-        let Some(id) = self.shared.targets().id(first.key) else {
+        let (id, crash) = {
+            let targets = self.shared.targets();
+            (targets.id(first.key), targets.crash_id(first.key))
+        };
+        let (Some(id), Some(crash)) = (id, crash) else {
             return Err(AttemptError::NotSent("the engine has deregistered".into()));
         };
         let hops: Vec<_> = route.iter().map(|hop| (hop.address, hop.layers)).collect();
@@ -73,6 +103,9 @@
         let open = match result {
             Ok(open) => open,
             Err(e) => {
+                if let (AttemptError::Disconnected(_), Some(content)) = (&e, &mut content) {
+                    content.record_crash(&self.req, crash);
+                }
                 self.record_attempt_error(&live_route, &e);
                 return Err(e);
             }
@@ -84,6 +117,9 @@
             self.runs += 1;
             self.may_have_run = true;
             let response = read_result?;
+            if let Some(content) = &mut content {
+                content.record_served();
+            }
             let status = response.status().as_u16();
             self.finish("target-failure", status);
             return Ok(Opened::ErrorResponse(response.map(full_body)));
@@ -94,6 +130,8 @@
             connection,
             splitter: EventSplitter::new(),
             route: live_route,
+            crash,
+            content,
         };
         Ok(Opened::Stream(head, Box::new(upstream)))
     }
@@ -187,7 +225,9 @@
                 }
                 self.excluded.push(key);
             }
-            AttemptError::Lost(_) | AttemptError::TimedOut => self.count_run(route),
+            AttemptError::Disconnected(_) | AttemptError::Lost(_) | AttemptError::TimedOut => {
+                self.count_run(route);
+            }
         }
     }
 
--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -16,6 +16,8 @@
 
 use toucanshelf_core::arena::{Arena, Key};
 use toucanshelf_core::deployment::{Deployment, ModelSpec};
+use toucanshelf_core::digest::Digest;
+use toucanshelf_core::ids::CrashId;
 use toucanshelf_core::layers::LayerRange;
 use toucanshelf_core::registration::{Readiness, Registration};
 use toucanshelf_core::registry::{Registry, RegistryChange};
@@ -396,6 +398,15 @@
         self.arena.get(key).map(|target| target.record.id.clone())
     }
 
+    /// Returns the identifier of a crash of a target's present incarnation.
+    ///
+    /// All ingresses use the same one. Returns `None` if the target has deregistered.
+    pub fn crash_id(&self, key: TargetKey) -> Option<CrashId> {
+        let record = &self.arena.get(key)?.record;
+        let incarnation = format!("{}/{}", record.id, record.incarnation);
+        Some(CrashId(Digest::of(incarnation.as_bytes()).prefix()))
+    }
+
     /// Returns the route's engines in other zones than its first engine.
     pub fn remote_engines(&self, route: &[RouteHop]) -> Vec<TargetKey> {
         let zone = |hop: &RouteHop| self.arena.get(hop.key).map(|target| target.zone);
--- a/crates/toucanshelf-link/src/frame.rs
+++ b/crates/toucanshelf-link/src/frame.rs
@@ -11,6 +11,7 @@
 use toucanshelf_coordination::membership::{Record, RecordDigest};
 use toucanshelf_coordination::replica;
 use toucanshelf_core::configuration::{Delta, Snapshot};
+use toucanshelf_core::crash::Finding;
 use toucanshelf_core::ids::Revision;
 use toucanshelf_core::registration::Registration;
 use toucanshelf_core::state::{CommandBody, Reply};
@@ -137,6 +138,9 @@
         links: Vec<SocketAddr>,
         /// Availability zones of the ingress instances that have a link to the sender.
         ingress_zones: Vec<Box<str>>,
+        /// Whether the sender accepts [`Frame::CrashFindings`], which older programs don't know.
+        #[serde(default)]
+        accepts_findings: bool,
     },
 
     /// Control to ingress: announces the version of the current deployment.
@@ -169,6 +173,14 @@
         /// Number of the push, from the [`Frame::Registrations`] message.
         push: u64,
     },
+    /// Ingress to control, or control to ingress: shares findings about content of requests.
+    ///
+    /// An ingress sends its own findings when it opens a link. Control replies with all findings
+    /// that it knows, and then forwards those of the other ingresses.
+    CrashFindings {
+        /// Findings that the receiver adds to its own.
+        findings: Vec<Finding>,
+    },
     /// Ingress to control: reports a target at which requests fail or stall.
     Suspected {
         /// Address of the target at which requests fail or stall.
--- a/crates/toucanshelf-routing/src/lib.rs
+++ b/crates/toucanshelf-routing/src/lib.rs
@@ -27,6 +27,7 @@
 
 pub mod admission;
 pub mod budget;
+pub mod crash_ledger;
 pub mod delivery;
 pub mod fleet;
 pub mod flow;
--- a/tests/testsuite/crashing_content.rs
+++ b/tests/testsuite/crashing_content.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
+use toucanshelf_ingress::Ingress;
+
 use crate::ingress::with_engines;
-use crate::platform_support::{Platform, Target, TargetAction};
+use crate::platform_support::{
+    CallerResponse, DeploymentBuilder, Platform, Target, TargetAction, call_ingress, start_ingress,
+};
 
 /// Identifier of the prompt part that crashes engines.
 const DEADLY: &str = "deadbeef";
@@ -33,13 +37,19 @@
 
 /// Sends request number `n` with the prompt parts `shared` and a part of its own.
 async fn call_with_parts(platform: &Platform, n: usize, shared: &str) -> u16 {
+    let response = call_at(&platform.ingress, n, shared).await;
+    response.status
+}
+
+/// Sends such a request to any ingress.
+async fn call_at(ingress: &Ingress, n: usize, shared: &str) -> CallerResponse {
     let id = format!("r{n}");
     let prefix = format!("{shared},f{n:x}:9");
     let headers = [
         ("x-toucanshelf-request-id", &*id),
         ("x-toucanshelf-prompt-prefix", &*prefix),
     ];
-    platform.call("POST", "/draft/", &headers).await.status
+    call_ingress(ingress, "POST", "/draft/", &headers).await
 }
 
 /// Returns the number of requests with the part [`DEADLY`] that engines have received.
@@ -78,3 +88,60 @@
         );
     }
 }
+
+/// Guards against an ingress that lets through what crashed engines at other ingresses.
+///
+/// The second ingress starts after the crashes, as it does after a restart.
+#[tokio::test]
+async fn part_learned_by_new_ingress() {
+    let (platform, engines) = with_crashing_engines(10).await;
+    let deadly = format!("aa:40,{DEADLY}:7");
+    for n in 0..6 {
+        call_with_parts(&platform, n, &deadly).await;
+    }
+    let before = deadly_requests(&engines);
+    let other = start_ingress("i2", &platform.control).await;
+    let served = async {
+        while call_at(&other, 50, "aa:40").await.status != 200 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_mins(1), served)
+        .await
+        .unwrap();
+    let learned = async {
+        while other.shared().content.findings().is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_mins(1), learned)
+        .await
+        .unwrap();
+    let response = call_at(&other, 60, &deadly).await;
+    assert_eq!(response.status, 503, "the request has not run");
+    let retry_after = response.headers["retry-after"].to_str().unwrap();
+    assert!(retry_after.parse::<f64>().unwrap() > 30.0, "{retry_after}");
+    assert_eq!(deadly_requests(&engines), before);
+}
+
+/// Guards against one request that crashes target after target whenever it is repeated.
+///
+/// The targets belong to a plain service, and the request has no prompt parts.
+#[tokio::test]
+async fn repeated_request_that_crashes_targets() {
+    let mut targets = Vec::new();
+    for _ in 0..12 {
+        targets.push(Target::start_crashing([], |req| req.path == "/read/bad").await);
+    }
+    let document = DeploymentBuilder::new(1).route("read", "a.example", "/read/", "plain");
+    let services: Vec<_> = targets.iter().map(|target| ("plain", target)).collect();
+    let platform = Platform::start(&document.build(), &services).await;
+    for _ in 0..12 {
+        let bad = platform.call("GET", "/read/bad", &[]).await;
+        assert_ne!(bad.status, 200);
+        assert_eq!(platform.call("GET", "/read/good", &[]).await.status, 200);
+    }
+    let received = targets.iter().flat_map(Target::received_requests);
+    let runs = received.filter(|req| req.path == "/read/bad").count();
+    assert!(runs <= 3 + MAX_LATE_REQUESTS, "{runs} targets crashed");
+}
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -67,6 +67,22 @@
     assert!(error.to_string().contains("version 99"), "{error}");
 }
 
+/// Guards against findings that are sent to a control instance of a build without them.
+#[test]
+fn members_of_older_build() {
+    let frame = serde_json::json!({ "Members": { "links": [], "ingress_zones": ["z"] } });
+    let mut buf = Vec::new();
+    ciborium::into_writer(&frame, &mut buf).unwrap();
+    let decoded: Frame = ciborium::from_reader(&*buf).unwrap();
+    let Frame::Members {
+        accepts_findings, ..
+    } = decoded
+    else {
+        panic!()
+    };
+    assert!(!accepts_findings);
+}
+
 /// Guards against a conflict verdict that cannot be decoded from CBOR.
 ///
 /// Serde buffers the content of a tagged enum and reports a human-readable format to it, even in
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod charts;
 mod claims;
 mod control;
+mod crash_ledger;
 mod crashing_content;
 mod delivery;
 mod deployment;
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -491,16 +491,9 @@
         );
         let settings = toucanshelf_runtime::settings::parse("control.toml", &settings).unwrap();
         let dialect = Arc::new(PlatformDialect);
-        let control = Control::start_with_dialect(settings, Some(dialect.clone()));
+        let control = Control::start_with_dialect(settings, Some(dialect));
         let control = control.await.unwrap();
-        let settings = format!(
-            "name = 'i1'\nzone = 'z'\nlisten = '127.0.0.1:0'\nready-listen = '127.0.0.1:0'\n\
-             metrics-listen = '127.0.0.1:0'\nlink-key = '{LINK_KEY}'\nseeds = ['127.0.0.1:1']\n\
-             link-port = {}\nrepeat-slack = 100.0\n",
-            control.link_address().port()
-        );
-        let settings = toucanshelf_runtime::settings::parse("ingress.toml", &settings).unwrap();
-        let ingress = Ingress::start(settings, dialect).await.unwrap();
+        let ingress = start_ingress("i1", &control).await;
         let platform = Self {
             control,
             ingress,
@@ -568,12 +561,35 @@
     ///
     /// A POST request gets a short body, any other request an empty one.
     pub async fn call(&self, method: &str, path: &str, headers: &[(&str, &str)]) -> CallerResponse {
-        let mut request = Request::builder().method(method).uri(path);
-        request = request.header("host", "a.example");
-        for (name, value) in headers {
-            request = request.header(*name, *value);
-        }
-        let body = if method == "POST" { "body" } else { "" };
-        send(self.ingress.address(), request.body(body.into()).unwrap()).await
+        call_ingress(&self.ingress, method, path, headers).await
+    }
+}
+
+/// Sends a caller's request as [`Platform::call`] does, to any ingress.
+pub async fn call_ingress(
+    ingress: &Ingress,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> CallerResponse {
+    let mut request = Request::builder().method(method).uri(path);
+    request = request.header("host", "a.example");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
     }
+    let body = if method == "POST" { "body" } else { "" };
+    send(ingress.address(), request.body(body.into()).unwrap()).await
+}
+
+/// Starts an ingress that is linked to `control`.
+pub async fn start_ingress(name: &str, control: &Control) -> Ingress {
+    let settings = format!(
+        "name = '{name}'\nzone = 'z'\nlisten = '127.0.0.1:0'\nready-listen = '127.0.0.1:0'\n\
+         metrics-listen = '127.0.0.1:0'\nlink-key = '{LINK_KEY}'\nseeds = ['127.0.0.1:1']\n\
+         link-port = {}\nrepeat-slack = 100.0\n",
+        control.link_address().port()
+    );
+    let settings = toucanshelf_runtime::settings::parse("ingress.toml", &settings).unwrap();
+    let dialect = Arc::new(PlatformDialect);
+    Ingress::start(settings, dialect).await.unwrap()
 }
