Cancel requests in flight when their content is refused

What callers saw: engines crashed after the part was refused already; requests that waited there began then. Cause: a request was judged only before it was sent. Change: an attempt without an event ends as soon as its content is refused, and its target isn't blamed. Measured: crashing_content::waiting_request_is_cancelled: without the change it waits for its deadline (10 minutes), with it the request ends at once.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -44,6 +44,9 @@
     /// The target may have run the request, but its response isn't valid.
     #[error("response lost: {0}")]
     Lost(Box<str>),
+    /// The attempt was ended because requests with the same content crash targets.
+    #[error("cancelled, requests with the same content crash targets")]
+    Cancelled,
     /// No response arrived in time; the target may have run the request.
     #[error("no response in time")]
     TimedOut,
@@ -61,6 +64,7 @@
             Self::NotSent(_) => "not-sent",
             Self::NotRun { .. } => "not-run",
             Self::Disconnected(_) | Self::Lost(_) => "lost",
+            Self::Cancelled => "cancelled",
             Self::TimedOut => "timed-out",
         }
     }
--- a/crates/toucanshelf-ingress/src/content_guard.rs
+++ b/crates/toucanshelf-ingress/src/content_guard.rs
@@ -139,6 +139,8 @@
     known: Vec<(PositionedContent, Vec<CrashId>)>,
     /// Content that the attempt tries, the most specific one first.
     trial: Vec<PositionedContent>,
+    /// Receiver of a counter that is raised by each new finding.
+    changes: watch::Receiver<u64>,
     settled: bool,
 }
 
@@ -172,6 +174,14 @@
     }
 }
 
+/// Waits until the content of `req` is refused, if its attempt reports on the content.
+pub async fn refused(content: Option<&mut ContentAttempt>, req: &CallerRequest) {
+    match content {
+        Some(content) => content.refused(req).await,
+        None => std::future::pending().await,
+    }
+}
+
 fn time_until(shared: &Shared, time: u64) -> Duration {
     Duration::from_millis(time.saturating_sub(shared.now()))
 }
@@ -184,6 +194,7 @@
         service: req.service.clone(),
         known: Vec::new(),
         trial: Vec::new(),
+        changes: shared.content.changed.subscribe(),
         settled: false,
     };
     let mut busy_until = 0;
@@ -225,6 +236,27 @@
         }
     }
 
+    /// Waits until requests with the content of `req`, the request of this attempt, are refused.
+    ///
+    /// Once the target has answered, the future never completes. It is cancel safe.
+    pub async fn refused(&mut self, req: &CallerRequest) {
+        while !self.settled && self.changes.changed().await.is_ok() {
+            let now = self.shared.now();
+            let ledgers = self.shared.content.ledgers();
+            let ledger = ledgers.get(&self.service);
+            let is_refused = ledger.is_some_and(|ledger| {
+                let mut contents = contents(req).into_iter();
+                contents.any(|(content, _)| {
+                    matches!(ledger.handling(content, now), Handling::Refused { .. })
+                })
+            });
+            if is_refused {
+                return;
+            }
+        }
+        std::future::pending::<()>().await;
+    }
+
     /// Records that the target answered the request.
     ///
     /// Calls after the first outcome have no effect.
--- a/crates/toucanshelf-ingress/src/live_route.rs
+++ b/crates/toucanshelf-ingress/src/live_route.rs
@@ -65,6 +65,9 @@
     /// No data has arrived from the first engine for `MAX_EVENT_GAP`.
     #[error("no event within {MAX_EVENT_GAP:?}")]
     Stalled,
+    /// Requests with the same content crash targets.
+    #[error("cancelled, requests with the same content crash targets")]
+    Cancelled,
     /// The deadline of the request has passed.
     #[error("the deadline has passed")]
     Expired,
--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -160,9 +160,15 @@
         } else {
             req.response_due()
         };
-        let response = match send(shared, req, &destination, due).await {
-            Ok(open) => open.read_to_end(shared, due).await,
-            Err(e) => Err(e),
+        let answer = async {
+            match send(shared, req, &destination, due).await {
+                Ok(open) => open.read_to_end(shared, due).await,
+                Err(e) => Err(e),
+            }
+        };
+        let response = tokio::select! {
+            response = answer => response,
+            () = content.refused(req) => Err(AttemptError::Cancelled),
         };
         if !matches!(&response, Err(e) if e.has_not_run()) {
             self.runs += 1;
@@ -187,6 +193,7 @@
         match response {
             Ok(resp) => targets.record_outcome(target.key, !resp.status().is_server_error()),
             Err(AttemptError::NotRun { .. }) => targets.record_refusal(target.key, now),
+            Err(AttemptError::Cancelled) => {}
             Err(AttemptError::NotSent(cause)) => {
                 if targets.mark_down(target.key, now) {
                     tracing::warn!(event = "TS4303", target_id = %target.id, address = %target.address, %cause, "target marked down");
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -21,7 +21,7 @@
 use toucanshelf_runtime::in_flight::InFlightGuard;
 
 use crate::attempt::ReusableConnection;
-use crate::content_guard::ContentAttempt;
+use crate::content_guard::{ContentAttempt, refused};
 use crate::events::EventSplitter;
 use crate::live_route::{LiveRoute, StreamFailure};
 use crate::request::CallerRequest;
@@ -259,6 +259,9 @@
                     None => return StreamItem::End,
                 },
                 () = caller_disconnected(caller) => return StreamItem::CallerDisconnected,
+                () = refused(upstream.content.as_mut(), &self.req) => {
+                    return StreamItem::Failed(StreamFailure::Cancelled);
+                }
                 failure = upstream.route.watch() => {
                     if !failure.may_recover() || self.can_fail_over(&upstream.route) {
                         return StreamItem::Failed(failure);
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::attempt::{AttemptError, Destination, OpenResponse, send};
-use crate::content_guard::{ContentAttempt, begin_attempt};
+use crate::content_guard::{ContentAttempt, begin_attempt, refused};
 use crate::events::EventSplitter;
 use crate::live_route::{LiveRoute, StreamFailure, mark_down_and_report};
 use crate::response::{Refusal, full_body};
@@ -99,7 +99,11 @@
         self.first_engine = Some(first.address);
         self.zone_crossings = self.shared.targets().zone_crossings(&route);
         let mut live_route = LiveRoute::new(&self.shared, &self.req, route);
-        let result = self.send_watched(&destination, &mut live_route).await;
+        let sending = self.send_watched(&destination, &mut live_route);
+        let result = tokio::select! {
+            result = sending => result,
+            () = refused(content.as_mut(), &self.req) => Err(AttemptError::Cancelled),
+        };
         let open = match result {
             Ok(open) => open,
             Err(e) => {
@@ -225,7 +229,10 @@
                 }
                 self.excluded.push(key);
             }
-            AttemptError::Disconnected(_) | AttemptError::Lost(_) | AttemptError::TimedOut => {
+            AttemptError::Disconnected(_)
+            | AttemptError::Lost(_)
+            | AttemptError::TimedOut
+            | AttemptError::Cancelled => {
                 self.count_run(route);
             }
         }
--- a/tests/testsuite/crashing_content.rs
+++ b/tests/testsuite/crashing_content.rs
@@ -4,9 +4,10 @@
 
 use toucanshelf_ingress::Ingress;
 
-use crate::ingress::with_engines;
+use crate::ingress::{with_engines, with_engines_on};
 use crate::platform_support::{
-    CallerResponse, DeploymentBuilder, Platform, Target, TargetAction, call_ingress, start_ingress,
+    CallerResponse, DeploymentBuilder, Platform, ReceivedRequest, Target, TargetAction,
+    call_ingress, start_ingress,
 };
 
 /// Identifier of the prompt part that crashes engines.
@@ -145,3 +146,42 @@
     let runs = received.filter(|req| req.path == "/read/bad").count();
     assert!(runs <= 3 + MAX_LATE_REQUESTS, "{runs} targets crashed");
 }
+
+/// Guards against a request that crashes its engine although its content is refused by then.
+///
+/// The first engine holds the request back until after the crashes of others.
+#[tokio::test]
+async fn waiting_request_is_cancelled() {
+    let held_back = |req: &ReceivedRequest| req.header("x-held-back") == "1";
+    let mut engines = Vec::new();
+    for _ in 0..8 {
+        let crashes = move |req: &ReceivedRequest| !held_back(req);
+        engines.push(Target::start_crashing([TargetAction::Hang(&[])], crashes).await);
+    }
+    engines.push(Target::start([]).await);
+    let mut placed = vec![("z", 0, 2); 8];
+    placed.push(("z", 2, 4));
+    let document = DeploymentBuilder::new(1).model_service("model");
+    let document = document.timed_route("draft", "/draft/", "model", "streaming", 600_000);
+    let platform = with_engines_on(&document, &engines.iter().collect::<Vec<_>>(), &placed).await;
+    let prefix = ("x-toucanshelf-prompt-prefix", "aa:40,deadbeef:7,f0:9");
+    let headers = [
+        ("x-toucanshelf-request-id", "held"),
+        ("x-held-back", "1"),
+        prefix,
+    ];
+    let held = platform.call("POST", "/draft/", &headers);
+    let crashes = async {
+        while engines.iter().all(|e| e.received_requests().is_empty()) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        for n in 0..6 {
+            call_with_parts(&platform, n, "aa:40,deadbeef:7").await;
+        }
+    };
+    let both = async { tokio::join!(held, crashes) };
+    let (response, ()) = tokio::time::timeout(Duration::from_mins(1), both)
+        .await
+        .expect("the request ends long before its deadline, 10 minutes");
+    assert_eq!(response.status, 502, "the request may have run");
+}
--- a/tests/testsuite/ingress.rs
+++ b/tests/testsuite/ingress.rs
@@ -174,6 +174,17 @@
     let document = DeploymentBuilder::new(1)
         .model_service("model")
         .route_of_kind("draft", "/draft/", "model", "streaming");
+    with_engines_on(&document, targets, placed).await
+}
+
+/// Starts a platform with the deployment `document` and registers `targets` as engines.
+///
+/// `placed` is as in [`with_engines`]; the model's service is named `model`.
+pub async fn with_engines_on(
+    document: &DeploymentBuilder,
+    targets: &[&Target],
+    placed: &[(&str, u32, u32)],
+) -> Platform {
     let platform = Platform::start(&document.build(), &[]).await;
     for (n, (target, (zone, from, to))) in targets.iter().zip(placed).enumerate() {
         let heartbeat = serde_json::json!({
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -88,6 +88,18 @@
     /// A streaming route gets a longer timeout than the others.
     pub fn route_of_kind(self, name: &str, prefix: &str, service: &str, kind: &str) -> Self {
         let timeout_ms = if kind == "streaming" { 6_000 } else { 2_000 };
+        self.timed_route(name, prefix, service, kind, timeout_ms)
+    }
+
+    /// Adds a resumable route of `kind` for the host `a.example`, with a timeout in milliseconds.
+    pub fn timed_route(
+        self,
+        name: &str,
+        prefix: &str,
+        service: &str,
+        kind: &str,
+        timeout_ms: u64,
+    ) -> Self {
         let overrides = serde_json::json!({
             "service": service, "kind": kind, "resumable": true, "timeout_ms": timeout_ms
         });
