Take a stream that ends with its connection before an event as cut

What callers saw: an empty stream as a complete answer, where the engine had ended before its first event. Cause: a response may have neither a length nor chunks and end with its connection; the end of an engine looks the same. Change: such a stream without any event, which isn't resumed, counts as broken off: it goes on elsewhere, and its engine's crash is reported. An end between two events of such a stream can't be told from its regular end.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode, Uri, Version};
 use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -274,6 +275,12 @@
         Ok(Response::from_parts(parts, body))
     }
 
+    /// Whether the response states neither a length nor chunks, so that it ends with its connection.
+    pub fn ends_with_connection(&self) -> bool {
+        let headers = self.response.headers();
+        !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Splits the response into its head, its unread body and its connection.
     ///
     /// Headers that apply only to the connection to the target are removed from the head.
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -133,6 +133,10 @@
     connection: ReusableConnection,
     splitter: EventSplitter,
     route: LiveRoute,
+    /// Whether the response has neither a length nor chunks, so that it ends with its connection.
+    ends_with_connection: bool,
+    /// Whether an event has arrived.
+    has_event: bool,
     /// Identifier under which a crash of the first engine is reported.
     crash: CrashId,
     /// Report on the request's content; `None` if the caller had events when the attempt began.
@@ -140,6 +144,14 @@
 }
 
 impl Upstream {
+    /// Records that the first engine has sent an event or a complete response.
+    fn record_served(&mut self) {
+        self.has_event = true;
+        if let Some(content) = &mut self.content {
+            content.record_served();
+        }
+    }
+
     /// Reports that the first engine crashed, unless it had sent an event.
     fn record_crash(&mut self, req: &CallerRequest) {
         if let Some(content) = &mut self.content {
@@ -229,9 +241,7 @@
     ) -> StreamItem {
         loop {
             if let Some(event) = upstream.splitter.next_event() {
-                if let Some(content) = &mut upstream.content {
-                    content.record_served();
-                }
+                upstream.record_served();
                 if event.id.is_some_and(|id| self.has_delivered(id)) {
                     continue;
                 }
@@ -256,7 +266,16 @@
                             "the stream ended within an event".into(),
                         ));
                     }
-                    None => return StreamItem::End,
+                    None if self.is_cut_before_first_event(upstream) => {
+                        upstream.record_crash(&self.req);
+                        return StreamItem::Failed(StreamFailure::Broken(
+                            "the connection ended before the first event".into(),
+                        ));
+                    }
+                    None => {
+                        upstream.record_served();
+                        return StreamItem::End;
+                    }
                 },
                 () = caller_disconnected(caller) => return StreamItem::CallerDisconnected,
                 () = refused(upstream.content.as_mut(), &self.req) => {
@@ -275,6 +294,14 @@
         }
     }
 
+    /// Whether an ended stream was broken off, although its end looks regular.
+    ///
+    /// A response without a length and without chunks ends with its connection, and so does one
+    /// whose engine crashes. A stream without any event, which isn't resumed, is taken for the latter.
+    fn is_cut_before_first_event(&self, upstream: &Upstream) -> bool {
+        upstream.ends_with_connection && !upstream.has_event && self.last_event.is_none()
+    }
+
     /// Whether the caller has already received the event with number `id`.
     fn has_delivered(&self, id: u64) -> bool {
         self.last_event.is_some_and(|last| id <= last)
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -128,12 +128,15 @@
             self.finish("target-failure", status);
             return Ok(Opened::ErrorResponse(response.map(full_body)));
         }
+        let ends_with_connection = open.ends_with_connection();
         let (head, body, connection) = open.into_stream();
         let upstream = Upstream {
             body,
             connection,
             splitter: EventSplitter::new(),
             route: live_route,
+            ends_with_connection,
+            has_event: false,
             crash,
             content,
         };
--- a/tests/testsuite/ingress.rs
+++ b/tests/testsuite/ingress.rs
@@ -1,5 +1,6 @@
 //! Tests of requests through an ingress: forwarding, refusals, retries and resumed streams.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use http::Request;
@@ -184,11 +185,21 @@
     document: &DeploymentBuilder,
     targets: &[&Target],
     placed: &[(&str, u32, u32)],
+) -> Platform {
+    let addresses: Vec<_> = targets.iter().map(|target| target.address).collect();
+    with_engines_at(document, &addresses, placed).await
+}
+
+/// Does the same as [`with_engines_on`] for engines at `addresses`.
+pub async fn with_engines_at(
+    document: &DeploymentBuilder,
+    addresses: &[SocketAddr],
+    placed: &[(&str, u32, u32)],
 ) -> Platform {
     let platform = Platform::start(&document.build(), &[]).await;
-    for (n, (target, (zone, from, to))) in targets.iter().zip(placed).enumerate() {
+    for (n, (address, (zone, from, to))) in addresses.iter().zip(placed).enumerate() {
         let heartbeat = serde_json::json!({
-            "service": "model", "address": target.address, "zone": zone, "version": "v1",
+            "service": "model", "address": address, "zone": zone, "version": "v1",
             "slots": 8, "state": "ready", "seq": 1, "born": 1000 + n, "kind": "card",
             "layers": { "from": from, "target": to, "version": 1 }
         });
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -558,6 +558,22 @@
         .status
     }
 
+    /// Registers a target of a plain service, and waits until the ingress knows it.
+    pub async fn register(&self, id: &str, service: &str, address: SocketAddr) {
+        let heartbeat = serde_json::json!({
+            "service": service, "address": address, "zone": "z", "version": "v1",
+            "slots": 8, "state": "ready", "seq": 1, "born": 1000
+        });
+        assert_eq!(self.send_heartbeat(id, &heartbeat).await, 200);
+        let shared = self.ingress.shared();
+        let known = async {
+            while shared.targets().at_address(address).is_none() {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(WAIT_TIMEOUT, known).await.unwrap();
+    }
+
     /// Waits until the ingress has the deployment version of the control instance.
     pub async fn wait_until_in_sync(&self) {
         let shared = self.ingress.shared();
--- /dev/null
+++ b/tests/testsuite/raw_target.rs
@@ -0,0 +1,97 @@
+//! A target that writes bytes of its own, for answers that an HTTP library wouldn't send.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+
+/// What the target writes in response to a caller's request.
+#[derive(Clone, Copy, Debug)]
+pub enum RawAnswer {
+    /// A head that states no length, then this text; the connection ends with the answer.
+    Unframed(&'static str),
+}
+
+/// A target that writes one [`RawAnswer`] per connection.
+pub struct RawTarget {
+    /// Address on which the target listens.
+    pub address: SocketAddr,
+    /// Number of callers' requests that have arrived.
+    requests: Arc<AtomicUsize>,
+}
+
+impl RawTarget {
+    /// Starts a target that answers every request with `answer`.
+    pub async fn start(answer: RawAnswer) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let target = Self {
+            address,
+            requests: Arc::default(),
+        };
+        let requests = target.requests.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let requests = requests.clone();
+                tokio::spawn(async move {
+                    let mut stream = stream;
+                    let Some(head) = read_request(&mut stream).await else {
+                        return;
+                    };
+                    // Calls of the target's own API are rejected.
+                    if head.contains(" /api/") {
+                        let rejection = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+                        let _ = stream.write_all(rejection).await;
+                        return;
+                    }
+                    requests.fetch_add(1, Ordering::Relaxed);
+                    let _ = stream
+                        .write_all(answer_bytes(answer, &head).as_bytes())
+                        .await;
+                });
+            }
+        });
+        target
+    }
+
+    /// Returns the number of callers' requests that have arrived.
+    pub fn requests(&self) -> usize {
+        self.requests.load(Ordering::Relaxed)
+    }
+}
+
+/// Reads a request with its body, and returns the head in lower case.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut buf = Vec::new();
+    loop {
+        let text = String::from_utf8_lossy(&buf).to_lowercase();
+        if let Some(end) = text.find("\r\n\r\n") {
+            let length = header(&text, "content-length").and_then(|value| value.parse().ok());
+            if buf.len() >= end + 4 + length.unwrap_or(0) {
+                return Some(text[..end].to_owned());
+            }
+        }
+        if stream.read_buf(&mut buf).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+    lines
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value.trim())
+}
+
+/// Returns the bytes of an answer to the request with this head.
+fn answer_bytes(answer: RawAnswer, head: &str) -> String {
+    let id = header(head, "x-toucanshelf-request-id").unwrap_or("-");
+    let RawAnswer::Unframed(body) = answer;
+    format!(
+        "HTTP/1.1 200 OK\r\nx-toucanshelf-request-id: {id}\r\n\
+         x-toucanshelf-response-seal: raw\r\nconnection: close\r\n\r\n{body}"
+    )
+}
