--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod delivery;
 mod deployment;
 mod docs;
+mod endless;
 mod events;
 mod hops;
 mod ingress;
--- a/tests/testsuite/raw_target.rs
+++ b/tests/testsuite/raw_target.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
@@ -12,6 +12,10 @@
 pub enum RawAnswer {
     /// A head that states no length, then this text; the connection ends with the answer.
     Unframed(&'static str),
+    /// A head without an end: it repeats this text until the connection closes.
+    EndlessHead(&'static str),
+    /// A head that states no length, then this text again and again until the connection closes.
+    EndlessBody(&'static str),
 }
 
 /// A target that writes one [`RawAnswer`] per connection.
@@ -20,6 +24,10 @@
     pub address: SocketAddr,
     /// Number of callers' requests that have arrived.
     requests: Arc<AtomicUsize>,
+    /// Number of bytes that were written without an end.
+    endless_bytes: Arc<AtomicU64>,
+    /// Number of endless answers that the receiver has ended by closing the connection.
+    closed: Arc<AtomicUsize>,
 }
 
 impl RawTarget {
@@ -30,11 +38,15 @@
         let target = Self {
             address,
             requests: Arc::default(),
+            endless_bytes: Arc::default(),
+            closed: Arc::default(),
         };
-        let requests = target.requests.clone();
+        let (requests, endless_bytes) = (target.requests.clone(), target.endless_bytes.clone());
+        let closed = target.closed.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let requests = requests.clone();
+                let (requests, endless_bytes) = (requests.clone(), endless_bytes.clone());
+                let closed = closed.clone();
                 tokio::spawn(async move {
                     let mut stream = stream;
                     let Some(head) = read_request(&mut stream).await else {
@@ -47,9 +59,16 @@
                         return;
                     }
                     requests.fetch_add(1, Ordering::Relaxed);
-                    let _ = stream
-                        .write_all(answer_bytes(answer, &head).as_bytes())
-                        .await;
+                    let (start, endless) = answer_bytes(answer, &head);
+                    if stream.write_all(start.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    let Some(endless) = endless else { return };
+                    let block = endless.repeat(4_096 / endless.len() + 1);
+                    while stream.write_all(block.as_bytes()).await.is_ok() {
+                        endless_bytes.fetch_add(block.len() as u64, Ordering::Relaxed);
+                    }
+                    closed.fetch_add(1, Ordering::Relaxed);
                 });
             }
         });
@@ -60,6 +79,16 @@
     pub fn requests(&self) -> usize {
         self.requests.load(Ordering::Relaxed)
     }
+
+    /// Returns the number of bytes that were written without an end.
+    pub fn endless_bytes(&self) -> u64 {
+        self.endless_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of endless answers that the receiver has ended.
+    pub fn closed(&self) -> usize {
+        self.closed.load(Ordering::Relaxed)
+    }
 }
 
 /// Reads a request with its body, and returns the head in lower case.
@@ -86,12 +115,16 @@
         .map(|(_, value)| value.trim())
 }
 
-/// Returns the bytes of an answer to the request with this head.
-fn answer_bytes(answer: RawAnswer, head: &str) -> String {
+/// Returns the start of an answer, and the text that follows it without an end.
+fn answer_bytes(answer: RawAnswer, head: &str) -> (String, Option<&'static str>) {
     let id = header(head, "x-toucanshelf-request-id").unwrap_or("-");
-    let RawAnswer::Unframed(body) = answer;
-    format!(
+    let start = format!(
         "HTTP/1.1 200 OK\r\nx-toucanshelf-request-id: {id}\r\n\
-         x-toucanshelf-response-seal: raw\r\nconnection: close\r\n\r\n{body}"
-    )
+         x-toucanshelf-response-seal: raw\r\nconnection: close\r\n"
+    );
+    match answer {
+        RawAnswer::Unframed(body) => (format!("{start}\r\n{body}"), None),
+        RawAnswer::EndlessHead(text) => (start, Some(text)),
+        RawAnswer::EndlessBody(text) => (format!("{start}\r\n"), Some(text)),
+    }
 }
