Log the limits that targets name and the requests sent to such targets

Cause: no line told who knows a limit, or which requests go to a target that has one. Change: the limit is decoded from answers and kept with the target until an answer to a later request doesn't name it; TS4314 and TS4315. No decision uses it.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -19,6 +19,7 @@
 use crate::request::CallerRequest;
 use crate::response::strip_connection_headers;
 use crate::shared::Shared;
+use crate::targets::LimitChange;
 
 /// Maximum size of a response body that isn't forwarded as a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -140,6 +141,19 @@
     to: &Destination<'_>,
     due: Instant,
 ) -> Result<OpenResponse, AttemptError> {
+    let sent_ms = shared.now();
+    let limit = shared.targets().limit_of(to.id);
+    if let Some(limit) = limit {
+        let (request, age_ms, rate) = (req.id(), req.age_ms(), limit.rate);
+        tracing::info!(
+            event = "TS4315",
+            request,
+            target_id = to.id,
+            rate,
+            age_ms,
+            "limited target chosen"
+        );
+    }
     // If a reused connection breaks, it is unknown whether the target has run the request. A
     // non-idempotent request, which must not run twice, therefore uses a new connection.
     let pooled = match req.kind {
@@ -156,6 +170,7 @@
         None => exchange_on_new_connection(shared, req, to, due).await?,
     };
     let metadata = shared.dialect.response_metadata(response.headers());
+    record_limit(shared, req, to, metadata.request_rate_limit, sent_ms);
     if metadata.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
         return Err(AttemptError::NotRun {
             status: response.status(),
@@ -177,6 +192,29 @@
     })
 }
 
+/// Records the limit that an answer names, and logs a change.
+fn record_limit(
+    shared: &Shared,
+    req: &CallerRequest,
+    to: &Destination<'_>,
+    rate: Option<f64>,
+    sent_ms: u64,
+) {
+    let now = shared.now();
+    let change = shared.targets().record_limit(to.id, rate, sent_ms, now);
+    if let Some(LimitChange { before, after }) = change {
+        tracing::info!(
+            event = "TS4314",
+            request = req.id(),
+            target_id = to.id,
+            address = %to.address,
+            before,
+            after,
+            "limit of target changed"
+        );
+    }
+}
+
 /// Connects to the target and sends the request.
 async fn exchange_on_new_connection(
     shared: &Shared,
--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -97,6 +97,8 @@
     missing_layers_until: u64,
     /// Moving average of the share of plain requests that failed, from 0 to 1.
     error_rate: f64,
+    /// Limit that the target names in its answers, while it does.
+    limit: Option<TargetLimit>,
 }
 
 impl Target {
@@ -112,6 +114,7 @@
             refused_until: 0,
             missing_layers_until: 0,
             error_rate: 0.0,
+            limit: None,
         }
     }
 
@@ -128,6 +131,24 @@
     }
 }
 
+/// Limit on the requests that a target accepts from all ingresses together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TargetLimit {
+    /// Requests a second.
+    pub rate: f64,
+    /// Time at which an answer last named the limit, in milliseconds since the ingress started.
+    named_ms: u64,
+}
+
+/// Change of a target's limit, in requests a second; `None` stands for no limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitChange {
+    /// Limit that applied until now.
+    pub before: Option<f64>,
+    /// Limit that applies from now on.
+    pub after: Option<f64>,
+}
+
 /// A target selected for a request to a plain service.
 #[derive(Clone, Debug)]
 pub struct ChosenTarget {
@@ -497,6 +518,40 @@
         true
     }
 
+    /// Records which limit an answer of the target `id` names, if any.
+    ///
+    /// `sent_ms` and `now` are the times of the request and of the answer, in milliseconds. An answer
+    /// without a limit ends it, unless the request was sent before the limit was last named.
+    /// Returns the new limit, or `None` if it hasn't changed.
+    pub fn record_limit(
+        &mut self,
+        id: &str,
+        rate: Option<f64>,
+        sent_ms: u64,
+        now: u64,
+    ) -> Option<LimitChange> {
+        let key = *self.by_id.get(id)?;
+        let target = self.arena.get_mut(key)?;
+        let known = target.limit;
+        match (rate, known) {
+            (Some(rate), _) => {
+                target.limit = Some(TargetLimit {
+                    rate,
+                    named_ms: now,
+                });
+            }
+            (None, Some(known)) if sent_ms > known.named_ms => target.limit = None,
+            (None, _) => return None,
+        }
+        let (before, after) = (known.map(|limit| limit.rate), rate);
+        (before != after).then_some(LimitChange { before, after })
+    }
+
+    /// Returns the limit that the target `id` names, if any.
+    pub fn limit_of(&self, id: &str) -> Option<TargetLimit> {
+        self.arena.get(*self.by_id.get(id)?)?.limit
+    }
+
     /// Puts a target on probation for `REFUSAL_AVOIDANCE_MS` after it refused a request.
     pub fn record_refusal(&mut self, key: TargetKey, now: u64) {
         if let Some(target) = self.arena.get_mut(key) {
--- a/crates/toucanshelf-link/src/dialect.rs
+++ b/crates/toucanshelf-link/src/dialect.rs
@@ -92,6 +92,8 @@
     ///
     /// It is one of the engines on the request's route.
     pub failed_engine: Option<SocketAddr>,
+    /// Requests a second that the target accepts from all instances together, while it needs relief.
+    pub request_rate_limit: Option<f64>,
 }
 
 /// State that an engine reports on request; it may have changed since.
