--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -28,5 +28,6 @@
 mod routes;
 mod soak;
 mod support;
+mod target_limits;
 mod tickets;
 mod unframed;
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -215,6 +215,8 @@
     stalled: Arc<Mutex<Option<SocketAddr>>>,
     /// Set to stop the target; dropping the sender stops it as well.
     stop: Arc<watch::Sender<bool>>,
+    /// Requests a second that the target names as its limit in every answer, if any.
+    limit: Arc<Mutex<Option<&'static str>>>,
 }
 
 /// Body of a target's response.
@@ -242,7 +244,9 @@
         let handler_stalled = Arc::clone(&stalled);
         let (stop, stop_rx) = watch::channel(false);
         let stop = Arc::new(stop);
+        let limit = Arc::default();
         let behaviour = Arc::new(Behaviour {
+            limit: Arc::clone(&limit),
             script,
             crashes: Box::new(crashes),
             stop: Arc::downgrade(&stop),
@@ -266,9 +270,15 @@
             received_requests,
             stalled,
             stop,
+            limit,
         }
     }
 
+    /// Makes the target name a limit in its answers, in requests a second, or none.
+    pub fn name_limit(&self, rate: Option<&'static str>) {
+        *self.limit.lock().unwrap() = rate;
+    }
+
     /// Whether the target has crashed.
     pub fn has_crashed(&self) -> bool {
         *self.stop.borrow()
@@ -291,6 +301,8 @@
     /// Whether a request crashes the target.
     crashes: Box<dyn Fn(&ReceivedRequest) -> bool + Send + Sync>,
     stop: Weak<watch::Sender<bool>>,
+    /// Requests a second that the target names as its limit, if any.
+    limit: Arc<Mutex<Option<&'static str>>>,
 }
 
 /// Answers a call of the target's API, or a caller's request as the script says.
@@ -338,6 +350,9 @@
     if let Some(id) = id {
         headers.insert("x-toucanshelf-request-id", id);
     }
+    if let Some(rate) = *behaviour.limit.lock().unwrap() {
+        headers.insert("server-limit", rate.parse().unwrap());
+    }
     let seal = format!("sealed-by-{}", address.port());
     headers.insert("x-toucanshelf-response-seal", seal.parse().unwrap());
     match action.unwrap_or(TargetAction::Answer(200, "done")) {
--- /dev/null
+++ b/tests/testsuite/target_limits.rs
@@ -0,0 +1,76 @@
+//! Tests of limits that targets name in their answers, which all ingresses keep together.
+
+use std::time::{Duration, Instant};
+
+use toucanshelf_ingress::Ingress;
+
+use crate::platform_support::{DeploymentBuilder, Platform, Target, call_ingress, start_ingress};
+
+/// Requests beyond the limit that are allowed at any time.
+const ALLOWED_EXTRA: f64 = 5.0;
+/// Factor by which the limit may be exceeded.
+const ALLOWED_FACTOR: f64 = 1.5;
+/// Period over which requests are counted.
+const PERIOD: Duration = Duration::from_secs(4);
+/// Time after its first answer with a limit from which an ingress must keep to it.
+const NOTICE: Duration = Duration::from_millis(500);
+
+/// Returns the number of requests to a target with a limit of `rate` that `elapsed` allows.
+fn allowed(rate: f64, elapsed: Duration) -> usize {
+    let seconds = elapsed.max(PERIOD).as_secs_f64();
+    (ALLOWED_FACTOR * rate * seconds + ALLOWED_EXTRA) as usize
+}
+
+fn document() -> DeploymentBuilder {
+    DeploymentBuilder::new(1).route("read", "a.example", "/read/", "plain")
+}
+
+async fn read(ingress: &Ingress) -> u16 {
+    let response = call_ingress(ingress, "GET", "/read/", &[]).await;
+    response.status
+}
+
+/// Starts `count` further ingresses and waits until each has sent a request to every target.
+async fn more_ingresses(platform: &Platform, count: usize, targets: &[&Target]) -> Vec<Ingress> {
+    let mut ingresses = Vec::new();
+    for n in 0..count {
+        let ingress = start_ingress(&format!("i{}", n + 2), &platform.control).await;
+        let ready = async {
+            while targets.iter().any(|target| {
+                let targets = ingress.shared().targets();
+                targets.at_address(target.address).is_none()
+            }) || read(&ingress).await != 200
+            {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(Duration::from_mins(1), ready)
+            .await
+            .unwrap();
+        ingresses.push(ingress);
+    }
+    ingresses
+}
+
+/// Guards against ingresses that ignore the limit of a target, or keep to it each by itself.
+#[tokio::test]
+async fn kept_by_all_ingresses() {
+    let targets = [Target::start([]).await, Target::start([]).await];
+    targets[0].name_limit(Some("1.0"));
+    let services = [("plain", &targets[0]), ("plain", &targets[1])];
+    let platform = Platform::start(&document().build(), &services).await;
+    let others = more_ingresses(&platform, 3, &[&targets[0], &targets[1]]).await;
+    // The limited target is in the table first, so that each ingress prefers it and learns its limit.
+    assert_eq!(read(&platform.ingress).await, 200);
+    tokio::time::sleep(NOTICE).await;
+    let before = targets[0].received_requests().len();
+    let started = Instant::now();
+    for _ in 0..20 {
+        for ingress in others.iter().chain([&platform.ingress]) {
+            assert_eq!(read(ingress).await, 200, "the other target serves it");
+        }
+    }
+    let elapsed = started.elapsed();
+    let sent = targets[0].received_requests().len() - before;
+    assert!(sent <= allowed(1.0, elapsed), "{sent} in {elapsed:?}");
+}
