Keep to the limit that a target names, over all ingresses together

What callers saw: nothing; the target in need got up to seven times what it had asked for. Cause: no ingress read the limit. Class: a signal of overload from a target that reaches the ingress and takes no part in any decision. Change: a request to a target that names a limit needs a permit. One control instance, chosen by a hash, issues those of a target to all ingresses, no more than the limit; who is denied one asks again at a time of its own. Such a target is passed over as first engine or plain target meanwhile; if all are, the caller is refused at once and told when the next permit is due. Without a linked control instance, an ingress uses an equal share. Older control instances don't announce permits and are not asked.

--- a/crates/toucanshelf-control/src/directory/ingresses.rs
+++ b/crates/toucanshelf-control/src/directory/ingresses.rs
@@ -14,6 +14,7 @@
 use toucanshelf_core::registration::Registration;
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::link::Link;
+use toucanshelf_routing::permits::Permit;
 
 use crate::Shared;
 use crate::directory::Directory;
@@ -198,6 +199,7 @@
         links: shared.peers.members(),
         ingress_zones: directory.ingresses.zones(),
         accepts_findings: true,
+        issues_permits: true,
     }
 }
 
@@ -219,6 +221,14 @@
                     tracing::info!(event = "TS2506", ingress = %link.peer.name, %address, "target suspected");
                     directory.record_suspicion(address);
                 }
+                Frame::AskPermit { id, target, rate } => {
+                    let wait_ms = match directory.issue_permit(target, rate) {
+                        Permit::Granted => None,
+                        Permit::Denied { wait_ms } => Some(wait_ms),
+                    };
+                    // A full queue drops the answer, and the ingress takes it for a denial.
+                    let _ = link.tx.try_send(Frame::Permit { id, wait_ms });
+                }
                 Frame::CrashFindings { findings } => {
                     let new = directory.apply_findings(findings);
                     if !new.is_empty() {
--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -28,6 +28,7 @@
 use toucanshelf_link::dialect::Dialect;
 use toucanshelf_link::frame::Frame;
 use toucanshelf_routing::crash_ledger::CrashLedgers;
+use toucanshelf_routing::permits::{Permit, PermitBucket, permit_rate};
 use toucanshelf_runtime::serve::{ConnectionLimits, serve};
 
 use crate::Shared;
@@ -36,6 +37,10 @@
 
 /// Time for which an ingress's suspicion of a target is kept, in milliseconds.
 const SUSPICION_RETENTION_MS: u64 = 5_000;
+/// Time after the last request for a permit for which a target's permits are counted.
+///
+/// In milliseconds.
+const PERMIT_RETENTION_MS: u64 = 60_000;
 
 /// State that a control instance keeps for the platform that it serves.
 #[derive(Debug)]
@@ -51,6 +56,8 @@
     suspicions: Mutex<BTreeMap<SocketAddr, u64>>,
     /// Findings of the ingresses about content that crashes targets.
     crash_ledgers: Mutex<CrashLedgers>,
+    /// Permits for targets that have named a limit, by the target's id.
+    permits: Mutex<BTreeMap<Box<str>, PermitBucket>>,
     /// Deployment that was decoded last, kept to avoid decoding the same version again.
     decoded_deployment: Mutex<Option<Arc<Deployment>>>,
     /// Expected interval between a target's heartbeats, in milliseconds.
@@ -67,6 +74,7 @@
             registry: Mutex::default(),
             suspicions: Mutex::default(),
             crash_ledgers: Mutex::default(),
+            permits: Mutex::default(),
             decoded_deployment: Mutex::default(),
             heartbeat_ms: settings.heartbeat_ms,
             started: Instant::now(),
@@ -141,11 +149,24 @@
         findings
     }
 
+    /// Issues or denies a permit to send a request to a target with a limit of `rate` a second.
+    pub(crate) fn issue_permit(&self, target: Box<str>, rate: f64) -> Permit {
+        let now = self.now();
+        let mut permits = self.permits.lock().expect("no lock holder panics");
+        let bucket = permits
+            .entry(target)
+            .or_insert_with(|| PermitBucket::new(now, 1.0));
+        bucket.ask(now, permit_rate(rate))
+    }
+
     /// Removes expired suspicions and findings, and targets whose retention after leaving has ended.
     pub(crate) fn prune(&self) {
         let now = self.now();
         self.registry().prune(now);
         self.crash_ledgers().prune(now);
+        let mut permits = self.permits.lock().expect("no lock holder panics");
+        permits.retain(|_, bucket| !bucket.is_unused(now, PERMIT_RETENTION_MS));
+        drop(permits);
         let mut suspicions = self.suspicions.lock().expect("no lock holder panics");
         suspicions.retain(|_, time| now < *time + SUSPICION_RETENTION_MS);
     }
--- a/crates/toucanshelf-control/src/peers.rs
+++ b/crates/toucanshelf-control/src/peers.rs
@@ -270,6 +270,7 @@
                     links: members,
                     ingress_zones: Vec::new(),
                     accepts_findings: false,
+                    issues_permits: false,
                 };
                 if link.tx.try_send(frame).is_err() {
                     return;
--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -142,18 +142,6 @@
     due: Instant,
 ) -> Result<OpenResponse, AttemptError> {
     let sent_ms = shared.now();
-    let limit = shared.targets().limit_of(to.id);
-    if let Some(limit) = limit {
-        let (request, age_ms, rate) = (req.id(), req.age_ms(), limit.rate);
-        tracing::info!(
-            event = "TS4315",
-            request,
-            target_id = to.id,
-            rate,
-            age_ms,
-            "limited target chosen"
-        );
-    }
     // If a reused connection breaks, it is unknown whether the target has run the request. A
     // non-idempotent request, which must not run twice, therefore uses a new connection.
     let pooled = match req.kind {
--- a/crates/toucanshelf-ingress/src/control.rs
+++ b/crates/toucanshelf-ingress/src/control.rs
@@ -13,10 +13,13 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use toucanshelf_core::crash::Finding;
+use toucanshelf_core::digest::Digest;
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::handshake::{Hello, SharedKey};
 use toucanshelf_link::link::{self, Link};
 
+use toucanshelf_routing::permits::Permit;
+
 use crate::shared::Shared;
 
 /// Delay between attempts to connect to a control instance.
@@ -30,6 +33,8 @@
     tx: mpsc::Sender<Frame>,
     /// Whether findings about content that crashes targets are sent on the link.
     shares_findings: bool,
+    /// Whether the control instance issues permits.
+    issues_permits: bool,
 }
 
 #[derive(Debug, Default)]
@@ -84,6 +89,29 @@
         }
     }
 
+    /// Sends a frame to the control instance that issues the permits of `target`.
+    ///
+    /// All ingresses with the same links choose the same instance. Returns `false` if no linked
+    /// instance issues permits.
+    pub fn send_to_responsible(&self, target: &str, frame: Frame) -> bool {
+        let links = self.links();
+        let issuers = links.open.iter().filter(|(_, link)| link.issues_permits);
+        let responsible =
+            issuers.max_by_key(|(address, _)| Digest::of(format!("{address}/{target}").as_bytes()));
+        let Some((_, link)) = responsible else {
+            return false;
+        };
+        // A full channel drops the frame, and the missing answer counts as a denial.
+        let _ = link.tx.try_send(frame);
+        true
+    }
+
+    fn record_issuer(&self, address: SocketAddr, issues_permits: bool) {
+        if let Some(link) = self.links().open.get_mut(&address) {
+            link.issues_permits = issues_permits;
+        }
+    }
+
     /// Marks a link as one on which findings are shared; returns whether it is new.
     fn add_finding_link(&self, address: SocketAddr) -> bool {
         let mut links = self.links();
@@ -151,6 +179,7 @@
     let open = OpenLink {
         tx,
         shares_findings: false,
+        issues_permits: false,
     };
     shared.control.links().open.insert(address, open);
     shared.metrics.control_links.inc();
@@ -179,14 +208,21 @@
             links,
             ingress_zones,
             accepts_findings,
+            issues_permits,
         } => {
             shared.record_ingresses(&ingress_zones);
+            shared.control.record_issuer(address, issues_permits);
             shared.content.prune(shared.now());
             connect_new(shared, key, links);
             !accepts_findings
                 || !shared.control.add_finding_link(address)
                 || send_findings(shared, tx)
         }
+        Frame::Permit { id, wait_ms } => {
+            let denied = wait_ms.map(|wait_ms| Permit::Denied { wait_ms });
+            shared.permits.answer(id, denied.unwrap_or(Permit::Granted));
+            true
+        }
         Frame::CrashFindings { findings } => {
             shared.content.apply(shared.now(), &findings);
             true
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod front;
 pub mod live_route;
 pub mod metrics;
+pub mod permits;
 pub mod plain;
 pub mod pool;
 pub mod reports;
--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -12,6 +12,7 @@
 
 use crate::attempt::{AttemptError, Destination, send};
 use crate::content_guard::{ContentAttempt, begin_attempt};
+use crate::permits;
 use crate::request::{CallerRequest, InFlight};
 use crate::response::{ProxyResponse, Refusal, full_body, refusal_response};
 use crate::shared::Shared;
@@ -95,7 +96,8 @@
                     return self.final_response(Refusal::Quarantined, Refusal::Lost);
                 }
             };
-            let Some(target) = self.next_target() else {
+            let Some(target) = self.next_target().await else {
+                self.wait_for_permit();
                 return self.final_response(Refusal::NoTarget, Refusal::Lost);
             };
             self.total_attempts += 1;
@@ -126,14 +128,27 @@
     ///
     /// Returns `None` if no target is usable, or if the attempt limit or the service's budget of
     /// repeated sends is exhausted.
-    fn next_target(&self) -> Option<ChosenTarget> {
+    async fn next_target(&self) -> Option<ChosenTarget> {
         let (shared, service) = (self.shared, &self.req.service);
-        if self.total_attempts > MAX_REPEATED_ATTEMPTS {
+        let is_repeat = self.total_attempts > 0;
+        if self.total_attempts > MAX_REPEATED_ATTEMPTS || (is_repeat && !shared.has_repeat(service))
+        {
             return None;
         }
-        let now = shared.now();
-        let target = shared.targets().choose(service, &self.excluded, now)?;
-        (self.total_attempts == 0 || shared.take_repeat(service)).then_some(target)
+        loop {
+            let now = shared.now();
+            let target = shared.targets().choose(service, &self.excluded, now)?;
+            if permits::acquire(shared, self.req, target.key).await {
+                return (!is_repeat || shared.take_repeat(service)).then_some(target);
+            }
+        }
+    }
+
+    /// Tells the caller to come back when a target has a permit, if all targets lack one.
+    fn wait_for_permit(&mut self) {
+        let now = self.shared.now();
+        let wait = self.shared.targets().permit_wait_ms(&self.req.service, now);
+        self.retry_after = wait.map_or(RETRY_AFTER, Duration::from_millis);
     }
 
     /// Sends the request to a target and reads the whole response.
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -14,16 +14,18 @@
 use toucanshelf_link::dialect::Dialect;
 use toucanshelf_routing::budget::RepeatBudget;
 use toucanshelf_routing::matcher::RouteTable;
+use toucanshelf_routing::permits::{Permit, permit_rate};
 use toucanshelf_runtime::in_flight::InFlightCounter;
 use toucanshelf_runtime::serve::ConnectionLimits;
 
 use crate::content_guard::ContentGuard;
 use crate::control::ControlLinks;
 use crate::metrics::Metrics;
+use crate::permits::PendingPermits;
 use crate::pool::Pool;
 use crate::reports::Reports;
 use crate::settings::IngressSettings;
-use crate::targets::Targets;
+use crate::targets::{TargetKey, Targets};
 
 /// Time for which a lower count of ingress instances is ignored, in milliseconds.
 // A control instance that has just started counts only the ingresses that have reconnected to it,
@@ -52,6 +54,8 @@
     pub control: ControlLinks,
     /// Limits on requests whose content crashes targets.
     pub content: ContentGuard,
+    /// Requests for permits that are not answered yet.
+    pub permits: PendingPermits,
     /// Idle connections to targets.
     pub pool: Pool,
     /// Cache of the state reports that engines send on request.
@@ -78,6 +82,7 @@
         Self {
             control: ControlLinks::new(),
             content: ContentGuard::new(),
+            permits: PendingPermits::default(),
             pool: Pool::new(),
             reports: Reports::new(),
             metrics: Metrics::new(),
@@ -145,6 +150,19 @@
         self.targets.lock().expect("no holder panics")
     }
 
+    /// Returns the highest recent number of ingress instances, as control announced it.
+    pub fn known_ingresses(&self) -> u32 {
+        self.ingresses.lock().expect("no holder panics").total
+    }
+
+    /// Issues a permit from this ingress's equal share of a target's limit, in requests a second.
+    pub fn ask_own_share(&self, key: TargetKey, limit: f64) -> Permit {
+        let now = self.now();
+        let instances = self.known_ingresses();
+        let rate = permit_rate(limit) / f64::from(instances.max(1));
+        self.targets().ask_own_share(key, now, rate)
+    }
+
     /// Counts a request to `service`, which raises the number of repeated sends allowed.
     pub fn count_request(&self, service: &str) {
         let now = self.now();
@@ -156,14 +174,14 @@
     /// Returns `false` if the budget is exhausted, and the request must then not be sent again.
     pub fn take_repeat(&self, service: &str) -> bool {
         let now = self.now();
-        let instances = self.ingresses.lock().expect("no holder panics").total;
+        let instances = self.known_ingresses();
         self.with_budget(service, |budget| budget.take_repeat(now, instances))
     }
 
     /// Whether the budget of `service` has a repeated send left.
     pub fn has_repeat(&self, service: &str) -> bool {
         let now = self.now();
-        let instances = self.ingresses.lock().expect("no holder panics").total;
+        let instances = self.known_ingresses();
         self.with_budget(service, |budget| budget.has_repeat(now, instances))
     }
 
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -4,16 +4,19 @@
 //! of the request to the first engine of a route. It counts as a run if the request may have run
 //! there and that engine has not failed; the number of runs is limited.
 
+use std::time::Duration;
+
 use tokio::time::Instant;
 
 use crate::attempt::{AttemptError, Destination, OpenResponse, send};
 use crate::content_guard::{ContentAttempt, begin_attempt, refused};
 use crate::events::EventSplitter;
 use crate::live_route::{LiveRoute, StreamFailure, mark_down_and_report};
+use crate::permits;
 use crate::response::{Refusal, full_body};
 use crate::targets::RouteHop;
 
-use super::{AvoidedEngines, Opened, StreamSession, Upstream};
+use super::{AvoidedEngines, Opened, RETRY_AFTER, StreamSession, Upstream};
 
 /// Maximum number of attempts for one request, whether or not the request ran.
 const MAX_TOTAL_ATTEMPTS: u32 = 6;
@@ -28,7 +31,8 @@
                 return Err(self.deadline_refusal());
             }
             let content = self.begin_attempt().await?;
-            let Some(route) = self.next_route(avoided) else {
+            let Some(route) = self.next_route(avoided).await else {
+                self.wait_for_permit();
                 return Err(self.unavailable_refusal());
             };
             self.total_attempts += 1;
@@ -66,13 +70,25 @@
     ///
     /// Returns `None` if no route exists, or if the limit of attempts or the service's budget of
     /// repeated sends is exhausted.
-    fn next_route(&mut self, avoided: AvoidedEngines) -> Option<Vec<RouteHop>> {
+    async fn next_route(&self, avoided: AvoidedEngines) -> Option<Vec<RouteHop>> {
         let (shared, service) = (&self.shared, &self.req.service);
-        if self.total_attempts >= MAX_TOTAL_ATTEMPTS {
+        let is_repeat = self.total_attempts > 0;
+        if self.total_attempts >= MAX_TOTAL_ATTEMPTS || (is_repeat && !shared.has_repeat(service)) {
             return None;
         }
-        let route = self.find_route(avoided)?;
-        (self.total_attempts == 0 || shared.take_repeat(service)).then_some(route)
+        loop {
+            let route = self.find_route(avoided)?;
+            if permits::acquire(shared, &self.req, route[0].key).await {
+                return (!is_repeat || shared.take_repeat(service)).then_some(route);
+            }
+        }
+    }
+
+    /// Tells the caller to come back when an engine has a permit, if all first engines lack one.
+    fn wait_for_permit(&mut self) {
+        let now = self.shared.now();
+        let wait = self.shared.targets().permit_wait_ms(&self.req.service, now);
+        self.retry_after = wait.map_or(RETRY_AFTER, Duration::from_millis);
     }
 
     /// Sends the request to the first engine of a route and opens its response.
--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -22,6 +22,7 @@
 use toucanshelf_core::registration::{Readiness, Registration};
 use toucanshelf_core::registry::{Registry, RegistryChange};
 use toucanshelf_routing::hops::{CandidateStage, HopCosts, cheapest_route};
+use toucanshelf_routing::permits::{Permit, PermitBucket};
 
 use stages::stage;
 
@@ -123,6 +124,13 @@
         self.record.readiness == Readiness::Ready && now >= self.down_until
     }
 
+    /// Returns the time until which the target isn't chosen for lack of a permit, in milliseconds.
+    ///
+    /// It is 0 for a target that names no limit.
+    fn deferred_until(&self) -> u64 {
+        self.limit.map_or(0, |limit| limit.deferred_until)
+    }
+
     /// Returns whether the target costs extra after a failure or a refusal.
     ///
     /// After a failure, this lasts until it serves a plain request or restarts.
@@ -132,12 +140,18 @@
 }
 
 /// Limit on the requests that a target accepts from all ingresses together.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct TargetLimit {
+#[derive(Clone, Copy, Debug)]
+struct TargetLimit {
     /// Requests a second.
-    pub rate: f64,
+    rate: f64,
     /// Time at which an answer last named the limit, in milliseconds since the ingress started.
     named_ms: u64,
+    /// Time until which the target isn't chosen for lack of a permit.
+    ///
+    /// In milliseconds since the ingress started.
+    deferred_until: u64,
+    /// Permits of this ingress for the time in which no control instance issues them.
+    own_share: PermitBucket,
 }
 
 /// Change of a target's limit, in requests a second; `None` stands for no limit.
@@ -301,7 +315,10 @@
             f64::from(target.in_flight_requests) + zone + probation + ERROR_COST * target.error_rate
         };
         let usable = self.arena.iter().filter(|(key, target)| {
-            &*target.record.service == service && target.is_usable(now) && !excluded.contains(key)
+            &*target.record.service == service
+                && target.is_usable(now)
+                && now >= target.deferred_until()
+                && !excluded.contains(key)
         });
         let (key, target) = usable.min_by(|a, b| cost(a.1).total_cmp(&cost(b.1)))?;
         Some(ChosenTarget {
@@ -396,7 +413,12 @@
         let clipped = stages.iter().filter_map(|stage| {
             let (start, end) = (stage.layers.from().max(from), stage.layers.to().min(to));
             let layers = LayerRange::new(start - from, end.checked_sub(from)?).ok()?;
-            Some(CandidateStage { layers, ..*stage })
+            // The first engine of the whole route stays the same.
+            Some(CandidateStage {
+                layers,
+                first_cost: Some(0.0),
+                ..*stage
+            })
         });
         let clipped: Vec<_> = clipped.collect();
         let hops = cheapest_route(&clipped, to - from, 0, &HOP_COSTS)?;
@@ -535,10 +557,14 @@
         let known = target.limit;
         match (rate, known) {
             (Some(rate), _) => {
-                target.limit = Some(TargetLimit {
+                let new = TargetLimit {
                     rate,
                     named_ms: now,
-                });
+                    deferred_until: 0,
+                    own_share: PermitBucket::new(now, 0.0),
+                };
+                let limit = target.limit.get_or_insert(new);
+                (limit.rate, limit.named_ms) = (rate, now);
             }
             (None, Some(known)) if sent_ms > known.named_ms => target.limit = None,
             (None, _) => return None,
@@ -547,9 +573,44 @@
         (before != after).then_some(LimitChange { before, after })
     }
 
-    /// Returns the limit that the target `id` names, if any.
-    pub fn limit_of(&self, id: &str) -> Option<TargetLimit> {
-        self.arena.get(*self.by_id.get(id)?)?.limit
+    /// Returns the identity of a target that names a limit, and that limit in requests a second.
+    pub fn limit(&self, key: TargetKey) -> Option<(Box<str>, f64)> {
+        let target = self.arena.get(key)?;
+        let limit = target.limit?;
+        Some((target.record.id.clone(), limit.rate))
+    }
+
+    /// Keeps a target from being chosen until a time, in milliseconds, for lack of a permit.
+    pub fn defer(&mut self, key: TargetKey, until: u64) {
+        if let Some(limit) = self.limit_mut(key) {
+            limit.deferred_until = until;
+        }
+    }
+
+    /// Issues a permit for a limited target at `rate` a second, in place of a control instance.
+    pub fn ask_own_share(&mut self, key: TargetKey, now: u64, rate: f64) -> Permit {
+        let limit = self.limit_mut(key);
+        limit.map_or(Permit::Granted, |limit| limit.own_share.ask(now, rate))
+    }
+
+    fn limit_mut(&mut self, key: TargetKey) -> Option<&mut TargetLimit> {
+        self.arena.get_mut(key)?.limit.as_mut()
+    }
+
+    /// Returns the time until a limited target of `service` may be chosen, in milliseconds.
+    ///
+    /// Returns `None` if some target that could receive a request now lacks no permit. `now` is in
+    /// milliseconds.
+    pub fn permit_wait_ms(&self, service: &str, now: u64) -> Option<u64> {
+        let receives = |target: &Target| {
+            let layers = target.record.layers;
+            &*target.record.service == service
+                && target.is_usable(now)
+                && (!self.has_model(service) || layers.is_some_and(|layers| layers.from() == 0))
+        };
+        let targets = self.arena.iter().filter(|(_, target)| receives(target));
+        let waits = targets.map(|(_, target)| target.deferred_until().saturating_sub(now));
+        waits.min().filter(|wait| *wait > 0)
     }
 
     /// Puts a target on probation for `REFUSAL_AVOIDANCE_MS` after it refused a request.
--- a/crates/toucanshelf-ingress/src/targets/stages.rs
+++ b/crates/toucanshelf-ingress/src/targets/stages.rs
@@ -63,7 +63,8 @@
         zone: target.zone,
         layers,
         layer_cost: step_ms * (1.0 + load),
-        first_cost: SLOT_SHARE_COST * (slot_share - FREE_SLOT_SHARE).max(0.0),
+        first_cost: (now >= target.deferred_until())
+            .then(|| SLOT_SHARE_COST * (slot_share - FREE_SLOT_SHARE).max(0.0)),
         entry_cost: if target.is_on_probation(now) {
             PROBATION_COST
         } else {
--- a/crates/toucanshelf-link/src/frame.rs
+++ b/crates/toucanshelf-link/src/frame.rs
@@ -141,6 +141,9 @@
         /// Whether the sender accepts [`Frame::CrashFindings`], which older programs don't know.
         #[serde(default)]
         accepts_findings: bool,
+        /// Whether the sender accepts [`Frame::AskPermit`], which older programs don't know.
+        #[serde(default)]
+        issues_permits: bool,
     },
 
     /// Control to ingress: announces the version of the current deployment.
@@ -181,6 +184,22 @@
         /// Findings that the receiver adds to its own.
         findings: Vec<Finding>,
     },
+    /// Ingress to control: asks whether a request may be sent to a target that has named a limit.
+    AskPermit {
+        /// Number of the question, which the answer repeats.
+        id: u64,
+        /// Identity of the target.
+        target: Box<str>,
+        /// Limit of the target, in requests a second.
+        rate: f64,
+    },
+    /// Control to ingress: answers [`Frame::AskPermit`].
+    Permit {
+        /// Number of the question.
+        id: u64,
+        /// Time after which the ingress may ask again, in milliseconds; `None` for a permit.
+        wait_ms: Option<u64>,
+    },
     /// Ingress to control: reports a target at which requests fail or stall.
     Suspected {
         /// Address of the target at which requests fail or stall.
--- a/crates/toucanshelf-routing/src/hops.rs
+++ b/crates/toucanshelf-routing/src/hops.rs
@@ -22,8 +22,8 @@
     pub layer_cost: f64,
     /// Cost of entering this engine, independent of the layers that it runs.
     pub entry_cost: f64,
-    /// Cost added if this engine is the first of a route.
-    pub first_cost: f64,
+    /// Cost added if this engine is the first of a route; `None` if it can't be the first.
+    pub first_cost: Option<f64>,
 }
 
 /// Costs of passing a request to an engine, by zones.
@@ -144,7 +144,7 @@
         } else {
             costs.remote_entry
         };
-        return Some((remote + stage.entry_cost + stage.first_cost, None));
+        return Some((remote + stage.entry_cost + stage.first_cost?, None));
     }
     let arrivals = partials_at.iter().map(|id| {
         let partial = &partials[*id];
--- a/crates/toucanshelf-routing/src/lib.rs
+++ b/crates/toucanshelf-routing/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod flow;
 pub mod hops;
 pub mod matcher;
+pub mod permits;
 pub mod placement;
 pub mod planner;
 pub mod quarantine;
--- a/tests/testsuite/hops.rs
+++ b/tests/testsuite/hops.rs
@@ -19,7 +19,7 @@
         layers: LayerRange::new(from, to).unwrap(),
         layer_cost,
         entry_cost: 0.0,
-        first_cost: 0.0,
+        first_cost: Some(0.0),
     }
 }
 
@@ -56,11 +56,25 @@
         stage(1, 0, 0, 5, 2.0),
         stage(2, 0, 5, 10, 1.0),
     ];
-    stages[0].first_cost = 10.0;
+    stages[0].first_cost = Some(10.0);
     let route = cheapest_route(&stages, 10, 0, &COSTS).unwrap();
     assert_eq!(keys(&route), [1, 2]);
 }
 
+#[test]
+fn engine_without_permit_is_not_first() {
+    let mut stages = [
+        stage(0, 0, 0, 5, 1.0),
+        stage(1, 0, 0, 5, 2.0),
+        stage(2, 0, 5, 10, 1.0),
+    ];
+    stages[0].first_cost = None;
+    let route = cheapest_route(&stages, 10, 0, &COSTS).unwrap();
+    assert_eq!(keys(&route), [1, 2]);
+    stages[1].first_cost = None;
+    assert_eq!(cheapest_route(&stages, 10, 0, &COSTS), None);
+}
+
 #[test]
 fn gap_has_no_route() {
     let stages = [stage(0, 0, 0, 4, 1.0), stage(1, 0, 5, 10, 1.0)];
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -67,7 +67,7 @@
     assert!(error.to_string().contains("version 99"), "{error}");
 }
 
-/// Guards against findings that are sent to a control instance of a build without them.
+/// Guards against frames that are sent to a control instance of a build without them.
 #[test]
 fn members_of_older_build() {
     let frame = serde_json::json!({ "Members": { "links": [], "ingress_zones": ["z"] } });
@@ -75,12 +75,14 @@
     ciborium::into_writer(&frame, &mut buf).unwrap();
     let decoded: Frame = ciborium::from_reader(&*buf).unwrap();
     let Frame::Members {
-        accepts_findings, ..
+        accepts_findings,
+        issues_permits,
+        ..
     } = decoded
     else {
         panic!()
     };
-    assert!(!accepts_findings);
+    assert!(!accepts_findings && !issues_permits);
 }
 
 /// Guards against a conflict verdict that cannot be decoded from CBOR.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod matcher;
 mod names;
 mod orders;
+mod permits;
 mod placement;
 mod platform_support;
 mod processes;
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -507,19 +507,17 @@
     /// Registers the targets, given as `(service, target)` pairs, and waits until the ingress has
     /// the deployment.
     pub async fn start(document: &str, targets: &[(&str, &Target)]) -> Self {
-        let folder = tempfile::tempdir().unwrap();
-        let settings = format!(
-            "name = '127.0.0.1'\nzone = 'z'\nlisten = '127.0.0.1:0'\nlink-listen = '127.0.0.1:0'\n\
-             link-key = '{LINK_KEY}'\ndata-folder = '{}'\n\
-             operator-token-digests = ['{OPERATOR_TOKEN_DIGEST}']\n\
-             [deployment]\nlisten = '127.0.0.1:0'\nseeds = ['127.0.0.1:0']\nbootstrap = true\n\
-             tolerated-losses = 0\n",
-            folder.path().display()
-        );
-        let settings = toucanshelf_runtime::settings::parse("control.toml", &settings).unwrap();
-        let dialect = Arc::new(PlatformDialect);
-        let control = Control::start_with_dialect(settings, Some(dialect));
-        let control = control.await.unwrap();
+        let (control, folder) = start_control().await;
+        Self::with_control(control, folder, document, targets).await
+    }
+
+    /// Does the same as [`Platform::start`] with a control instance that runs already.
+    pub async fn with_control(
+        control: Control,
+        folder: tempfile::TempDir,
+        document: &str,
+        targets: &[(&str, &Target)],
+    ) -> Self {
         let ingress = start_ingress("i1", &control).await;
         let platform = Self {
             control,
@@ -636,3 +634,21 @@
     let dialect = Arc::new(PlatformDialect);
     Ingress::start(settings, dialect).await.unwrap()
 }
+
+/// Starts a control instance, and returns it with its data folder.
+pub async fn start_control() -> (Control, tempfile::TempDir) {
+    let folder = tempfile::tempdir().unwrap();
+    let settings = format!(
+        "name = '127.0.0.1'\nzone = 'z'\nlisten = '127.0.0.1:0'\nlink-listen = '127.0.0.1:0'\n\
+             link-key = '{LINK_KEY}'\ndata-folder = '{}'\n\
+             operator-token-digests = ['{OPERATOR_TOKEN_DIGEST}']\n\
+             [deployment]\nlisten = '127.0.0.1:0'\nseeds = ['127.0.0.1:0']\nbootstrap = true\n\
+             tolerated-losses = 0\n",
+        folder.path().display()
+    );
+    let settings = toucanshelf_runtime::settings::parse("control.toml", &settings).unwrap();
+    let dialect = Arc::new(PlatformDialect);
+    let control = Control::start_with_dialect(settings, Some(dialect));
+    let control = control.await.unwrap();
+    (control, folder)
+}
--- a/tests/testsuite/target_limits.rs
+++ b/tests/testsuite/target_limits.rs
@@ -4,7 +4,9 @@
 
 use toucanshelf_ingress::Ingress;
 
-use crate::platform_support::{DeploymentBuilder, Platform, Target, call_ingress, start_ingress};
+use crate::platform_support::{
+    DeploymentBuilder, Platform, Target, call_ingress, start_control, start_ingress,
+};
 
 /// Requests beyond the limit that are allowed at any time.
 const ALLOWED_EXTRA: f64 = 5.0;
@@ -74,3 +76,94 @@
     let sent = targets[0].received_requests().len() - before;
     assert!(sent <= allowed(1.0, elapsed), "{sent} in {elapsed:?}");
 }
+
+#[tokio::test]
+async fn ends_with_answer_that_names_none() {
+    let target = Target::start([]).await;
+    target.name_limit(Some("5.0"));
+    let platform = Platform::start(&document().build(), &[("plain", &target)]).await;
+    assert_eq!(read(&platform.ingress).await, 200);
+    target.name_limit(None);
+    let lifted = async {
+        while read(&platform.ingress).await != 200 {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_mins(1), lifted)
+        .await
+        .unwrap();
+    for _ in 0..20 {
+        assert_eq!(read(&platform.ingress).await, 200);
+    }
+}
+
+/// Guards against requests that wait for their deadline although no target accepts them.
+#[tokio::test]
+async fn refused_when_all_targets_are_limited() {
+    let target = Target::start([]).await;
+    target.name_limit(Some("0"));
+    let platform = Platform::start(&document().build(), &[("plain", &target)]).await;
+    let mut refused = None;
+    for _ in 0..10 {
+        let response = platform.call("GET", "/read/", &[]).await;
+        if response.status != 200 {
+            refused = Some(response);
+        }
+    }
+    let refused = refused.expect("ten seconds pass between two permits");
+    assert_eq!(refused.status, 503, "the request has not run");
+    let retry_after = refused.headers["retry-after"].to_str().unwrap();
+    let retry_after: f64 = retry_after.parse().unwrap();
+    assert!((0.0..=2.0).contains(&retry_after), "{retry_after}");
+}
+
+/// Guards against ingresses that each use the whole limit while control can't be reached.
+#[tokio::test]
+async fn own_share_without_control() {
+    let targets = [Target::start([]).await, Target::start([]).await];
+    let services = [("plain", &targets[0]), ("plain", &targets[1])];
+    // Control runs in a runtime of its own, so that it can be killed.
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    let (control, folder) = runtime.spawn(start_control()).await.unwrap();
+    let document = document().build();
+    let platform = Platform::with_control(control, folder, &document, &services).await;
+    let ingresses = more_ingresses(&platform, 3, &[&targets[0], &targets[1]]).await;
+    let ingresses: Vec<_> = ingresses.iter().chain([&platform.ingress]).collect();
+    let counted = async {
+        while ingresses
+            .iter()
+            .any(|ingress| ingress.shared().known_ingresses() < 4)
+        {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_mins(1), counted)
+        .await
+        .unwrap();
+    runtime.shutdown_background();
+    let unlinked = async {
+        while ingresses
+            .iter()
+            .any(|ingress| ingress.shared().control.open() > 0)
+        {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_mins(1), unlinked)
+        .await
+        .unwrap();
+    targets[0].name_limit(Some("1.0"));
+    for ingress in &ingresses {
+        assert_eq!(read(ingress).await, 200);
+    }
+    let before = targets[0].received_requests().len();
+    let started = Instant::now();
+    for _ in 0..20 {
+        for ingress in &ingresses {
+            assert_eq!(read(ingress).await, 200, "the other target serves it");
+        }
+    }
+    let elapsed = started.elapsed();
+    let sent = targets[0].received_requests().len() - before;
+    assert!(sent <= allowed(1.0, elapsed), "{sent} in {elapsed:?}");
+}
