Bound the bytes of all responses that are buffered at once

What callers saw: nothing yet; an ingress with 160 MB could be ended by ten targets that send without end. Cause: each response had a limit of 16 MiB, all of them together had none.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode, Uri, Version};
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
 use toucanshelf_core::deployment::RequestKind;
@@ -18,12 +18,10 @@
 use crate::pool::{self, Sender};
 use crate::request::CallerRequest;
 use crate::response::strip_connection_headers;
+use crate::response_buffer::ResponseBuffers;
 use crate::shared::Shared;
 use crate::targets::LimitChange;
 
-/// Maximum size of a response body that isn't forwarded as a stream, in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
-
 /// Error that ended an attempt without a valid response.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum AttemptError {
@@ -275,27 +273,34 @@
     request
 }
 
+/// Reads a response body to its end, within the limits of `buffers`.
+async fn read_body(buffers: &ResponseBuffers, mut body: Incoming) -> Result<Bytes, AttemptError> {
+    let mut buffer = buffers.new_buffer();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| AttemptError::Disconnected(e.to_string().into()))?;
+        if let Ok(chunk) = frame.into_data() {
+            let pushed = buffer.push(&chunk);
+            pushed.map_err(|e| AttemptError::Lost(e.to_string().into()))?;
+        }
+    }
+    Ok(buffer.into_bytes())
+}
+
 impl OpenResponse {
     /// Reads the whole response body, then returns the connection to the pool.
     ///
     /// # Errors
     ///
-    /// Fails if the body is incomplete, exceeds 16 MiB or isn't read in full by `due`.
+    /// Fails if the body is incomplete, too large or isn't read in full by `due`.
     pub async fn read_to_end(
         self,
         shared: &Shared,
         due: Instant,
     ) -> Result<Response<Bytes>, AttemptError> {
         let (mut parts, body) = self.response.into_parts();
-        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        let body = match timeout_at(due, body).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => {
-                return Err(AttemptError::Lost(e.to_string().into()));
-            }
-            Ok(Err(e)) => return Err(AttemptError::Disconnected(e.to_string().into())),
-            Err(_) => return Err(AttemptError::TimedOut),
-        };
+        let body = timeout_at(due, read_body(&shared.response_buffers, body))
+            .await
+            .map_err(|_| AttemptError::TimedOut)??;
         shared.pool.put(self.address, self.sender, &parts.headers);
         strip_connection_headers(&mut parts.headers);
         Ok(Response::from_parts(parts, body))
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod reports;
 pub mod request;
 pub mod response;
+pub mod response_buffer;
 pub mod settings;
 pub mod shared;
 pub mod stream;
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -24,6 +24,7 @@
 use crate::permits::PendingPermits;
 use crate::pool::Pool;
 use crate::reports::Reports;
+use crate::response_buffer::ResponseBuffers;
 use crate::settings::IngressSettings;
 use crate::targets::{TargetKey, Targets};
 
@@ -56,6 +57,8 @@
     pub content: ContentGuard,
     /// Requests for permits that are not answered yet.
     pub permits: PendingPermits,
+    /// Buffers for responses that are read in full.
+    pub response_buffers: ResponseBuffers,
     /// Idle connections to targets.
     pub pool: Pool,
     /// Cache of the state reports that engines send on request.
@@ -82,6 +85,7 @@
         Self {
             control: ControlLinks::new(),
             content: ContentGuard::new(),
+            response_buffers: ResponseBuffers::default(),
             permits: PendingPermits::default(),
             pool: Pool::new(),
             reports: Reports::new(),
