Don't pass on bytes between empty lines that are no event

What callers saw: status 200 and junk without end, if a target in trouble sends bytes with empty lines. Change: an event must be UTF-8 without control characters, with at least one field or comment and nothing else; otherwise the stream has broken off and goes on elsewhere, or fails.

--- a/crates/toucanshelf-ingress/src/events.rs
+++ b/crates/toucanshelf-ingress/src/events.rs
@@ -10,6 +10,9 @@
 /// It also limits the size of an event, which is buffered until it is complete.
 pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// Names of fields that may stand on a line without a colon and a value.
+const FIELDS_WITHOUT_VALUE: [&str; 4] = ["data", "event", "id", "retry"];
+
 /// A complete server-sent event.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Event {
@@ -89,6 +92,26 @@
     }
 }
 
+/// Returns whether the bytes of an event are text with at least one field or comment.
+///
+/// A target in trouble may send bytes that are no event, between which an empty line may stand.
+pub fn is_well_formed(bytes: &[u8]) -> bool {
+    let Ok(text) = std::str::from_utf8(bytes) else {
+        return false;
+    };
+    let mut lines = text.lines().filter(|line| !line.is_empty()).peekable();
+    lines.peek().is_some() && lines.all(is_field)
+}
+
+/// Returns whether a line has the form of a field or a comment, whose name is empty.
+fn is_field(line: &str) -> bool {
+    let (name, value) = line.split_once(':').unwrap_or((line, ""));
+    let has_colon = name.len() < line.len();
+    let is_name = name.bytes().all(|byte| byte.is_ascii_graphic());
+    let is_text = !value.chars().any(|c| c.is_control() && c != '\t');
+    is_name && is_text && (has_colon || FIELDS_WITHOUT_VALUE.contains(&name))
+}
+
 /// Returns the number in the first `id` field of an event.
 ///
 /// Returns `None` if the event has no `id` field or the field isn't a number.
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -241,6 +241,10 @@
     ) -> StreamItem {
         loop {
             if let Some(event) = upstream.splitter.next_event() {
+                if !crate::events::is_well_formed(&event.bytes) {
+                    let cause = "the engine sent bytes that are no event";
+                    return StreamItem::Failed(StreamFailure::Broken(cause.into()));
+                }
                 upstream.record_served();
                 if event.id.is_some_and(|id| self.has_delivered(id)) {
                     continue;
--- a/tests/testsuite/events.rs
+++ b/tests/testsuite/events.rs
@@ -1,7 +1,7 @@
 //! Tests of splitting streams into complete events.
 
 use proptest::prelude::*;
-use toucanshelf_ingress::events::{EventSplitter, MAX_EVENT_BYTES};
+use toucanshelf_ingress::events::{EventSplitter, MAX_EVENT_BYTES, is_well_formed};
 
 const STREAM: &str = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: no id\n\nid:4\n\n";
 
@@ -65,3 +65,27 @@
         prop_assert_eq!(bytes, STREAM.as_bytes());
     }
 }
+
+#[test]
+fn junk_is_no_event() {
+    let events = [
+        "id: 1\ndata: x\n\n",
+        "data\n\n",
+        ": comment\r\n\r\n",
+        "data: \u{e9}\t\n\n",
+    ];
+    for event in events {
+        assert!(is_well_formed(event.as_bytes()), "{event:?}");
+    }
+    let junk: [&[u8]; 6] = [
+        b"\n",
+        b"\r\n\r\n",
+        b"junk\n\n",
+        b"id: 1\njunk\n\n",
+        b"\x01:\n\n",
+        b"data: \xff\xfe\n\n",
+    ];
+    for bytes in junk {
+        assert!(!is_well_formed(bytes), "{bytes:?}");
+    }
+}
