Lower the limit of an incomplete event to 256 KiB

Cause: each stream may buffer an event up to the limit, so that a hundred streams of junk without empty lines took 100 MiB, on instances with 160 MB. Change: 256 KiB; events of the platform have some hundred bytes. Memory under such streams: not run.

--- a/crates/toucanshelf-ingress/src/events.rs
+++ b/crates/toucanshelf-ingress/src/events.rs
@@ -8,7 +8,7 @@
 /// Maximum number of buffered bytes of a stream.
 ///
 /// It also limits the size of an event, which is buffered until it is complete.
-pub const MAX_EVENT_BYTES: usize = 1024 * 1024;
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// Names of fields that may stand on a line without a colon and a value.
 const FIELDS_WITHOUT_VALUE: [&str; 4] = ["data", "event", "id", "retry"];
