Keep a trial running when another request is refused

What callers saw: with content that is refused and other content on trial in one request, the trial of another request was reported as ended, so that a second one started beside it. Cause: the attempt listed a trial before it was started, and its end was published when it was dropped. Found by reading the change. Beside it: content that was only cleared so far was forgotten at once on a process that has run for an hour; and each other content was compared in full, also those with too few crashes. Change: a trial is listed once it has started; both retention times apply to their own case; contents with too few crashes are skipped first.

--- a/crates/toucanshelf-ingress/src/content_guard.rs
+++ b/crates/toucanshelf-ingress/src/content_guard.rs
@@ -1,7 +1,7 @@
 //! Limits the number of targets that requests with the same content can crash.
 //!
 //! Each attempt to send a request reports whether the target answered it or crashed. The findings
-//! are shared with the other ingresses, and a [`CrashLedger`] decides from all of them which
+//! are shared with the other ingresses, and a [`CrashLedgers`] decides from all of them which
 //! requests are sent, tried one at a time, or refused.
 
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -12,7 +12,7 @@
 use toucanshelf_core::crash::{Content, Finding, Outcome, WHOLE_REQUEST_POSITION};
 use toucanshelf_core::digest::Digest;
 use toucanshelf_core::ids::CrashId;
-use toucanshelf_routing::crash_ledger::{CrashLedger, CrashLedgers, Handling};
+use toucanshelf_routing::crash_ledger::{CrashLedgers, Handling};
 
 use crate::request::CallerRequest;
 use crate::shared::Shared;
@@ -119,11 +119,13 @@
 /// Whether and how an attempt may be made now.
 enum Decision {
     Send(ContentAttempt),
-    /// Another request with the same content is on trial until this time at most.
+    /// Another request with the same content is on trial.
     Wait {
+        /// Time until which the trial lasts at most, in milliseconds.
         busy_until: u64,
     },
     Refuse {
+        /// Time at which the next trial may start, in milliseconds.
         until: u64,
     },
 }
@@ -141,6 +143,7 @@
     trial: Vec<PositionedContent>,
     /// Receiver of a counter that is raised by each new finding.
     changes: watch::Receiver<u64>,
+    /// Whether the outcome of the attempt is recorded.
     settled: bool,
 }
 
@@ -189,14 +192,8 @@
 /// Decides on an attempt, and starts a trial if one is needed.
 fn decide(shared: &Arc<Shared>, req: &CallerRequest) -> Decision {
     let now = shared.now();
-    let mut attempt = ContentAttempt {
-        shared: Arc::clone(shared),
-        service: req.service.clone(),
-        known: Vec::new(),
-        trial: Vec::new(),
-        changes: shared.content.changed.subscribe(),
-        settled: false,
-    };
+    let mut attempt = ContentAttempt::new(shared, req);
+    let mut suspects = Vec::new();
     let mut busy_until = 0;
     {
         let ledgers = shared.content.ledgers();
@@ -208,31 +205,36 @@
                 Handling::Refused { until } => return Decision::Refuse { until },
                 Handling::Trial { busy_until: until } => {
                     busy_until = until.max(busy_until);
-                    attempt.trial.push((content, position));
+                    suspects.push((content, position));
                 }
                 Handling::Normal => {}
             }
-            attempt.remember(ledger, content, position);
+            let crashes = ledger.unexplained(content);
+            if !crashes.is_empty() {
+                attempt.known.push(((content, position), crashes));
+            }
         }
     }
     if now < busy_until {
-        attempt.settled = true;
         return Decision::Wait { busy_until };
     }
-    if !attempt.trial.is_empty() {
-        for content in attempt.trial.clone() {
-            tracing::info!(event = "TS4312", request = req.id(), content = %content.0, "trial started");
-            attempt.publish(content, Outcome::TrialStarted);
-        }
+    for suspect in suspects {
+        tracing::info!(event = "TS4312", request = req.id(), content = %suspect.0, "trial started");
+        attempt.publish(suspect, Outcome::TrialStarted);
+        attempt.trial.push(suspect);
     }
     Decision::Send(attempt)
 }
 
 impl ContentAttempt {
-    fn remember(&mut self, ledger: &CrashLedger, content: Content, position: u8) {
-        let crashes = ledger.unexplained(content);
-        if !crashes.is_empty() {
-            self.known.push(((content, position), crashes));
+    fn new(shared: &Arc<Shared>, req: &CallerRequest) -> Self {
+        Self {
+            shared: Arc::clone(shared),
+            service: req.service.clone(),
+            known: Vec::new(),
+            trial: Vec::new(),
+            changes: shared.content.changed.subscribe(),
+            settled: false,
         }
     }
 
--- a/crates/toucanshelf-routing/src/crash_ledger.rs
+++ b/crates/toucanshelf-routing/src/crash_ledger.rs
@@ -98,7 +98,11 @@
     /// It does if it was present in more crashes, including all of these. If it was present in the
     /// same ones, the later part of the prompt explains them better, because fewer requests have it.
     fn is_dominated_by(&self, other: &Self, both_parts: bool) -> bool {
-        let (own, others) = (self.unexplained().count(), other.unexplained().count());
+        let own = self.unexplained().count();
+        if other.crashes.len() < own {
+            return false;
+        }
+        let others = other.unexplained().count();
         let more_specific = both_parts && other.position > self.position;
         let better = others > own || (others == own && more_specific);
         let includes_all = || {
@@ -125,9 +129,12 @@
     }
 
     fn is_expired(&self, now: u64) -> bool {
-        let cleared = self.unexplained().next().is_none();
-        (cleared && now >= self.changed_ms + CLEARED_RETENTION_MS)
-            || now >= self.changed_ms + RETENTION_MS
+        let expires_at = if self.unexplained().next().is_none() {
+            self.changed_ms + CLEARED_RETENTION_MS
+        } else {
+            self.last_crash_ms + RETENTION_MS
+        };
+        now >= expires_at
     }
 }
 
--- a/tests/testsuite/crashing_content.rs
+++ b/tests/testsuite/crashing_content.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use toucanshelf_core::crash::{Content, Finding, Outcome};
+use toucanshelf_core::ids::{CrashId, PromptPart};
 use toucanshelf_ingress::Ingress;
 
 use crate::ingress::{with_engines, with_engines_on};
@@ -185,3 +187,32 @@
         .expect("the request ends long before its deadline, 10 minutes");
     assert_eq!(response.status, 502, "the request may have run");
 }
+
+/// Guards against a refused request that ends the trial of another one with common content.
+#[tokio::test]
+async fn refusal_keeps_trial_of_others() {
+    let (platform, engines) = with_crashing_engines(2).await;
+    let finding = |part, position, outcome| Finding {
+        service: "model".into(),
+        content: Content::Part(PromptPart(part)),
+        position,
+        outcome,
+    };
+    let crash = |part, position, id, in_trial| {
+        let crash = CrashId(id);
+        finding(part, position, Outcome::Crashed { crash, in_trial })
+    };
+    let mut findings: Vec<_> = (1..=4).map(|id| crash(0xaa, 0, id, id == 4)).collect();
+    findings.extend([11, 12].map(|id| crash(0xbb, 1, id, false)));
+    findings.push(finding(0xbb, 1, Outcome::TrialStarted));
+    let shared = platform.ingress.shared();
+    assert!(shared.content.apply(shared.now(), &findings));
+    assert_eq!(call_with_parts(&platform, 1, "aa:40,bb:7").await, 503);
+    assert_eq!(
+        call_with_parts(&platform, 2, "cc:40,bb:7").await,
+        503,
+        "the trial of the second part goes on, so the request waits in vain"
+    );
+    let received: usize = engines.iter().map(|e| e.received_requests().len()).sum();
+    assert_eq!(received, 0);
+}
