--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -9,6 +9,7 @@
 //! target that fails here is marked down even if its registration says that it is ready. Only a
 //! restart, after which the target registers as a new incarnation, ends this early.
 
+mod limits;
 mod stages;
 
 use std::collections::{BTreeMap, HashMap};
@@ -22,8 +23,9 @@
 use toucanshelf_core::registration::{Readiness, Registration};
 use toucanshelf_core::registry::{Registry, RegistryChange};
 use toucanshelf_routing::hops::{CandidateStage, HopCosts, cheapest_route};
-use toucanshelf_routing::permits::{Permit, PermitBucket};
 
+pub use limits::LimitChange;
+use limits::TargetLimit;
 use stages::stage;
 
 /// Time for which a target is marked down after its first failure, in milliseconds.
@@ -139,30 +141,6 @@
     }
 }
 
-/// Limit on the requests that a target accepts from all ingresses together.
-#[derive(Clone, Copy, Debug)]
-struct TargetLimit {
-    /// Requests a second.
-    rate: f64,
-    /// Time at which an answer last named the limit, in milliseconds since the ingress started.
-    named_ms: u64,
-    /// Time until which the target isn't chosen for lack of a permit.
-    ///
-    /// In milliseconds since the ingress started.
-    deferred_until: u64,
-    /// Permits of this ingress for the time in which no control instance issues them.
-    own_share: PermitBucket,
-}
-
-/// Change of a target's limit, in requests a second; `None` stands for no limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LimitChange {
-    /// Limit that applied until now.
-    pub before: Option<f64>,
-    /// Limit that applies from now on.
-    pub after: Option<f64>,
-}
-
 /// A target selected for a request to a plain service.
 #[derive(Clone, Debug)]
 pub struct ChosenTarget {
@@ -540,79 +518,6 @@
         true
     }
 
-    /// Records which limit an answer of the target `id` names, if any.
-    ///
-    /// `sent_ms` and `now` are the times of the request and of the answer, in milliseconds. An answer
-    /// without a limit ends it, unless the request was sent before the limit was last named.
-    /// Returns the new limit, or `None` if it hasn't changed.
-    pub fn record_limit(
-        &mut self,
-        id: &str,
-        rate: Option<f64>,
-        sent_ms: u64,
-        now: u64,
-    ) -> Option<LimitChange> {
-        let key = *self.by_id.get(id)?;
-        let target = self.arena.get_mut(key)?;
-        let known = target.limit;
-        match (rate, known) {
-            (Some(rate), _) => {
-                let new = TargetLimit {
-                    rate,
-                    named_ms: now,
-                    deferred_until: 0,
-                    own_share: PermitBucket::new(now, 0.0),
-                };
-                let limit = target.limit.get_or_insert(new);
-                (limit.rate, limit.named_ms) = (rate, now);
-            }
-            (None, Some(known)) if sent_ms > known.named_ms => target.limit = None,
-            (None, _) => return None,
-        }
-        let (before, after) = (known.map(|limit| limit.rate), rate);
-        (before != after).then_some(LimitChange { before, after })
-    }
-
-    /// Returns the identity of a target that names a limit, and that limit in requests a second.
-    pub fn limit(&self, key: TargetKey) -> Option<(Box<str>, f64)> {
-        let target = self.arena.get(key)?;
-        let limit = target.limit?;
-        Some((target.record.id.clone(), limit.rate))
-    }
-
-    /// Keeps a target from being chosen until a time, in milliseconds, for lack of a permit.
-    pub fn defer(&mut self, key: TargetKey, until: u64) {
-        if let Some(limit) = self.limit_mut(key) {
-            limit.deferred_until = until;
-        }
-    }
-
-    /// Issues a permit for a limited target at `rate` a second, in place of a control instance.
-    pub fn ask_own_share(&mut self, key: TargetKey, now: u64, rate: f64) -> Permit {
-        let limit = self.limit_mut(key);
-        limit.map_or(Permit::Granted, |limit| limit.own_share.ask(now, rate))
-    }
-
-    fn limit_mut(&mut self, key: TargetKey) -> Option<&mut TargetLimit> {
-        self.arena.get_mut(key)?.limit.as_mut()
-    }
-
-    /// Returns the time until a limited target of `service` may be chosen, in milliseconds.
-    ///
-    /// Returns `None` if some target that could receive a request now lacks no permit. `now` is in
-    /// milliseconds.
-    pub fn permit_wait_ms(&self, service: &str, now: u64) -> Option<u64> {
-        let receives = |target: &Target| {
-            let layers = target.record.layers;
-            &*target.record.service == service
-                && target.is_usable(now)
-                && (!self.has_model(service) || layers.is_some_and(|layers| layers.from() == 0))
-        };
-        let targets = self.arena.iter().filter(|(_, target)| receives(target));
-        let waits = targets.map(|(_, target)| target.deferred_until().saturating_sub(now));
-        waits.min().filter(|wait| *wait > 0)
-    }
-
     /// Puts a target on probation for `REFUSAL_AVOIDANCE_MS` after it refused a request.
     pub fn record_refusal(&mut self, key: TargetKey, now: u64) {
         if let Some(target) = self.arena.get_mut(key) {
