--- a/crates/toucanshelf-routing/src/crash_ledger.rs
+++ b/crates/toucanshelf-routing/src/crash_ledger.rs
@@ -66,6 +66,7 @@
 /// What is known of one content.
 #[derive(Clone, Debug, Default)]
 struct Entry {
+    /// Latest position of the content in a request, as in [`Finding::position`].
     position: u8,
     /// Crashes of targets that ran requests with the content; the value tells if in a trial.
     crashes: BTreeMap<CrashId, bool>,
@@ -97,7 +98,8 @@
     ///
     /// It does if it was present in more crashes, including all of these. If it was present in the
     /// same ones, the later part of the prompt explains them better, because fewer requests have it.
-    fn is_dominated_by(&self, other: &Self, both_parts: bool) -> bool {
+    /// `both_parts` tells whether both contents are parts of prompts.
+    fn is_explained_better_by(&self, other: &Self, both_parts: bool) -> bool {
         let own = self.unexplained().count();
         if other.crashes.len() < own {
             return false;
@@ -234,7 +236,7 @@
         let mut others = self.entries.iter().filter(|(other, _)| **other != content);
         others.any(|(other, other_entry)| {
             let both_parts = matches!((content, other), (Content::Part(_), Content::Part(_)));
-            entry.is_dominated_by(other_entry, both_parts)
+            entry.is_explained_better_by(other_entry, both_parts)
         })
     }
 
