Choose a permitted target in one place for plain requests and streams

Cause: read again, the loop that chooses a target, asks for its permit and takes a repeated send stood twice, and so did the time after which a caller may return. Change: permits::choose_permitted and permits::retry_after serve both. Behaviour is the same.

--- a/crates/toucanshelf-ingress/src/permits.rs
+++ b/crates/toucanshelf-ingress/src/permits.rs
@@ -44,11 +44,40 @@
     }
 }
 
+/// Chooses a target that may receive a request now, and takes a permit if it needs one.
+///
+/// `choose` returns the best target with its key; one that is denied a permit isn't returned again for
+/// some time. Returns `None` if there is no target, or if the send `is_repeat` and the service's budget
+/// of repeated sends is exhausted.
+pub async fn choose_permitted<T>(
+    shared: &Shared,
+    req: &CallerRequest,
+    is_repeat: bool,
+    choose: impl Fn() -> Option<(TargetKey, T)>,
+) -> Option<T> {
+    if is_repeat && !shared.has_repeat(&req.service) {
+        return None;
+    }
+    loop {
+        let (key, target) = choose()?;
+        if acquire(shared, req, key).await {
+            return (!is_repeat || shared.take_repeat(&req.service)).then_some(target);
+        }
+    }
+}
+
+/// Returns the time until a target of `service` has a permit, if all of them lack one.
+pub fn retry_after(shared: &Shared, service: &str) -> Option<Duration> {
+    let now = shared.now();
+    let wait_ms = shared.targets().permit_wait_ms(service, now);
+    wait_ms.map(Duration::from_millis)
+}
+
 /// Returns whether a request may be sent to a target now.
 ///
 /// If the target names a limit, this asks for a permit. If none is issued, the target is not chosen
 /// by this ingress for some time.
-pub async fn acquire(shared: &Shared, req: &CallerRequest, key: TargetKey) -> bool {
+async fn acquire(shared: &Shared, req: &CallerRequest, key: TargetKey) -> bool {
     let Some((target, rate)) = shared.targets().limit(key) else {
         return true;
     };
--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -97,7 +97,8 @@
                 }
             };
             let Some(target) = self.next_target().await else {
-                self.wait_for_permit();
+                let retry_after = permits::retry_after(self.shared, &self.req.service);
+                self.retry_after = retry_after.unwrap_or(RETRY_AFTER);
                 return self.final_response(Refusal::NoTarget, Refusal::Lost);
             };
             self.total_attempts += 1;
@@ -129,26 +130,16 @@
     /// Returns `None` if no target is usable, or if the attempt limit or the service's budget of
     /// repeated sends is exhausted.
     async fn next_target(&self) -> Option<ChosenTarget> {
-        let (shared, service) = (self.shared, &self.req.service);
-        let is_repeat = self.total_attempts > 0;
-        if self.total_attempts > MAX_REPEATED_ATTEMPTS || (is_repeat && !shared.has_repeat(service))
-        {
+        let (shared, req) = (self.shared, self.req);
+        if self.total_attempts > MAX_REPEATED_ATTEMPTS {
             return None;
         }
-        loop {
+        let choose = || {
             let now = shared.now();
-            let target = shared.targets().choose(service, &self.excluded, now)?;
-            if permits::acquire(shared, self.req, target.key).await {
-                return (!is_repeat || shared.take_repeat(service)).then_some(target);
-            }
-        }
-    }
-
-    /// Tells the caller to come back when a target has a permit, if all targets lack one.
-    fn wait_for_permit(&mut self) {
-        let now = self.shared.now();
-        let wait = self.shared.targets().permit_wait_ms(&self.req.service, now);
-        self.retry_after = wait.map_or(RETRY_AFTER, Duration::from_millis);
+            let target = shared.targets().choose(&req.service, &self.excluded, now)?;
+            Some((target.key, target))
+        };
+        permits::choose_permitted(shared, req, self.total_attempts > 0, choose).await
     }
 
     /// Sends the request to a target and reads the whole response.
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -4,8 +4,6 @@
 //! of the request to the first engine of a route. It counts as a run if the request may have run
 //! there and that engine has not failed; the number of runs is limited.
 
-use std::time::Duration;
-
 use tokio::time::Instant;
 
 use crate::attempt::{AttemptError, Destination, OpenResponse, send};
@@ -32,7 +30,8 @@
             }
             let content = self.begin_attempt().await?;
             let Some(route) = self.next_route(avoided).await else {
-                self.wait_for_permit();
+                let retry_after = permits::retry_after(&self.shared, &self.req.service);
+                self.retry_after = retry_after.unwrap_or(RETRY_AFTER);
                 return Err(self.unavailable_refusal());
             };
             self.total_attempts += 1;
@@ -71,24 +70,15 @@
     /// Returns `None` if no route exists, or if the limit of attempts or the service's budget of
     /// repeated sends is exhausted.
     async fn next_route(&self, avoided: AvoidedEngines) -> Option<Vec<RouteHop>> {
-        let (shared, service) = (&self.shared, &self.req.service);
-        let is_repeat = self.total_attempts > 0;
-        if self.total_attempts >= MAX_TOTAL_ATTEMPTS || (is_repeat && !shared.has_repeat(service)) {
+        if self.total_attempts >= MAX_TOTAL_ATTEMPTS {
             return None;
         }
-        loop {
+        let choose = || {
             let route = self.find_route(avoided)?;
-            if permits::acquire(shared, &self.req, route[0].key).await {
-                return (!is_repeat || shared.take_repeat(service)).then_some(route);
-            }
-        }
-    }
-
-    /// Tells the caller to come back when an engine has a permit, if all first engines lack one.
-    fn wait_for_permit(&mut self) {
-        let now = self.shared.now();
-        let wait = self.shared.targets().permit_wait_ms(&self.req.service, now);
-        self.retry_after = wait.map_or(RETRY_AFTER, Duration::from_millis);
+            Some((route[0].key, route))
+        };
+        let is_repeat = self.total_attempts > 0;
+        permits::choose_permitted(&self.shared, &self.req, is_repeat, choose).await
     }
 
     /// Sends the request to the first engine of a route and opens its response.
