Compute the identifier of a crash once for each incarnation

Cause: every attempt formatted and hashed the target's identity, though a crash is rare. Change: the identifier is kept with the target, which a new incarnation replaces. Behaviour is the same.

--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -76,6 +76,8 @@
 #[derive(Clone, Debug)]
 pub struct Target {
     record: Registration,
+    /// Identifier of a crash of this incarnation.
+    crash: CrashId,
     /// Index of the target's zone in [`Targets::zones`].
     zone: u16,
     in_flight_requests: u32,
@@ -106,7 +108,9 @@
 
 impl Target {
     fn new(record: Registration, zone: u16) -> Self {
+        let incarnation = format!("{}/{}", record.id, record.incarnation);
         Self {
+            crash: CrashId(Digest::of(incarnation.as_bytes()).prefix()),
             record,
             zone,
             in_flight_requests: 0,
@@ -423,9 +427,7 @@
     ///
     /// All ingresses use the same one. Returns `None` if the target has deregistered.
     pub fn crash_id(&self, key: TargetKey) -> Option<CrashId> {
-        let record = &self.arena.get(key)?.record;
-        let incarnation = format!("{}/{}", record.id, record.incarnation);
-        Some(CrashId(Digest::of(incarnation.as_bytes()).prefix()))
+        self.arena.get(key).map(|target| target.crash)
     }
 
     /// Returns the route's engines in other zones than its first engine.
