Log the size, senders and times of deployments and slow writes on links

Cause: no line told how large a document is, who sent it when, or how long an ingress needs to install it. Change: TS1103, TS2508 and TS4106; TS4104 names size, sender and times. No decision changes.

--- a/crates/toucanshelf-control/src/directory/ingresses.rs
+++ b/crates/toucanshelf-control/src/directory/ingresses.rs
@@ -215,7 +215,7 @@
     if send_initial_state(&shared, &link.tx) {
         while let Some(frame) = link.rx.recv().await {
             match frame {
-                Frame::FetchDeployment if !send_deployment(&shared, &link.tx) => break,
+                Frame::FetchDeployment if !send_deployment(&shared, &link) => break,
                 Frame::RegistrationsSeen { push } => directory.ingresses.acknowledge(id, push),
                 Frame::Suspected { address } => {
                     tracing::info!(event = "TS2506", ingress = %link.peer.name, %address, "target suspected");
@@ -284,14 +284,21 @@
 /// Sends the applied deployment to an ingress, if there is one.
 ///
 /// Returns `false` if the link's outgoing queue is full.
-fn send_deployment(shared: &Shared, tx: &mpsc::Sender<Frame>) -> bool {
+fn send_deployment(shared: &Shared, link: &Link) -> bool {
     let document = shared.driver.state().deployment().cloned();
     let Some(document) = document else {
         return true;
     };
+    tracing::info!(
+        event = "TS2508",
+        ingress = %link.peer.name,
+        version = document.version,
+        bytes = document.bytes.len(),
+        "deployment sent"
+    );
     let frame = Frame::Deployment {
         version: document.version,
         document: document.bytes.clone(),
     };
-    tx.try_send(frame).is_ok()
+    link.tx.try_send(frame).is_ok()
 }
--- a/crates/toucanshelf-ingress/src/control.rs
+++ b/crates/toucanshelf-ingress/src/control.rs
@@ -119,6 +119,12 @@
         link.is_some_and(|link| !std::mem::replace(&mut link.shares_findings, true))
     }
 
+    /// Returns the time since a deployment was last requested, in milliseconds.
+    fn fetch_age_ms(&self) -> Option<u64> {
+        let (_, requested_at) = self.links().last_fetch?;
+        Some(requested_at.elapsed().as_millis() as u64)
+    }
+
     /// Returns whether to request the deployment `version` now, and records the request.
     ///
     /// The answer is `false` if that version or a newer one was already requested within the last
@@ -230,10 +236,13 @@
         Frame::DeploymentHead { version } => {
             let newer = shared.version().is_none_or(|own| version > own);
             let fetch = newer && shared.control.may_fetch(version);
+            if fetch {
+                tracing::info!(event = "TS4106", version, %address, "deployment requested");
+            }
             !fetch || tx.try_send(Frame::FetchDeployment).is_ok()
         }
         Frame::Deployment { version, document } => {
-            handle_deployment(shared, version, &document);
+            handle_deployment(shared, address, version, &document);
             true
         }
         Frame::Registrations { push, records } => {
@@ -260,10 +269,12 @@
 /// Decodes, validates and activates a deployment.
 ///
 /// A deployment that isn't newer than the active one is ignored.
-fn handle_deployment(shared: &Shared, version: u64, document: &[u8]) {
+fn handle_deployment(shared: &Shared, address: SocketAddr, version: u64, document: &[u8]) {
     if shared.version().is_some_and(|own| own >= version) {
         return;
     }
+    let fetch_ms = shared.control.fetch_age_ms();
+    let received = Instant::now();
     let deployment = shared.dialect.deployment(document);
     let checked = deployment.and_then(|deployment| deployment.check().map(|()| deployment));
     match checked {
@@ -271,7 +282,16 @@
             let routes = deployment.routes.len();
             if shared.install_deployment(deployment) {
                 shared.metrics.deployment_version.set(version as i64);
-                tracing::info!(event = "TS4104", version, routes, "deployment installed");
+                tracing::info!(
+                    event = "TS4104",
+                    version,
+                    routes,
+                    %address,
+                    bytes = document.len(),
+                    fetch_ms,
+                    install_ms = received.elapsed().as_millis() as u64,
+                    "deployment installed"
+                );
             }
         }
         // Control distributes only deployments that it has validated, so this is unexpected. The
--- a/crates/toucanshelf-link/src/link.rs
+++ b/crates/toucanshelf-link/src/link.rs
@@ -11,7 +11,7 @@
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
@@ -32,6 +32,8 @@
 ///
 /// Also the time limit for closing a link's connection in an orderly way.
 const PING_INTERVAL: Duration = Duration::from_secs(1);
+/// Time to write a frame from which on the write is logged as slow.
+const SLOW_WRITE: Duration = Duration::from_millis(500);
 /// Time limit for connecting to a peer and completing the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum size of a handshake message, in bytes.
@@ -267,6 +269,7 @@
     let (out_tx, mut out_rx) = mpsc::channel::<Frame>(MAX_QUEUED_FRAMES);
     let (in_tx, in_rx) = mpsc::channel(MAX_QUEUED_FRAMES);
     let (mut sink, mut stream) = socket.split();
+    let peer_name = peer.name.clone();
     let reader = tokio::spawn(async move {
         loop {
             let Ok(Some(Ok(message))) = timeout(IDLE_TIMEOUT, stream.next()).await else {
@@ -296,9 +299,23 @@
                 Ok(None) => break,
                 Err(_) => Frame::Ping,
             };
+            let bytes = encode(&frame);
+            let (size, started) = (bytes.len(), Instant::now());
             // Without the timeout, a peer that has stopped reading would block this task forever.
-            let sent = timeout(IDLE_TIMEOUT, sink.send(Message::Binary(encode(&frame)))).await;
-            if !matches!(sent, Ok(Ok(()))) {
+            let sent = timeout(IDLE_TIMEOUT, sink.send(Message::Binary(bytes))).await;
+            let complete = matches!(sent, Ok(Ok(())));
+            if started.elapsed() >= SLOW_WRITE {
+                tracing::warn!(
+                    event = "TS1103",
+                    peer = %peer_name,
+                    bytes = size,
+                    ms = started.elapsed().as_millis() as u64,
+                    waiting = out_rx.len(),
+                    complete,
+                    "frame written slowly"
+                );
+            }
+            if !complete {
                 break;
             }
         }
