Add failing tests of large deployments and unanswered requests

Cause: every change is sent as a whole document; a request without an answer is repeated only after the next announcement; a frame that takes over three seconds closes its link.

--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -1,8 +1,10 @@
 //! Tests of links: key and version checks in the handshake, and decoders.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use proptest::prelude::*;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::sync::mpsc;
 use toucanshelf_core::digest::Digest;
 use toucanshelf_core::engine::EngineLine;
@@ -12,7 +14,7 @@
 use toucanshelf_core::ticket::{Ticket, TicketRecord, Verdict};
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::handshake::{Hello, SharedKey};
-use toucanshelf_link::link::{Link, LinkError, connect, serve};
+use toucanshelf_link::link::{IDLE_TIMEOUT, Link, LinkError, connect, serve};
 
 fn key(text: &str) -> SharedKey {
     SharedKey::new(text).unwrap()
@@ -67,6 +69,62 @@
     assert!(error.to_string().contains("version 99"), "{error}");
 }
 
+/// Bytes that [`slow_proxy`] forwards at once.
+const CHUNK_BYTES: usize = 64 * 1024;
+/// Pause of [`slow_proxy`] after each chunk, much shorter than the idle timeout of a link.
+const CHUNK_PAUSE: Duration = Duration::from_millis(100);
+
+/// Starts a proxy that forwards what clients send to `target` slowly, and returns its address.
+async fn slow_proxy(target: SocketAddr) -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let (client, _) = listener.accept().await.unwrap();
+        let server = tokio::net::TcpStream::connect(target).await.unwrap();
+        let (mut client_rx, mut client_tx) = client.into_split();
+        let (mut server_rx, mut server_tx) = server.into_split();
+        tokio::spawn(async move { tokio::io::copy(&mut server_rx, &mut client_tx).await });
+        let mut buf = vec![0; CHUNK_BYTES];
+        loop {
+            let len = client_rx.read(&mut buf).await.unwrap_or(0);
+            if len == 0 || server_tx.write_all(&buf[..len]).await.is_err() {
+                return;
+            }
+            if len == CHUNK_BYTES {
+                tokio::time::sleep(CHUNK_PAUSE).await;
+            }
+        }
+    });
+    address
+}
+
+/// Guards against links that are closed as idle while a large frame is on its way.
+///
+/// A frame that takes longer than the idle timeout would never arrive, since it starts anew on
+/// each new link.
+#[tokio::test(flavor = "multi_thread")]
+async fn large_frame_over_slow_link() {
+    let (address, mut links) = listen().await;
+    let address = slow_proxy(address).await;
+    let hello = Hello::for_gate("client", "b");
+    let link = connect(address, &hello, &key("the shared key of tests"))
+        .await
+        .unwrap();
+    let mut accepted = links.recv().await.unwrap();
+    let chunks = 2 * IDLE_TIMEOUT.as_millis() / CHUNK_PAUSE.as_millis();
+    let document = vec![7; chunks as usize * CHUNK_BYTES];
+    let frame = Frame::Deployment {
+        version: 1,
+        document: document.clone().into(),
+    };
+    link.tx.send(frame).await.unwrap();
+    let received = accepted.rx.recv().await;
+    let Some(Frame::Deployment { document: got, .. }) = received else {
+        panic!("the link was closed: {received:?}");
+    };
+    assert!(*got == *document);
+}
+
 /// Guards against frames that are sent to a control instance of a build without them.
 #[test]
 fn members_of_older_build() {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod crashing_content;
 mod delivery;
 mod deployment;
+mod deployment_distribution;
 mod docs;
 mod endless;
 mod events;
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -26,14 +26,14 @@
 use toucanshelf_runtime::serve::{ConnectionLimits, serve};
 
 /// Shared key of the link between the control instance and the ingress.
-const LINK_KEY: &str = "a key for the links of these tests";
+pub const LINK_KEY: &str = "a key for the links of these tests";
 /// SHA-256 digest of the operator token `example-operator-token`.
 const OPERATOR_TOKEN_DIGEST: &str =
     "cadaee6d96cfc6f48b78f8783c9493f48be29ff3e90ac85c219f014cb73b1eae";
 /// Timeout for a state to be reached.
 ///
 /// It is so long that a test fails only if the state is never reached.
-const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
+pub const WAIT_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// Builds a deployment document in the platform's JSON form.
 pub struct DeploymentBuilder {
@@ -519,6 +519,17 @@
         targets: &[(&str, &Target)],
     ) -> Self {
         let ingress = start_ingress("i1", &control).await;
+        Self::with_ingress(control, folder, ingress, document, targets).await
+    }
+
+    /// Does the same as [`Platform::with_control`] with an ingress that runs already.
+    pub async fn with_ingress(
+        control: Control,
+        folder: tempfile::TempDir,
+        ingress: Ingress,
+        document: &str,
+        targets: &[(&str, &Target)],
+    ) -> Self {
         let platform = Self {
             control,
             ingress,
@@ -624,11 +635,17 @@
 
 /// Starts an ingress that is linked to `control`.
 pub async fn start_ingress(name: &str, control: &Control) -> Ingress {
+    start_linked_ingress(name, &["127.0.0.1"], control.link_address().port()).await
+}
+
+/// Starts an ingress that connects to control instances at the IP addresses `seeds`.
+pub async fn start_linked_ingress(name: &str, seeds: &[&str], link_port: u16) -> Ingress {
+    let seeds: Vec<_> = seeds.iter().map(|ip| format!("'{ip}:1'")).collect();
     let settings = format!(
         "name = '{name}'\nzone = 'z'\nlisten = '127.0.0.1:0'\nready-listen = '127.0.0.1:0'\n\
-         metrics-listen = '127.0.0.1:0'\nlink-key = '{LINK_KEY}'\nseeds = ['127.0.0.1:1']\n\
-         link-port = {}\nrepeat-slack = 100.0\n",
-        control.link_address().port()
+         metrics-listen = '127.0.0.1:0'\nlink-key = '{LINK_KEY}'\nseeds = [{}]\n\
+         link-port = {link_port}\nrepeat-slack = 100.0\n",
+        seeds.join(", ")
     );
     let settings = toucanshelf_runtime::settings::parse("ingress.toml", &settings).unwrap();
     let dialect = Arc::new(PlatformDialect);
