Send changes of a deployment as patches, requested from one instance at a time

What callers saw: requests handled by an old configuration, or refused with 404, 2.5 to 4.4 s after a change was acknowledged (CONFIG), and control instances that ran out of memory. Cause: each change went as a whole document through the log and to each ingress; each announcement after 250 ms led to one more request while the first answer was still on its way, and no announcement meant no request. Change: a submission becomes a patch: the document compressed (zstd) with the current one as dictionary.

ingress has one request under way, to an instance that its name selects, and turns to the next one by a timer. Members and Standing tell whether the sender knows patches; with older programs all stays as it was. Conclusion: the cost of a change follows the change.

--- a/crates/toucanshelf-control/src/directory/calls.rs
+++ b/crates/toucanshelf-control/src/directory/calls.rs
@@ -12,13 +12,14 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::Incoming;
 use serde_bytes::ByteBuf;
+use tokio::time::Instant;
 use toucanshelf_core::registration::{Readiness, Registration};
 use toucanshelf_core::registry::RegistryChange;
 use toucanshelf_core::state::{CommandBody, DeploymentDocument, Reply};
 use toucanshelf_link::dialect::ControlCall;
 
 use crate::Shared;
-use crate::directory::{Directory, forward_registrations};
+use crate::directory::{Directory, deployments, forward_registrations};
 
 /// Maximum size of the body of an API request, in bytes.
 const MAX_CALL_BYTES: usize = 16 * 1024 * 1024;
@@ -57,7 +58,9 @@
     }
 }
 
+/// Commits a deployment and answers once the linked ingresses use it, within a time limit.
 async fn put_deployment(shared: &Arc<Shared>, directory: &Directory, body: Bytes) -> CallResponse {
+    let submitted = Instant::now();
     let decoded = directory.dialect.deployment(&body);
     let checked = decoded.and_then(|deployment| deployment.check().map(|()| deployment.version));
     let version = match checked {
@@ -76,15 +79,18 @@
             outcome = "overtaken",
             "deployment submitted"
         );
+        deployments::wait_until_in_force(directory, version, submitted).await;
         return empty_response();
     }
-    let command = CommandBody::Deploy {
+    let document = DeploymentDocument {
         version,
-        document: ByteBuf::from(body.to_vec()),
+        bytes: ByteBuf::from(body.to_vec()),
     };
-    match shared.submit(command, true).await {
+    drop(body);
+    match deployments::submit(shared, &document).await {
         Ok(reply) => {
             tracing::info!(event = "TS2511", version, known = current, outcome = ?reply, "deployment submitted");
+            deployments::wait_until_in_force(directory, version, submitted).await;
             empty_response()
         }
         Err(e) => {
--- a/crates/toucanshelf-control/src/directory/ingresses.rs
+++ b/crates/toucanshelf-control/src/directory/ingresses.rs
@@ -17,7 +17,7 @@
 use toucanshelf_routing::permits::Permit;
 
 use crate::Shared;
-use crate::directory::Directory;
+use crate::directory::{Directory, deployments};
 
 /// Time limit for all linked ingress instances to acknowledge a push.
 // A target waits at most one second for the acknowledgement of its departure or drain.
@@ -34,6 +34,11 @@
     acknowledged_push: u64,
     /// Whether the instance shares findings about content that crashes targets.
     shares_findings: bool,
+    /// Version of the deployment that the instance has reported to use.
+    ///
+    /// `None` for one that has none yet, or whose program doesn't report it.
+    deployment_in_force: Option<u64>,
+    name: Box<str>,
 }
 
 /// Open links to ingress instances, and the number of the latest push.
@@ -70,17 +75,19 @@
         open.map(|session| session.zone.clone()).collect()
     }
 
-    fn open(&self, zone: Box<str>, tx: mpsc::Sender<Frame>) -> u32 {
+    fn open(&self, link: &Link) -> u32 {
         let mut sessions = self.sessions();
         sessions.next_id += 1;
         let id = sessions.next_id;
         sessions.open.insert(
             id,
             Session {
-                zone,
-                tx,
+                zone: link.peer.zone.clone(),
+                tx: link.tx.clone(),
                 acknowledged_push: 0,
                 shares_findings: false,
+                deployment_in_force: None,
+                name: link.peer.name.clone(),
             },
         );
         id
@@ -134,6 +141,33 @@
         }
     }
 
+    fn record_in_force(&self, id: u32, version: u64) {
+        if let Some(session) = self.sessions().open.get_mut(&id) {
+            session.deployment_in_force = session.deployment_in_force.max(Some(version));
+        }
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until all linked ingresses that report their deployment use `version`, or until `due`.
+    ///
+    /// Returns the names of those that don't use it yet.
+    pub(crate) async fn wait_until_in_force(&self, version: u64, due: Instant) -> Vec<Box<str>> {
+        loop {
+            let changed = self.changed.notified();
+            let missing: Vec<_> = {
+                let sessions = self.sessions();
+                let behind = sessions.open.values().filter(|session| {
+                    let in_force = session.deployment_in_force;
+                    in_force.is_some_and(|in_force| in_force < version)
+                });
+                behind.map(|session| session.name.clone()).collect()
+            };
+            if missing.is_empty() || tokio::time::timeout_at(due, changed).await.is_err() {
+                return missing;
+            }
+        }
+    }
+
     /// Marks an ingress instance as one that shares findings; returns whether it is new.
     fn add_finder(&self, id: u32) -> bool {
         let mut sessions = self.sessions();
@@ -200,6 +234,7 @@
         ingress_zones: directory.ingresses.zones(),
         accepts_findings: true,
         issues_permits: true,
+        sends_patches: true,
     }
 }
 
@@ -208,14 +243,18 @@
     let Some(directory) = &shared.directory else {
         return;
     };
-    let id = directory
-        .ingresses
-        .open(link.peer.zone.clone(), link.tx.clone());
+    let id = directory.ingresses.open(&link);
     tracing::info!(event = "TS2505", ingress = %link.peer.name, "ingress linked");
     if send_initial_state(&shared, &link.tx) {
         while let Some(frame) = link.rx.recv().await {
             match frame {
                 Frame::FetchDeployment if !send_deployment(&shared, &link) => break,
+                Frame::FetchPatches { known, wanted } => {
+                    deployments::answer_fetch(&shared, &link, known, wanted);
+                }
+                Frame::DeploymentInForce { version } => {
+                    directory.ingresses.record_in_force(id, version);
+                }
                 Frame::RegistrationsSeen { push } => directory.ingresses.acknowledge(id, push),
                 Frame::Suspected { address } => {
                     tracing::info!(event = "TS2506", ingress = %link.peer.name, %address, "target suspected");
@@ -281,7 +320,7 @@
     tx.try_send(Frame::CrashFindings { findings }).is_ok()
 }
 
-/// Sends the applied deployment to an ingress, if there is one.
+/// Sends the whole deployment to an ingress of an older program, if there is one.
 ///
 /// Returns `false` if the link's outgoing queue is full.
 fn send_deployment(shared: &Shared, link: &Link) -> bool {
--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -9,6 +9,7 @@
 //! ingress's report that requests to a target fail or stall.
 
 pub mod calls;
+mod deployments;
 pub mod ingresses;
 pub mod orders;
 pub mod reconciler;
@@ -22,6 +23,7 @@
 use tokio::sync::watch;
 use toucanshelf_core::crash::Finding;
 use toucanshelf_core::deployment::Deployment;
+use toucanshelf_core::deployment_patch::DeploymentPatch;
 use toucanshelf_core::registration::Registration;
 use toucanshelf_core::registry::{Registry, RegistryChange};
 use toucanshelf_core::state::DeploymentDocument;
@@ -60,6 +62,8 @@
     permits: Mutex<BTreeMap<Box<str>, PermitBucket>>,
     /// Deployment that was decoded last, kept to avoid decoding the same version again.
     decoded_deployment: Mutex<Option<Arc<Deployment>>>,
+    /// Whole document that was compressed last, for ingresses that have no earlier version.
+    whole_document: Mutex<Option<Arc<DeploymentPatch>>>,
     /// Expected interval between a target's heartbeats, in milliseconds.
     heartbeat_ms: u64,
     started: Instant,
@@ -76,6 +80,7 @@
             crash_ledgers: Mutex::default(),
             permits: Mutex::default(),
             decoded_deployment: Mutex::default(),
+            whole_document: Mutex::default(),
             heartbeat_ms: settings.heartbeat_ms,
             started: Instant::now(),
         }
@@ -171,6 +176,19 @@
         suspicions.retain(|_, time| now < *time + SUSPICION_RETENTION_MS);
     }
 
+    /// Compresses a deployment document, or returns the cached result for the same version.
+    pub(crate) fn whole_document(&self, document: &DeploymentDocument) -> Arc<DeploymentPatch> {
+        let mut cached = self.whole_document.lock().expect("no lock holder panics");
+        match cached.as_ref() {
+            Some(patch) if patch.version == document.version => Arc::clone(patch),
+            _ => {
+                let patch = Arc::new(DeploymentPatch::new(None, document));
+                *cached = Some(Arc::clone(&patch));
+                patch
+            }
+        }
+    }
+
     /// Decodes a deployment document, or returns the cached deployment of the same version.
     ///
     /// Returns `None` if the document cannot be decoded.
--- a/crates/toucanshelf-control/src/peers.rs
+++ b/crates/toucanshelf-control/src/peers.rs
@@ -46,6 +46,8 @@
     addresses: Mutex<BTreeSet<SocketAddr>>,
     bootstrap: bool,
     links: Mutex<BTreeMap<SocketAddr, Peer>>,
+    /// Replicas that have reported that they can read patches of the deployment.
+    patch_readers: Mutex<BTreeSet<ReplicaId>>,
     /// Senders of the replies to forwarded commands, by the id of the command.
     pending_replies: Mutex<BTreeMap<u64, ReplySender>>,
     next_id: AtomicU64,
@@ -61,6 +63,7 @@
             addresses: Mutex::default(),
             bootstrap: settings.bootstrap,
             links: Mutex::default(),
+            patch_readers: Mutex::default(),
             pending_replies: Mutex::default(),
             next_id: AtomicU64::new(1),
         }
@@ -165,6 +168,14 @@
             .remove(&id)
     }
 
+    /// Returns whether all `replicas` have reported that they can read patches of the deployment.
+    ///
+    /// One that hasn't may run an older program, which can't read a log with patches.
+    pub fn all_read_patches(&self, replicas: impl IntoIterator<Item = ReplicaId>) -> bool {
+        let readers = self.patch_readers.lock().expect("no lock holder panics");
+        replicas.into_iter().all(|id| readers.contains(&id))
+    }
+
     /// Returns whether every other known instance has reported that it has no log.
     fn all_disks_empty(&self) -> bool {
         let links = self.links.lock().expect("no lock holder panics");
@@ -219,7 +230,13 @@
                     let _ = reply.send(result);
                 }
             }
-            Frame::Standing { log } => handle_standing(shared, address, log),
+            Frame::Standing { log, reads_patches } => {
+                if let Some(replica) = replica.filter(|_| reads_patches) {
+                    let mut readers = peers.patch_readers.lock().expect("no lock holder panics");
+                    readers.insert(replica);
+                }
+                handle_standing(shared, address, log);
+            }
             Frame::Members { links, .. } => {
                 for link in links {
                     peers.add_address(shared, link);
@@ -257,7 +274,9 @@
 /// Handles the frames on a link that another control instance has opened.
 pub(crate) async fn serve(shared: Arc<Shared>, mut link: Link) {
     let log = shared.driver.log();
-    if link.tx.send(Frame::Standing { log }).await.is_err() {
+    let reads_patches = true;
+    let standing = Frame::Standing { log, reads_patches };
+    if link.tx.send(standing).await.is_err() {
         return;
     }
     while let Some(frame) = link.rx.recv().await {
@@ -271,6 +290,7 @@
                     ingress_zones: Vec::new(),
                     accepts_findings: false,
                     issues_permits: false,
+                    sends_patches: false,
                 };
                 if link.tx.try_send(frame).is_err() {
                     return;
--- a/crates/toucanshelf-core/src/lib.rs
+++ b/crates/toucanshelf-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod configuration;
 pub mod crash;
 pub mod deployment;
+pub mod deployment_patch;
 pub mod digest;
 pub mod document;
 pub mod engine;
--- a/crates/toucanshelf-core/src/state.rs
+++ b/crates/toucanshelf-core/src/state.rs
@@ -13,6 +13,7 @@
 
 use crate::claim::{ClaimCommand, ClaimKey, ClaimReply, Claims};
 use crate::configuration::{Configuration, Delta, Snapshot};
+use crate::deployment_patch::DeploymentPatch;
 use crate::ids::{LogTimeMs, Revision, TicketNumber};
 use crate::ticket::{Ticket, TicketRecord, Verdict};
 
@@ -20,6 +21,12 @@
 ///
 /// A gate that lags further behind receives a snapshot of the configuration.
 pub const MAX_RETAINED_DELTAS: usize = 4_096;
+/// Maximum number of deployment patches kept for ingresses that lag behind.
+///
+/// An ingress that lags further behind receives the whole document.
+pub const MAX_RETAINED_PATCHES: usize = 256;
+/// Maximum total size of the deployment patches kept, in bytes.
+pub const MAX_RETAINED_PATCH_BYTES: usize = 1024 * 1024;
 
 /// A command in the replicated log.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -65,6 +72,11 @@
         /// Deployment document, exactly as the operator sent it.
         document: ByteBuf,
     },
+    /// Replaces the deployment, like [`CommandBody::Deploy`], by a patch of the current document.
+    ///
+    /// A patch of a document that is no longer the current one changes nothing; the reply then has
+    /// a lower version than the patch. Older programs cannot read this command.
+    DeployPatch(DeploymentPatch),
     /// Reads the version of the deployment at this command's position in the log.
     ///
     /// The result reflects all earlier commands, whereas the local state of a lagging instance may
@@ -104,6 +116,10 @@
     verdicts: BTreeMap<TicketNumber, TicketRecord>,
     claims: Claims,
     deployment: Option<Arc<DeploymentDocument>>,
+    /// Latest changes of the deployment, of which each applies to the result of the previous one.
+    ///
+    /// The first may be one without a base. A snapshot does not include them.
+    patches: VecDeque<Arc<DeploymentPatch>>,
     now: LogTimeMs,
     deltas: VecDeque<Delta>,
 }
@@ -145,6 +161,10 @@
                 self.apply_deployment(version, document);
                 Reply::Deployment(self.deployment_version())
             }
+            CommandBody::DeployPatch(patch) => {
+                self.apply_patch(patch);
+                Reply::Deployment(self.deployment_version())
+            }
             CommandBody::DeploymentVersion => Reply::Deployment(self.deployment_version()),
         }
     }
@@ -155,6 +175,28 @@
             .is_none_or(|current| version > current)
         {
             self.deployment = Some(Arc::new(DeploymentDocument { version, bytes }));
+            self.patches.clear();
+        }
+    }
+
+    fn apply_patch(&mut self, patch: DeploymentPatch) {
+        let current = self.deployment_version();
+        if current.is_some_and(|current| current >= patch.version) {
+            return;
+        }
+        // All replicas fail alike, and the reply tells the submitter.
+        let Ok(document) = patch.apply(self.deployment.as_deref()) else {
+            return;
+        };
+        self.deployment = Some(Arc::new(document));
+        if patch.base.is_none() {
+            self.patches.clear();
+        }
+        self.patches.push_back(Arc::new(patch));
+        let mut bytes: usize = self.patches.iter().map(|patch| patch.bytes.len()).sum();
+        while self.patches.len() > MAX_RETAINED_PATCHES || bytes > MAX_RETAINED_PATCH_BYTES {
+            let dropped = self.patches.pop_front();
+            bytes -= dropped.map_or(0, |patch| patch.bytes.len());
         }
     }
 
@@ -220,6 +262,15 @@
         self.deployment.as_ref().map(|document| document.version)
     }
 
+    /// Returns the patches that lead from `version` to the current deployment.
+    ///
+    /// Returns `None` if some of them are not kept, or if the deployment is not newer.
+    pub fn patches_after(&self, version: u64) -> Option<Vec<Arc<DeploymentPatch>>> {
+        let mut patches = self.patches.iter();
+        let first = patches.position(|patch| patch.base == Some(version))?;
+        Some(self.patches.iter().skip(first).cloned().collect())
+    }
+
     /// Returns the stored claims.
     pub fn claims(&self) -> &Claims {
         &self.claims
@@ -275,6 +326,7 @@
             verdicts: verdicts.collect(),
             claims: decode(&encoded.claims)?,
             deployment: encoded.deployment.map(Arc::new),
+            patches: VecDeque::new(),
             now: encoded.now,
             deltas: VecDeque::new(),
         })
--- a/crates/toucanshelf-ingress/src/control.rs
+++ b/crates/toucanshelf-ingress/src/control.rs
@@ -11,21 +11,20 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 use toucanshelf_core::crash::Finding;
 use toucanshelf_core::digest::Digest;
+use toucanshelf_core::state::DeploymentDocument;
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::handshake::{Hello, SharedKey};
 use toucanshelf_link::link::{self, Link};
 
 use toucanshelf_routing::permits::Permit;
 
+use crate::deployments::{self, DeploymentSource};
 use crate::shared::Shared;
 
 /// Delay between attempts to connect to a control instance.
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
-/// Time after which the ingress may request a deployment again, from any instance.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// An open link to a control instance.
 #[derive(Debug)]
@@ -35,6 +34,10 @@
     shares_findings: bool,
     /// Whether the control instance issues permits.
     issues_permits: bool,
+    /// Whether the control instance sends changes of the deployment.
+    ///
+    /// `None` until the instance has told it.
+    sends_patches: Option<bool>,
 }
 
 #[derive(Debug, Default)]
@@ -43,8 +46,6 @@
     open: BTreeMap<SocketAddr, OpenLink>,
     /// Addresses of control instances for which a task keeps a link open.
     known: Vec<SocketAddr>,
-    /// Version of the deployment that was last requested, and the time of the request.
-    last_fetch: Option<(u64, Instant)>,
 }
 
 /// Links of this ingress to all control instances that it knows.
@@ -106,6 +107,42 @@
         true
     }
 
+    /// Returns the linked control instances in the order in which the ingress `name` asks them.
+    ///
+    /// Each ingress has another order, which is the same as long as the links are.
+    pub fn sources(&self, name: &str) -> Vec<DeploymentSource> {
+        let links = self.links();
+        let sources = links.open.iter().filter_map(|(address, link)| {
+            Some(DeploymentSource {
+                address: *address,
+                tx: link.tx.clone(),
+                sends_patches: link.sends_patches?,
+            })
+        });
+        let mut sources: Vec<_> = sources.collect();
+        let rank =
+            |source: &DeploymentSource| Digest::of(format!("{}/{name}", source.address).as_bytes());
+        sources.sort_by_cached_key(rank);
+        sources
+    }
+
+    /// Reports the version of the active deployment to the control instances that count it.
+    pub fn report_in_force(&self, version: u64) {
+        for link in self.links().open.values() {
+            if link.sends_patches == Some(true) {
+                // A full queue drops the report, and the next version replaces it.
+                let _ = link.tx.try_send(Frame::DeploymentInForce { version });
+            }
+        }
+    }
+
+    /// Records whether a control instance sends changes; returns whether that was unknown.
+    fn record_source(&self, address: SocketAddr, sends_patches: bool) -> bool {
+        let mut links = self.links();
+        let link = links.open.get_mut(&address);
+        link.is_some_and(|link| link.sends_patches.replace(sends_patches).is_none())
+    }
+
     fn record_issuer(&self, address: SocketAddr, issues_permits: bool) {
         if let Some(link) = self.links().open.get_mut(&address) {
             link.issues_permits = issues_permits;
@@ -118,28 +155,6 @@
         let link = links.open.get_mut(&address);
         link.is_some_and(|link| !std::mem::replace(&mut link.shares_findings, true))
     }
-
-    /// Returns the time since a deployment was last requested, in milliseconds.
-    fn fetch_age_ms(&self) -> Option<u64> {
-        let (_, requested_at) = self.links().last_fetch?;
-        Some(requested_at.elapsed().as_millis() as u64)
-    }
-
-    /// Returns whether to request the deployment `version` now, and records the request.
-    ///
-    /// The answer is `false` if that version or a newer one was already requested within the last
-    /// [`FETCH_TIMEOUT`].
-    fn may_fetch(&self, version: u64) -> bool {
-        let mut links = self.links();
-        let now = Instant::now();
-        let requested = links
-            .last_fetch
-            .is_some_and(|(requested, at)| requested >= version && now < at + FETCH_TIMEOUT);
-        if !requested {
-            links.last_fetch = Some((version, now));
-        }
-        !requested
-    }
 }
 
 /// Starts links to the control instances in the settings.
@@ -152,6 +167,7 @@
         .map(|seed| SocketAddr::new(seed.ip(), settings.link_port))
         .collect();
     connect_new(shared, key, links);
+    tokio::spawn(deployments::run(Arc::clone(shared)));
 }
 
 /// For each new address, starts a task that keeps a link to it open.
@@ -186,6 +202,7 @@
         tx,
         shares_findings: false,
         issues_permits: false,
+        sends_patches: None,
     };
     shared.control.links().open.insert(address, open);
     shared.metrics.control_links.inc();
@@ -215,9 +232,15 @@
             ingress_zones,
             accepts_findings,
             issues_permits,
+            sends_patches,
         } => {
             shared.record_ingresses(&ingress_zones);
             shared.control.record_issuer(address, issues_permits);
+            let is_new = shared.control.record_source(address, sends_patches);
+            if let Some(version) = shared.version().filter(|_| is_new && sends_patches) {
+                // A full queue drops the report, and the next version replaces it.
+                let _ = tx.try_send(Frame::DeploymentInForce { version });
+            }
             shared.content.prune(shared.now());
             connect_new(shared, key, links);
             !accepts_findings
@@ -234,15 +257,17 @@
             true
         }
         Frame::DeploymentHead { version } => {
-            let newer = shared.version().is_none_or(|own| version > own);
-            let fetch = newer && shared.control.may_fetch(version);
-            if fetch {
-                tracing::info!(event = "TS4106", version, %address, "deployment requested");
-            }
-            !fetch || tx.try_send(Frame::FetchDeployment).is_ok()
+            shared.deployments.announce(version);
+            true
         }
         Frame::Deployment { version, document } => {
-            handle_deployment(shared, address, version, &document);
+            let bytes = document;
+            let document = Arc::new(DeploymentDocument { version, bytes });
+            deployments::handle_document(shared, address, document);
+            true
+        }
+        Frame::DeploymentPatches { patches } => {
+            deployments::handle_patches(shared, address, &patches);
             true
         }
         Frame::Registrations { push, records } => {
@@ -265,37 +290,3 @@
     let findings = shared.content.findings();
     tx.try_send(Frame::CrashFindings { findings }).is_ok()
 }
-
-/// Decodes, validates and activates a deployment.
-///
-/// A deployment that isn't newer than the active one is ignored.
-fn handle_deployment(shared: &Shared, address: SocketAddr, version: u64, document: &[u8]) {
-    if shared.version().is_some_and(|own| own >= version) {
-        return;
-    }
-    let fetch_ms = shared.control.fetch_age_ms();
-    let received = Instant::now();
-    let deployment = shared.dialect.deployment(document);
-    let checked = deployment.and_then(|deployment| deployment.check().map(|()| deployment));
-    match checked {
-        Ok(deployment) => {
-            let routes = deployment.routes.len();
-            if shared.install_deployment(deployment) {
-                shared.metrics.deployment_version.set(version as i64);
-                tracing::info!(
-                    event = "TS4104",
-                    version,
-                    routes,
-                    %address,
-                    bytes = document.len(),
-                    fetch_ms,
-                    install_ms = received.elapsed().as_millis() as u64,
-                    "deployment installed"
-                );
-            }
-        }
-        // Control distributes only deployments that it has validated, so this is unexpected. The
-        // previous deployment stays active.
-        Err(e) => tracing::error!(event = "TS4105", version, cause = %e, "invalid deployment"),
-    }
-}
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod attempt;
 pub mod content_guard;
 pub mod control;
+pub mod deployments;
 pub mod events;
 pub mod front;
 pub mod live_route;
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -20,6 +20,7 @@
 
 use crate::content_guard::ContentGuard;
 use crate::control::ControlLinks;
+use crate::deployments::Deployments;
 use crate::metrics::Metrics;
 use crate::permits::PendingPermits;
 use crate::pool::Pool;
@@ -53,6 +54,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Connections to the control instances.
     pub control: ControlLinks,
+    /// Documents of the deployment, and the versions that control has announced.
+    pub deployments: Deployments,
     /// Limits on requests whose content crashes targets.
     pub content: ContentGuard,
     /// Requests for permits that are not answered yet.
@@ -84,6 +87,7 @@
     pub fn new(settings: IngressSettings, dialect: Arc<dyn Dialect>) -> Self {
         Self {
             control: ControlLinks::new(),
+            deployments: Deployments::new(),
             content: ContentGuard::new(),
             response_buffers: ResponseBuffers::default(),
             permits: PendingPermits::default(),
--- a/crates/toucanshelf-link/src/frame.rs
+++ b/crates/toucanshelf-link/src/frame.rs
@@ -5,6 +5,7 @@
 //! routes and services of a platform. A push is one transfer of target registrations.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
@@ -12,6 +13,7 @@
 use toucanshelf_coordination::replica;
 use toucanshelf_core::configuration::{Delta, Snapshot};
 use toucanshelf_core::crash::Finding;
+use toucanshelf_core::deployment_patch::DeploymentPatch;
 use toucanshelf_core::ids::Revision;
 use toucanshelf_core::registration::Registration;
 use toucanshelf_core::state::{CommandBody, Reply};
@@ -126,6 +128,9 @@
     Standing {
         /// Id of the sender's log; `None` if the sender does not know one yet.
         log: Option<LogId>,
+        /// Whether the sender can read [`CommandBody::DeployPatch`], which older programs can't.
+        #[serde(default)]
+        reads_patches: bool,
     },
     /// Control to control: announces the address at which the sender accepts links.
     Introduce {
@@ -144,6 +149,11 @@
         /// Whether the sender accepts [`Frame::AskPermit`], which older programs don't know.
         #[serde(default)]
         issues_permits: bool,
+        /// Whether the sender accepts [`Frame::FetchPatches`] and [`Frame::DeploymentInForce`].
+        ///
+        /// Older programs don't know them.
+        #[serde(default)]
+        sends_patches: bool,
     },
 
     /// Control to ingress: announces the version of the current deployment.
@@ -160,6 +170,25 @@
         /// Deployment document, exactly as the operator sent it.
         document: ByteBuf,
     },
+    /// Ingress to control: requests the changes of the deployment since a version.
+    FetchPatches {
+        /// Version that the ingress has; `None` requests the whole document.
+        known: Option<u64>,
+        /// Version that the answer must reach; the receiver waits until it has applied it.
+        wanted: u64,
+    },
+    /// Control to ingress: transfers changes of the deployment, ordered by version.
+    ///
+    /// The first applies to the version that the ingress has, or is a whole document.
+    DeploymentPatches {
+        /// Changes, of which each applies to the result of the previous one.
+        patches: Vec<Arc<DeploymentPatch>>,
+    },
+    /// Ingress to control: reports the version of the deployment that it now uses.
+    DeploymentInForce {
+        /// Version of the deployment.
+        version: u64,
+    },
     /// Control to ingress or control: transfers registrations of targets.
     ///
     /// A registration is the state that a target reports with each heartbeat.
--- a/tests/testsuite/deployment_distribution.rs
+++ b/tests/testsuite/deployment_distribution.rs
@@ -109,6 +109,8 @@
                 .unwrap();
             let requests = requests.clone();
             tokio::spawn(async move {
+                // The link closes once its sender is dropped.
+                let _tx = link.tx;
                 while let Some(frame) = link.rx.recv().await {
                     if matches!(frame, Frame::FetchDeployment) {
                         let _ = requests.send(address);
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -135,12 +135,26 @@
     let Frame::Members {
         accepts_findings,
         issues_permits,
+        sends_patches,
         ..
     } = decoded
     else {
         panic!()
     };
-    assert!(!accepts_findings && !issues_permits);
+    assert!(!accepts_findings && !issues_permits && !sends_patches);
+}
+
+/// Guards against a log that a control instance of a build without patches can't read.
+#[test]
+fn standing_of_older_build() {
+    let frame = serde_json::json!({ "Standing": { "log": 7 } });
+    let mut buf = Vec::new();
+    ciborium::into_writer(&frame, &mut buf).unwrap();
+    let decoded: Frame = ciborium::from_reader(&*buf).unwrap();
+    let Frame::Standing { log, reads_patches } = decoded else {
+        panic!()
+    };
+    assert!(log == Some(7) && !reads_patches);
 }
 
 /// Guards against a conflict verdict that cannot be decoded from CBOR.
