Keep a link open while the bytes of a large frame move

What callers saw: ingresses without control for a moment, and large documents that start anew on each new link. Cause: a link was closed when one frame took over 3 s, to read or to write, although bytes moved all the while: the timeout for silence counted whole frames. A frame larger than the link carries in 3 s would never have arrived. Change: the connection counts its bytes; a link is closed after 3 s in which none has moved. Measured: large_frame_over_slow_link (twice the timeout) failed before and passes.

--- a/crates/toucanshelf-link/src/lib.rs
+++ b/crates/toucanshelf-link/src/lib.rs
@@ -16,6 +16,7 @@
 //! assert!(SharedKey::new("a key of at least sixteen bytes").is_ok());
 //! ```
 
+mod activity;
 pub mod dialect;
 pub mod engine;
 pub mod exchange;
--- a/crates/toucanshelf-link/src/link.rs
+++ b/crates/toucanshelf-link/src/link.rs
@@ -16,6 +16,7 @@
 use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
+use crate::activity::CountedStream;
 use crate::frame::{Frame, PROTOCOL_VERSION};
 use crate::handshake::{HandshakeMessage, Hello, SharedKey};
 
@@ -26,7 +27,7 @@
 /// If the outgoing queue is full, the peer is too slow, and the holder of the [`Link`] should drop
 /// it.
 pub const MAX_QUEUED_FRAMES: usize = 1_024;
-/// Time without incoming messages or write progress after which a link is closed.
+/// Time without incoming bytes or write progress after which a link is closed.
 pub const IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time without an outgoing frame after which a ping is sent.
 ///
@@ -75,7 +76,7 @@
     pub rx: mpsc::Receiver<Frame>,
 }
 
-type Socket = WebSocketStream<TcpStream>;
+type Socket = WebSocketStream<CountedStream>;
 
 /// Opens a link to the process at `address`.
 ///
@@ -99,6 +100,7 @@
         let _ = stream.set_nodelay(true);
         let url = format!("ws://{address}/link/v{PROTOCOL_VERSION}");
         let config = Some(socket_config());
+        let stream = CountedStream::new(stream);
         let (mut socket, _) = tokio_tungstenite::client_async_with_config(url, stream, config)
             .await
             .map_err(|e| unreachable(e.to_string()))?;
@@ -141,6 +143,7 @@
 async fn accept(stream: TcpStream, hello: &Hello, key: &SharedKey) -> Result<Link, LinkError> {
     let _ = stream.set_nodelay(true);
     let config = Some(socket_config());
+    let stream = CountedStream::new(stream);
     let mut socket = tokio_tungstenite::accept_async_with_config(stream, config)
         .await
         .map_err(|e| LinkError::Handshake(e.to_string().into()))?;
@@ -268,11 +271,16 @@
 fn spawn_link(socket: Socket, peer: Hello) -> Link {
     let (out_tx, mut out_rx) = mpsc::channel::<Frame>(MAX_QUEUED_FRAMES);
     let (in_tx, in_rx) = mpsc::channel(MAX_QUEUED_FRAMES);
+    let (read, written) = {
+        let stream = socket.get_ref();
+        (stream.read.clone(), stream.written.clone())
+    };
     let (mut sink, mut stream) = socket.split();
     let peer_name = peer.name.clone();
     let reader = tokio::spawn(async move {
         loop {
-            let Ok(Some(Ok(message))) = timeout(IDLE_TIMEOUT, stream.next()).await else {
+            let next = read.run_while_active(IDLE_TIMEOUT, stream.next());
+            let Some(Some(Ok(message))) = next.await else {
                 return;
             };
             if !message.is_binary() {
@@ -302,8 +310,9 @@
             let bytes = encode(&frame);
             let (size, started) = (bytes.len(), Instant::now());
             // Without the timeout, a peer that has stopped reading would block this task forever.
-            let sent = timeout(IDLE_TIMEOUT, sink.send(Message::Binary(bytes))).await;
-            let complete = matches!(sent, Ok(Ok(())));
+            let sending = sink.send(Message::Binary(bytes));
+            let sent = written.run_while_active(IDLE_TIMEOUT, sending).await;
+            let complete = matches!(sent, Some(Ok(())));
             if started.elapsed() >= SLOW_WRITE {
                 tracing::warn!(
                     event = "TS1103",
