Detect and log that an ingress reaches no target

Cause: no line told whether an ingress that refuses a request reaches any target at all. Change: when two targets have failed and no connection was opened in between, up to two targets in each zone are probed by connecting; TS4320 and TS4321 and the metric toucanshelf_isolated tell the result. No decision uses it.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -209,8 +209,12 @@
     due: Instant,
 ) -> Result<(Sender, Response<Incoming>), AttemptError> {
     let sender = match timeout_at(due, pool::connect(to.address)).await {
-        Ok(Ok(sender)) => sender,
+        Ok(Ok(sender)) => {
+            shared.isolation.record_connection();
+            sender
+        }
         Ok(Err(e)) => {
+            shared.isolation.record_failure(to.address);
             return Err(AttemptError::NotSent(e.to_string().into()));
         }
         Err(_) => return Err(AttemptError::NotSent("no time left to connect".into())),
--- /dev/null
+++ b/crates/toucanshelf-ingress/src/isolation.rs
@@ -0,0 +1,109 @@
+//! Detects that this ingress can't reach any target, and when it can again.
+//!
+//! Failed requests raise the suspicion. A probe opens connections to targets of all zones at once and
+//! closes them without a request.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use futures_util::StreamExt as _;
+use futures_util::stream::FuturesUnordered;
+use tokio::sync::watch;
+use toucanshelf_routing::isolation::{IsolationDetector, Transition};
+
+use crate::pool;
+use crate::shared::Shared;
+
+/// Interval between probes while no target can be reached.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Number of targets in each zone to which a probe connects.
+const PROBES_PER_ZONE: usize = 2;
+
+/// Whether this ingress reaches targets, and the evidence for it.
+#[derive(Debug)]
+pub struct Isolation {
+    detector: Mutex<IsolationDetector>,
+    /// Counter whose every change requests a probe.
+    suspected: watch::Sender<u64>,
+}
+
+impl Isolation {
+    /// Creates the state of an ingress that reaches its targets.
+    pub fn new() -> Self {
+        Self {
+            detector: Mutex::default(),
+            suspected: watch::Sender::new(0),
+        }
+    }
+
+    fn detector(&self) -> MutexGuard<'_, IsolationDetector> {
+        self.detector.lock().expect("no holder panics")
+    }
+
+    /// Returns whether no target can be reached.
+    pub fn is_isolated(&self) -> bool {
+        self.detector().is_isolated()
+    }
+
+    /// Records that the target at `address` accepts no connection or has fallen silent.
+    pub fn record_failure(&self, address: SocketAddr) {
+        if self.detector().record_failure(address) {
+            self.suspected.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Records that a target has accepted a new connection.
+    pub fn record_connection(&self) {
+        self.detector().record_connection();
+    }
+}
+
+impl Default for Isolation {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Probes targets whenever several have failed, and repeatedly while none can be reached.
+pub(crate) async fn run(shared: Arc<Shared>) {
+    let mut suspected = shared.isolation.suspected.subscribe();
+    while suspected.changed().await.is_ok() {
+        probe(&shared).await;
+        while shared.isolation.is_isolated() {
+            tokio::time::sleep(PROBE_INTERVAL).await;
+            probe(&shared).await;
+        }
+    }
+}
+
+/// Connects to some targets in each zone, and records whether any accepts a connection.
+async fn probe(shared: &Shared) {
+    let addresses = shared.targets().probe_addresses(PROBES_PER_ZONE);
+    if addresses.is_empty() {
+        return;
+    }
+    let count = addresses.len();
+    let mut connections: FuturesUnordered<_> = addresses.into_iter().map(pool::connect).collect();
+    let mut connected = false;
+    while let Some(result) = connections.next().await {
+        if result.is_ok() {
+            connected = true;
+            break;
+        }
+    }
+    drop(connections);
+    let now = shared.now();
+    let transition = shared.isolation.detector().record_probe(connected, now);
+    match transition {
+        Some(Transition::Isolated) => {
+            shared.metrics.isolated.set(1);
+            tracing::warn!(event = "TS4320", probed = count, "no target can be reached");
+        }
+        Some(Transition::Reconnected { after_ms }) => {
+            shared.metrics.isolated.set(0);
+            tracing::info!(event = "TS4321", after_ms, "targets can be reached again");
+        }
+        None => {}
+    }
+}
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod deployments;
 pub mod events;
 pub mod front;
+pub mod isolation;
 pub mod live_route;
 pub mod metrics;
 pub mod permits;
@@ -96,6 +97,7 @@
         let shared = Arc::new(Shared::new(settings, dialect));
         let (stop, stop_rx) = watch::channel(false);
         control::start(&shared, &key);
+        tokio::spawn(isolation::run(Arc::clone(&shared)));
         let context = Arc::clone(&shared);
         let handler = move |req| front::handle(Arc::clone(&context), req);
         let limits = shared.connection_limits();
--- a/crates/toucanshelf-ingress/src/live_route.rs
+++ b/crates/toucanshelf-ingress/src/live_route.rs
@@ -385,6 +385,7 @@
     let address = hop.address;
     tracing::warn!(event = "TS4303", request, %address, cause, "target marked down");
     shared.pool.close_idle(address);
+    shared.isolation.record_failure(address);
     shared.control.report_suspected(address);
     shared.notify_failure();
 }
--- a/crates/toucanshelf-ingress/src/metrics.rs
+++ b/crates/toucanshelf-ingress/src/metrics.rs
@@ -20,6 +20,8 @@
     pub latency: Histogram,
     /// Number of open connections to control instances.
     pub control_links: IntGauge,
+    /// 1 while no target can be reached, otherwise 0.
+    pub isolated: IntGauge,
     /// Version of the active deployment, the configuration that control distributes.
     pub deployment_version: IntGauge,
 }
@@ -57,12 +59,14 @@
             "toucanshelf_deployment_version",
             "Version of the deployment in force",
         );
-        let collectors: [Box<dyn prometheus::core::Collector>; 5] = [
+        let isolated = gauge("toucanshelf_isolated", "1 while no target can be reached");
+        let collectors: [Box<dyn prometheus::core::Collector>; 6] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(latency.clone()),
             Box::new(control_links.clone()),
             Box::new(deployment_version.clone()),
+            Box::new(isolated.clone()),
         ];
         for collector in collectors {
             registry.register(collector).expect("names differ");
@@ -73,6 +77,7 @@
             attempts,
             latency,
             control_links,
+            isolated,
             deployment_version,
         }
     }
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -21,6 +21,7 @@
 use crate::content_guard::ContentGuard;
 use crate::control::ControlLinks;
 use crate::deployments::Deployments;
+use crate::isolation::Isolation;
 use crate::metrics::Metrics;
 use crate::permits::PendingPermits;
 use crate::pool::Pool;
@@ -58,6 +59,8 @@
     pub deployments: Deployments,
     /// Limits on requests whose content crashes targets.
     pub content: ContentGuard,
+    /// Whether this ingress reaches any target.
+    pub isolation: Isolation,
     /// Requests for permits that are not answered yet.
     pub permits: PendingPermits,
     /// Buffers for responses that are read in full.
@@ -90,6 +93,7 @@
             deployments: Deployments::new(),
             content: ContentGuard::new(),
             response_buffers: ResponseBuffers::default(),
+            isolation: Isolation::new(),
             permits: PendingPermits::default(),
             pool: Pool::new(),
             reports: Reports::new(),
--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -10,6 +10,7 @@
 //! restart, after which the target registers as a new incarnation, ends this early.
 
 mod limits;
+mod probes;
 mod stages;
 
 use std::collections::{BTreeMap, HashMap};
--- /dev/null
+++ b/crates/toucanshelf-ingress/src/targets/probes.rs
@@ -0,0 +1,32 @@
+//! Choice of targets to which a probe connects.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use rand::seq::SliceRandom as _;
+use toucanshelf_core::registration::Readiness;
+
+use super::Targets;
+
+impl Targets {
+    /// Returns the addresses of up to `per_zone` ready targets in each zone, at random.
+    ///
+    /// Targets that are marked down are included.
+    pub fn probe_addresses(&self, per_zone: usize) -> Vec<SocketAddr> {
+        let ready = self
+            .arena
+            .iter()
+            .filter(|(_, target)| target.record.readiness == Readiness::Ready);
+        let mut ready: Vec<_> = ready
+            .map(|(_, target)| (target.zone, target.record.address))
+            .collect();
+        ready.shuffle(&mut rand::rng());
+        let mut chosen: HashMap<u16, usize> = HashMap::new();
+        ready.retain(|(zone, _)| {
+            let count = chosen.entry(*zone).or_default();
+            *count += 1;
+            *count <= per_zone
+        });
+        ready.into_iter().map(|(_, address)| address).collect()
+    }
+}
--- a/crates/toucanshelf-routing/src/lib.rs
+++ b/crates/toucanshelf-routing/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod fleet;
 pub mod flow;
 pub mod hops;
+pub mod isolation;
 pub mod matcher;
 pub mod permits;
 pub mod placement;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod events;
 mod hops;
 mod ingress;
+mod isolation;
 mod links;
 mod matcher;
 mod names;
