Open connections to targets through a trait

Cause: no test could cut one ingress off from targets that another one reaches. Change: Pool connects by a Connector; Ingress::start uses the network of the operating system.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -15,7 +15,7 @@
 use toucanshelf_core::layers::LayerRange;
 use toucanshelf_link::dialect::TargetRequestMetadata;
 
-use crate::pool::{self, Sender};
+use crate::pool::Sender;
 use crate::request::CallerRequest;
 use crate::response::strip_connection_headers;
 use crate::response_buffer::ResponseBuffers;
@@ -208,7 +208,7 @@
     to: &Destination<'_>,
     due: Instant,
 ) -> Result<(Sender, Response<Incoming>), AttemptError> {
-    let sender = match timeout_at(due, pool::connect(to.address)).await {
+    let sender = match timeout_at(due, shared.pool.connect(to.address)).await {
         Ok(Ok(sender)) => {
             shared.isolation.record_connection();
             sender
--- a/crates/toucanshelf-ingress/src/isolation.rs
+++ b/crates/toucanshelf-ingress/src/isolation.rs
@@ -12,7 +12,6 @@
 use tokio::sync::watch;
 use toucanshelf_routing::isolation::{IsolationDetector, Transition};
 
-use crate::pool;
 use crate::shared::Shared;
 
 /// Interval between probes while no target can be reached.
@@ -84,7 +83,10 @@
         return;
     }
     let count = addresses.len();
-    let mut connections: FuturesUnordered<_> = addresses.into_iter().map(pool::connect).collect();
+    let mut connections: FuturesUnordered<_> = addresses
+        .into_iter()
+        .map(|address| shared.pool.connect(address))
+        .collect();
     let mut connected = false;
     while let Some(result) = connections.next().await {
         if result.is_ok() {
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -51,6 +51,7 @@
 use toucanshelf_runtime::in_flight::STOP_POLL_INTERVAL;
 use toucanshelf_runtime::serve::{ConnectionLimits, serve};
 
+use crate::pool::{Connector, TcpConnector};
 use crate::settings::IngressSettings;
 use crate::shared::Shared;
 
@@ -88,13 +89,26 @@
     pub async fn start(
         settings: IngressSettings,
         dialect: Arc<dyn Dialect>,
+    ) -> Result<Self, Box<str>> {
+        Self::start_with_connector(settings, dialect, Arc::new(TcpConnector)).await
+    }
+
+    /// Starts an ingress like [`Ingress::start`] that connects to targets through `connector`.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Ingress::start`] does.
+    pub async fn start_with_connector(
+        settings: IngressSettings,
+        dialect: Arc<dyn Dialect>,
+        connector: Arc<dyn Connector>,
     ) -> Result<Self, Box<str>> {
         let key = settings.shared_key()?;
         let front = listen(settings.listen).await?;
         let ready = listen(settings.ready_listen).await?;
         let metrics = listen(settings.metrics_listen).await?;
         let address = front.local_addr().map_err(|e| e.to_string())?;
-        let shared = Arc::new(Shared::new(settings, dialect));
+        let shared = Arc::new(Shared::new(settings, dialect, connector));
         let (stop, stop_rx) = watch::channel(false);
         control::start(&shared, &key);
         tokio::spawn(isolation::run(Arc::clone(&shared)));
--- a/crates/toucanshelf-ingress/src/pool.rs
+++ b/crates/toucanshelf-ingress/src/pool.rs
@@ -2,10 +2,13 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
+use std::{fmt, io};
 
 use bytes::Bytes;
+use futures_util::FutureExt as _;
+use futures_util::future::BoxFuture;
 use http::HeaderMap;
 use http::header::CONNECTION;
 use http_body_util::Full;
@@ -37,9 +40,28 @@
     usable_until: Instant,
 }
 
-/// Idle connections to targets, by the target's address.
-#[derive(Debug, Default)]
+/// Opens TCP connections to targets.
+///
+/// A caller drops the future when it takes too long.
+pub trait Connector: fmt::Debug + Send + Sync {
+    /// Opens a connection to `address`.
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'static, io::Result<TcpStream>>;
+}
+
+/// Connector that uses the network of the operating system.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TcpConnector;
+
+impl Connector for TcpConnector {
+    fn connect(&self, address: SocketAddr) -> BoxFuture<'static, io::Result<TcpStream>> {
+        TcpStream::connect(address).boxed()
+    }
+}
+
+/// Opens connections to targets, and keeps idle ones by the target's address.
+#[derive(Debug)]
 pub struct Pool {
+    connector: Arc<dyn Connector>,
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
@@ -56,8 +78,11 @@
 
 impl Pool {
     /// Creates an empty pool.
-    pub fn new() -> Self {
-        Self::default()
+    pub fn new(connector: Arc<dyn Connector>) -> Self {
+        Self {
+            connector,
+            idle: Mutex::default(),
+        }
     }
 
     fn idle(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
@@ -104,6 +129,31 @@
     pub fn close_idle(&self, address: SocketAddr) {
         self.idle().remove(&address);
     }
+
+    /// Opens an HTTP/1 connection to the target at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the target refuses the connection or doesn't accept it in time.
+    pub async fn connect(&self, address: SocketAddr) -> Result<Sender, ConnectError> {
+        let stream = match timeout(CONNECT_TIMEOUT, self.connector.connect(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(e)) => return Err(ConnectError::Refused(e.to_string().into())),
+            Err(_) => return Err(ConnectError::Timeout),
+        };
+        // An error is ignored: it means that the connection is closed, so that the request fails as
+        // well.
+        let _ = stream.set_nodelay(true);
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) =
+            handshake.map_err(|e| ConnectError::Refused(e.to_string().into()))?;
+        tokio::spawn(async move {
+            if let Err(e) = connection.await {
+                tracing::debug!(event = "TS4201", %address, cause = %e, "connection to target failed");
+            }
+        });
+        Ok(sender)
+    }
 }
 
 /// Returns the time for which a connection is reusable, from the response's headers.
@@ -130,28 +180,3 @@
     };
     Duration::from_secs(seconds).checked_sub(IDLE_MARGIN)
 }
-
-/// Opens an HTTP/1 connection to the target at `address`.
-///
-/// # Errors
-///
-/// Fails if the target refuses the connection or doesn't accept it in time.
-pub async fn connect(address: SocketAddr) -> Result<Sender, ConnectError> {
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return Err(ConnectError::Refused(e.to_string().into())),
-        Err(_) => return Err(ConnectError::Timeout),
-    };
-    // An error is ignored: it means that the connection is closed, so that the request fails as
-    // well.
-    let _ = stream.set_nodelay(true);
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, connection) =
-        handshake.map_err(|e| ConnectError::Refused(e.to_string().into()))?;
-    tokio::spawn(async move {
-        if let Err(e) = connection.await {
-            tracing::debug!(event = "TS4201", %address, cause = %e, "connection to target failed");
-        }
-    });
-    Ok(sender)
-}
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -24,7 +24,7 @@
 use crate::isolation::Isolation;
 use crate::metrics::Metrics;
 use crate::permits::PendingPermits;
-use crate::pool::Pool;
+use crate::pool::{Connector, Pool};
 use crate::reports::Reports;
 use crate::response_buffer::ResponseBuffers;
 use crate::settings::IngressSettings;
@@ -87,7 +87,11 @@
 
 impl Shared {
     /// Creates the state of an ingress without deployment or targets.
-    pub fn new(settings: IngressSettings, dialect: Arc<dyn Dialect>) -> Self {
+    pub fn new(
+        settings: IngressSettings,
+        dialect: Arc<dyn Dialect>,
+        connector: Arc<dyn Connector>,
+    ) -> Self {
         Self {
             control: ControlLinks::new(),
             deployments: Deployments::new(),
@@ -95,7 +99,7 @@
             response_buffers: ResponseBuffers::default(),
             isolation: Isolation::new(),
             permits: PendingPermits::default(),
-            pool: Pool::new(),
+            pool: Pool::new(connector),
             reports: Reports::new(),
             metrics: Metrics::new(),
             table: RwLock::default(),
