Add failing tests of an ingress that reaches no target

Cause: such an ingress refuses its callers while another one could serve them, and goes on after the cut.

--- a/tests/testsuite/ingress.rs
+++ b/tests/testsuite/ingress.rs
@@ -198,15 +198,10 @@
 ) -> Platform {
     let platform = Platform::start(&document.build(), &[]).await;
     for (n, (address, (zone, from, to))) in addresses.iter().zip(placed).enumerate() {
-        let heartbeat = serde_json::json!({
-            "service": "model", "address": address, "zone": zone, "version": "v1",
-            "slots": 8, "state": "ready", "seq": 1, "born": 1000 + n, "kind": "card",
-            "layers": { "from": from, "target": to, "version": 1 }
-        });
-        assert_eq!(
-            platform.send_heartbeat(&format!("e{n}"), &heartbeat).await,
-            200
-        );
+        let id = format!("e{n}");
+        platform
+            .register_engine(&id, *address, zone, *from..*to)
+            .await;
     }
     let routes = async {
         while platform
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -29,6 +29,7 @@
 mod quarantine;
 mod raw_target;
 mod registry;
+mod relay;
 mod routes;
 mod soak;
 mod state_patches;
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
@@ -21,6 +22,8 @@
 use toucanshelf_control::Control;
 use toucanshelf_core::deployment::Deployment;
 use toucanshelf_ingress::Ingress;
+use toucanshelf_ingress::pool::Connector;
+use toucanshelf_ingress::settings::IngressSettings;
 use toucanshelf_link::dialect::Dialect as _;
 use toucanshelf_platform::PlatformDialect;
 use toucanshelf_runtime::serve::{ConnectionLimits, serve};
@@ -598,6 +601,22 @@
         tokio::time::timeout(WAIT_TIMEOUT, known).await.unwrap();
     }
 
+    /// Registers an engine of the service `model` that holds `layers`, without waiting.
+    pub async fn register_engine(
+        &self,
+        id: &str,
+        address: SocketAddr,
+        zone: &str,
+        layers: Range<u32>,
+    ) {
+        let heartbeat = serde_json::json!({
+            "service": "model", "address": address, "zone": zone, "version": "v1",
+            "slots": 8, "state": "ready", "seq": 1, "born": 1000, "kind": "card",
+            "layers": { "from": layers.start, "target": layers.end, "version": 1 }
+        });
+        assert_eq!(self.send_heartbeat(id, &heartbeat).await, 200);
+    }
+
     /// Waits until the ingress has the deployment version of the control instance.
     pub async fn wait_until_in_sync(&self) {
         let shared = self.ingress.shared();
@@ -640,6 +659,25 @@
 
 /// Starts an ingress that connects to control instances at the IP addresses `seeds`.
 pub async fn start_linked_ingress(name: &str, seeds: &[&str], link_port: u16) -> Ingress {
+    let settings = ingress_settings(name, seeds, link_port);
+    let dialect = Arc::new(PlatformDialect);
+    Ingress::start(settings, dialect).await.unwrap()
+}
+
+/// Starts an ingress that is linked to `control` and connects to targets through `connector`.
+pub async fn start_ingress_with_connector(
+    name: &str,
+    control: &Control,
+    connector: impl Connector + 'static,
+) -> Ingress {
+    let settings = ingress_settings(name, &["127.0.0.1"], control.link_address().port());
+    let dialect = Arc::new(PlatformDialect);
+    let started = Ingress::start_with_connector(settings, dialect, Arc::new(connector));
+    started.await.unwrap()
+}
+
+/// Returns the settings of an ingress that connects to control instances at `seeds`.
+fn ingress_settings(name: &str, seeds: &[&str], link_port: u16) -> IngressSettings {
     let seeds: Vec<_> = seeds.iter().map(|ip| format!("'{ip}:1'")).collect();
     let settings = format!(
         "name = '{name}'\nzone = 'z'\nlisten = '127.0.0.1:0'\nready-listen = '127.0.0.1:0'\n\
@@ -647,9 +685,7 @@
          link-port = {link_port}\nrepeat-slack = 100.0\n",
         seeds.join(", ")
     );
-    let settings = toucanshelf_runtime::settings::parse("ingress.toml", &settings).unwrap();
-    let dialect = Arc::new(PlatformDialect);
-    Ingress::start(settings, dialect).await.unwrap()
+    toucanshelf_runtime::settings::parse("ingress.toml", &settings).unwrap()
 }
 
 /// Starts a control instance, and returns it with its data folder.
