Use targets again once an isolated ingress can reach them

Cause: each failed connection marks a target down, for longer each time; marks that come from the ingress's own isolation outlive it. Its suspicions also told control that the targets fail. Change: when a probe connects again, marks since the first failure of the isolation are forgotten; an isolated ingress reports no suspicions.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -214,7 +214,7 @@
             sender
         }
         Ok(Err(e)) => {
-            shared.isolation.record_failure(to.address);
+            shared.isolation.record_failure(to.address, shared.now());
             return Err(AttemptError::NotSent(e.to_string().into()));
         }
         Err(_) => return Err(AttemptError::NotSent("no time left to connect".into())),
--- a/crates/toucanshelf-ingress/src/isolation.rs
+++ b/crates/toucanshelf-ingress/src/isolation.rs
@@ -46,8 +46,10 @@
     }
 
     /// Records that the target at `address` accepts no connection or has fallen silent.
-    pub fn record_failure(&self, address: SocketAddr) {
-        if self.detector().record_failure(address) {
+    ///
+    /// `now` is in milliseconds since the ingress started.
+    pub fn record_failure(&self, address: SocketAddr, now: u64) {
+        if self.detector().record_failure(address, now) {
             self.suspected.send_modify(|count| *count += 1);
         }
     }
@@ -102,9 +104,16 @@
             shared.metrics.isolated.set(1);
             tracing::warn!(event = "TS4320", probed = count, "no target can be reached");
         }
-        Some(Transition::Reconnected { after_ms }) => {
+        Some(Transition::Reconnected { first_failure }) => {
             shared.metrics.isolated.set(0);
-            tracing::info!(event = "TS4321", after_ms, "targets can be reached again");
+            let forgotten = shared.targets().forget_failures(first_failure);
+            let after_ms = now.saturating_sub(first_failure);
+            tracing::info!(
+                event = "TS4321",
+                after_ms,
+                forgotten,
+                "targets can be reached again"
+            );
         }
         None => {}
     }
--- a/crates/toucanshelf-ingress/src/live_route.rs
+++ b/crates/toucanshelf-ingress/src/live_route.rs
@@ -385,7 +385,9 @@
     let address = hop.address;
     tracing::warn!(event = "TS4303", request, %address, cause, "target marked down");
     shared.pool.close_idle(address);
-    shared.isolation.record_failure(address);
-    shared.control.report_suspected(address);
+    shared.isolation.record_failure(address, now);
+    if !shared.isolation.is_isolated() {
+        shared.control.report_suspected(address);
+    }
     shared.notify_failure();
 }
--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -95,6 +95,8 @@
     failures: u32,
     /// Time until which the target is marked down, in milliseconds since the ingress started.
     down_until: u64,
+    /// Time at which the target was last marked down, in milliseconds since the ingress started.
+    marked_down_at: u64,
     /// End of the probation after a refusal, in milliseconds since the ingress started.
     refused_until: u64,
     /// Time until which the target is excluded because it lacks its registered layers.
@@ -119,6 +121,7 @@
             reserved_token_layers: 0.0,
             failures: 0,
             down_until: 0,
+            marked_down_at: 0,
             refused_until: 0,
             missing_layers_until: 0,
             error_rate: 0.0,
@@ -517,6 +520,7 @@
         }
         let time = MIN_DOWN_MS << target.failures.min(4);
         target.failures += 1;
+        target.marked_down_at = now;
         target.down_until = now + time.min(MAX_DOWN_MS);
         true
     }
--- a/crates/toucanshelf-ingress/src/targets/probes.rs
+++ b/crates/toucanshelf-ingress/src/targets/probes.rs
@@ -1,4 +1,4 @@
-//! Choice of targets to which a probe connects.
+//! Choice of targets to which a probe connects, and what a successful probe changes.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -29,4 +29,24 @@
         });
         ready.into_iter().map(|(_, address)| address).collect()
     }
+
+    /// Makes targets usable again that were marked down at `since` or later; returns their number.
+    ///
+    /// `since` is in milliseconds since the ingress started.
+    pub fn forget_failures(&mut self, since: u64) -> usize {
+        let keys: Vec<_> = self.arena.iter().map(|(key, _)| key).collect();
+        let mut forgotten = 0;
+        for key in keys {
+            let Some(target) = self.arena.get_mut(key) else {
+                continue;
+            };
+            if target.failures > 0 && target.marked_down_at >= since {
+                target.failures = 0;
+                target.down_until = 0;
+                target.refused_until = 0;
+                forgotten += 1;
+            }
+        }
+        forgotten
+    }
 }
--- a/crates/toucanshelf-routing/src/isolation.rs
+++ b/crates/toucanshelf-routing/src/isolation.rs
@@ -15,10 +15,12 @@
 pub enum Transition {
     /// No target can be reached any more.
     Isolated,
-    /// Targets can be reached again, after the given time in milliseconds.
+    /// Targets can be reached again.
     Reconnected {
-        /// Time for which no target could be reached, in milliseconds.
-        after_ms: u64,
+        /// Time of the first failure that led to the isolation, in milliseconds.
+        ///
+        /// Failures since then say nothing about the targets.
+        first_failure: u64,
     },
 }
 
@@ -27,8 +29,10 @@
 pub struct IsolationDetector {
     /// Targets that have failed since a connection was last opened.
     failed: BTreeSet<SocketAddr>,
-    /// Time since which no target can be reached, in milliseconds; `None` if some can.
-    isolated_since: Option<u64>,
+    /// Time of the first failure in `failed`, in milliseconds.
+    first_failure: Option<u64>,
+    /// Whether no target can be reached.
+    isolated: bool,
 }
 
 impl IsolationDetector {
@@ -39,38 +43,39 @@
 
     /// Returns whether no target can be reached.
     pub fn is_isolated(&self) -> bool {
-        self.isolated_since.is_some()
+        self.isolated
     }
 
     /// Records that a target doesn't accept a connection or has fallen silent.
     ///
-    /// Returns whether other targets should be probed.
-    pub fn record_failure(&mut self, target: SocketAddr) -> bool {
+    /// `now` is in milliseconds. Returns whether other targets should be probed.
+    pub fn record_failure(&mut self, target: SocketAddr, now: u64) -> bool {
         let is_new = self.failed.insert(target);
+        self.first_failure.get_or_insert(now);
         is_new && self.failed.len() >= SUSPECT_FAILURES && !self.is_isolated()
     }
 
     /// Records that a target has accepted a new connection.
     ///
-    /// The isolation itself ends with a probe only, so that it starts and ends in one place.
+    /// The isolation itself starts and ends with probes only.
     pub fn record_connection(&mut self) {
-        self.failed.clear();
+        if !self.isolated {
+            self.failed.clear();
+            self.first_failure = None;
+        }
     }
 
     /// Records the result of a probe at the time `now`, in milliseconds.
     ///
     /// `connected` tells whether any target has accepted a connection.
     pub fn record_probe(&mut self, connected: bool, now: u64) -> Option<Transition> {
-        if connected {
-            self.failed.clear();
-            let since = self.isolated_since.take()?;
-            let after_ms = now.saturating_sub(since);
-            return Some(Transition::Reconnected { after_ms });
-        }
-        if self.is_isolated() {
-            return None;
+        if !connected {
+            let was_isolated = std::mem::replace(&mut self.isolated, true);
+            return (!was_isolated).then_some(Transition::Isolated);
         }
-        self.isolated_since = Some(now);
-        Some(Transition::Isolated)
+        self.failed.clear();
+        let first_failure = self.first_failure.take().unwrap_or(now);
+        let was_isolated = std::mem::replace(&mut self.isolated, false);
+        was_isolated.then_some(Transition::Reconnected { first_failure })
     }
 }
--- a/tests/testsuite/isolation.rs
+++ b/tests/testsuite/isolation.rs
@@ -11,9 +11,9 @@
 #[test]
 fn record_failure_of_one_target() {
     let mut detector = IsolationDetector::new();
-    assert!(!detector.record_failure(target(1)));
-    assert!(!detector.record_failure(target(1)));
-    assert!(detector.record_failure(target(2)));
+    assert!(!detector.record_failure(target(1), 3));
+    assert!(!detector.record_failure(target(1), 3));
+    assert!(detector.record_failure(target(2), 4));
     assert!(!detector.is_isolated(), "only a probe decides");
 }
 
@@ -22,7 +22,7 @@
 fn record_failure_between_connections() {
     let mut detector = IsolationDetector::new();
     for port in 1..20 {
-        assert!(!detector.record_failure(target(port)));
+        assert!(!detector.record_failure(target(port), 3));
         detector.record_connection();
     }
 }
@@ -30,13 +30,15 @@
 #[test]
 fn record_probe_without_connection() {
     let mut detector = IsolationDetector::new();
-    assert_eq!(detector.record_probe(true, 5), None);
+    assert_eq!(detector.record_probe(true, 1), None);
+    detector.record_failure(target(7), 6);
+    detector.record_failure(target(8), 8);
     assert_eq!(detector.record_probe(false, 10), Some(Transition::Isolated));
     assert!(detector.is_isolated());
-    assert!(!detector.record_failure(target(1)), "probes run anyway");
-    assert!(!detector.record_failure(target(2)));
+    assert!(!detector.record_failure(target(1), 3), "probes run anyway");
+    assert!(!detector.record_failure(target(2), 4));
     assert_eq!(detector.record_probe(false, 500), None);
-    let reconnected = Transition::Reconnected { after_ms: 990 };
+    let reconnected = Transition::Reconnected { first_failure: 6 };
     assert_eq!(detector.record_probe(true, 1_000), Some(reconnected));
     assert!(!detector.is_isolated());
 }
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -24,10 +24,13 @@
     Hanging,
 }
 
+/// Targets behind a cut, with the way in which connections to them end.
+type CutTargets = Option<(Cut, BTreeSet<SocketAddr>)>;
+
 /// Connector that can't reach the targets of a cut.
 #[derive(Clone, Debug, Default)]
 struct CutConnector {
-    cut: Arc<Mutex<Option<(Cut, BTreeSet<SocketAddr>)>>>,
+    cut: Arc<Mutex<CutTargets>>,
 }
 
 impl CutConnector {
