Send requests to other ingresses while this one reaches no target

Cause: an ingress has only its own connections to targets. Without any it refused what the others could serve. Change: an ingress that knows it is isolated sends requests to another one, which handles them as a caller's and never passes them on. Control names up to 16 ingresses that reach targets, only when asked. A request that must not run twice is sent once; a stream goes on after its last event; a relay with an older deployment refuses. A refusal for lack of targets and a connection that takes too long also lead to a probe.

--- a/crates/toucanshelf-control/src/directory/ingresses.rs
+++ b/crates/toucanshelf-control/src/directory/ingresses.rs
@@ -5,9 +5,11 @@
 //! so that each ingress can acknowledge it. A session is an open link with its acknowledgements.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use rand::seq::IteratorRandom as _;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 use toucanshelf_core::crash::Finding;
@@ -25,6 +27,9 @@
 /// Interval between announcements of the deployment version, control instances and zones.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Maximum number of ingresses that are named to one that reaches no target.
+const MAX_LISTED_RELAYS: usize = 16;
+
 /// An open link to an ingress instance, and what the instance has acknowledged.
 #[derive(Debug)]
 struct Session {
@@ -38,6 +43,8 @@
     ///
     /// `None` for one that has none yet, or whose program doesn't report it.
     deployment_in_force: Option<u64>,
+    /// Address for requests of other ingresses, while the instance reaches targets.
+    relay: Option<SocketAddr>,
     name: Box<str>,
 }
 
@@ -87,6 +94,7 @@
                 acknowledged_push: 0,
                 shares_findings: false,
                 deployment_in_force: None,
+                relay: None,
                 name: link.peer.name.clone(),
             },
         );
@@ -141,6 +149,20 @@
         }
     }
 
+    fn record_relay(&self, id: u32, relay: Option<SocketAddr>) {
+        if let Some(session) = self.sessions().open.get_mut(&id) {
+            session.relay = relay;
+        }
+    }
+
+    /// Returns some ingresses to which the ingress with session `id` may send its requests.
+    fn relays_for(&self, id: u32) -> Vec<SocketAddr> {
+        let sessions = self.sessions();
+        let others = sessions.open.iter().filter(|(other, _)| **other != id);
+        let relays = others.filter_map(|(_, session)| session.relay);
+        relays.sample(&mut rand::rng(), MAX_LISTED_RELAYS)
+    }
+
     fn record_in_force(&self, id: u32, version: u64) {
         if let Some(session) = self.sessions().open.get_mut(&id) {
             session.deployment_in_force = session.deployment_in_force.max(Some(version));
@@ -235,6 +257,7 @@
         accepts_findings: true,
         issues_permits: true,
         sends_patches: true,
+        lists_relays: true,
     }
 }
 
@@ -252,6 +275,16 @@
                 Frame::FetchPatches { known, wanted } => {
                     deployments::answer_fetch(&shared, &link, known, wanted);
                 }
+                Frame::RelayStatus { address, available } => {
+                    directory
+                        .ingresses
+                        .record_relay(id, available.then_some(address));
+                }
+                Frame::AskRelays => {
+                    let addresses = directory.ingresses.relays_for(id);
+                    // A full queue drops the answer; the ingress asks again, and others as well.
+                    let _ = link.tx.try_send(Frame::Relays { addresses });
+                }
                 Frame::DeploymentInForce { version } => {
                     directory.ingresses.record_in_force(id, version);
                 }
--- a/crates/toucanshelf-control/src/peers.rs
+++ b/crates/toucanshelf-control/src/peers.rs
@@ -291,6 +291,7 @@
                     accepts_findings: false,
                     issues_permits: false,
                     sends_patches: false,
+                    lists_relays: false,
                 };
                 if link.tx.try_send(frame).is_err() {
                     return;
--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{Request, Response, StatusCode, Uri, Version};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use tokio::time::{Instant, timeout_at};
@@ -217,7 +217,10 @@
             shared.isolation.record_failure(to.address, shared.now());
             return Err(AttemptError::NotSent(e.to_string().into()));
         }
-        Err(_) => return Err(AttemptError::NotSent("no time left to connect".into())),
+        Err(_) => {
+            shared.isolation.record_failure(to.address, shared.now());
+            return Err(AttemptError::NotSent("no time left to connect".into()));
+        }
     };
     exchange(shared, req, to, sender, due).await
 }
@@ -227,7 +230,7 @@
     shared: &Shared,
     req: &CallerRequest,
     to: &Destination<'_>,
-    mut sender: Sender,
+    sender: Sender,
     due: Instant,
 ) -> Result<(Sender, Response<Incoming>), AttemptError> {
     let Some(deadline_ms) = req.remaining_ms() else {
@@ -240,7 +243,19 @@
         hops: to.hops,
         last_event: to.last_event,
     };
-    let request = build_request(shared, req, &metadata);
+    let mut request = req.to_request();
+    shared
+        .dialect
+        .target_headers(request.headers_mut(), &metadata);
+    send_request(sender, request, due).await
+}
+
+/// Sends a request on a connection and waits for the response head.
+pub(crate) async fn send_request(
+    mut sender: Sender,
+    request: Request<Full<Bytes>>,
+    due: Instant,
+) -> Result<(Sender, Response<Incoming>), AttemptError> {
     match timeout_at(due, sender.try_send_request(request)).await {
         Ok(Ok(response)) => Ok((sender, response)),
         Ok(Err(mut e)) => {
@@ -257,28 +272,11 @@
     }
 }
 
-/// Builds the request to a target from the caller's request and `metadata`.
-///
-/// The dialect encodes `metadata` as headers.
-fn build_request(
-    shared: &Shared,
-    req: &CallerRequest,
-    metadata: &TargetRequestMetadata<'_>,
-) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(req.body.clone()));
-    *request.method_mut() = req.method.clone();
-    let path = req.uri.path_and_query().map_or("/", |path| path.as_str());
-    *request.uri_mut() = Uri::try_from(path).expect("the path was parsed as part of a URI");
-    *request.version_mut() = Version::HTTP_11;
-    *request.headers_mut() = req.headers.clone();
-    shared
-        .dialect
-        .target_headers(request.headers_mut(), metadata);
-    request
-}
-
 /// Reads a response body to its end, within the limits of `buffers`.
-async fn read_body(buffers: &ResponseBuffers, mut body: Incoming) -> Result<Bytes, AttemptError> {
+pub(crate) async fn read_body(
+    buffers: &ResponseBuffers,
+    mut body: Incoming,
+) -> Result<Bytes, AttemptError> {
     let mut buffer = buffers.new_buffer();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| AttemptError::Disconnected(e.to_string().into()))?;
--- a/crates/toucanshelf-ingress/src/control.rs
+++ b/crates/toucanshelf-ingress/src/control.rs
@@ -38,6 +38,8 @@
     ///
     /// `None` until the instance has told it.
     sends_patches: Option<bool>,
+    /// Whether the control instance lists relays.
+    lists_relays: bool,
 }
 
 #[derive(Debug, Default)]
@@ -136,6 +138,31 @@
         }
     }
 
+    /// Marks a link as one to an instance that lists relays; returns whether it is new.
+    fn add_relay_link(&self, address: SocketAddr) -> bool {
+        let mut links = self.links();
+        let link = links.open.get_mut(&address);
+        link.is_some_and(|link| !std::mem::replace(&mut link.lists_relays, true))
+    }
+
+    /// Tells the control instances whether other ingresses may send requests to `address`.
+    pub fn report_relay_status(&self, address: SocketAddr, available: bool) {
+        self.send_to_relay_links(&Frame::RelayStatus { address, available });
+    }
+
+    /// Asks the control instances for ingresses that reach targets.
+    pub fn ask_relays(&self) {
+        self.send_to_relay_links(&Frame::AskRelays);
+    }
+
+    fn send_to_relay_links(&self, frame: &Frame) {
+        for link in self.links().open.values().filter(|link| link.lists_relays) {
+            // A full queue drops the frame. The other instances receive it, and questions are
+            // repeated while no target can be reached.
+            let _ = link.tx.try_send(frame.clone());
+        }
+    }
+
     /// Records whether a control instance sends changes; returns whether that was unknown.
     fn record_source(&self, address: SocketAddr, sends_patches: bool) -> bool {
         let mut links = self.links();
@@ -203,6 +230,7 @@
         shares_findings: false,
         issues_permits: false,
         sends_patches: None,
+        lists_relays: false,
     };
     shared.control.links().open.insert(address, open);
     shared.metrics.control_links.inc();
@@ -233,6 +261,7 @@
             accepts_findings,
             issues_permits,
             sends_patches,
+            lists_relays,
         } => {
             shared.record_ingresses(&ingress_zones);
             shared.control.record_issuer(address, issues_permits);
@@ -241,12 +270,23 @@
                 // A full queue drops the report, and the next version replaces it.
                 let _ = tx.try_send(Frame::DeploymentInForce { version });
             }
+            if lists_relays
+                && shared.control.add_relay_link(address)
+                && let Some((address, available)) = shared.relay_status()
+            {
+                // A full queue drops the status, and this ingress is then not listed there.
+                let _ = tx.try_send(Frame::RelayStatus { address, available });
+            }
             shared.content.prune(shared.now());
             connect_new(shared, key, links);
             !accepts_findings
                 || !shared.control.add_finding_link(address)
                 || send_findings(shared, tx)
         }
+        Frame::Relays { addresses } => {
+            shared.relays.update(addresses);
+            true
+        }
         Frame::Permit { id, wait_ms } => {
             let denied = wait_ms.map(|wait_ms| Permit::Denied { wait_ms });
             shared.permits.answer(id, denied.unwrap_or(Permit::Granted));
--- a/crates/toucanshelf-ingress/src/front.rs
+++ b/crates/toucanshelf-ingress/src/front.rs
@@ -19,20 +19,41 @@
     ProxyResponse, Refusal, full_body, refusal_response, strip_connection_headers,
 };
 use crate::shared::Shared;
-use crate::{plain, stream};
+use crate::{plain, relay, stream};
 
 /// `Retry-After` time sent to callers before the ingress has its configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Forwards a caller's request to a target and returns the response to the caller.
+///
+/// If this ingress reaches no target, another one receives the request.
 pub async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> ProxyResponse {
+    forward(shared, req, false).await
+}
+
+/// Forwards a request of another ingress's caller to a target and returns the response.
+pub async fn handle_relayed(shared: Arc<Shared>, mut req: Request<Incoming>) -> ProxyResponse {
+    let min_deployment = relay::take_min_deployment(req.headers_mut());
+    if shared.version() < min_deployment {
+        let facts = shared.dialect.request_metadata(req.headers());
+        return reject(&shared, facts.id.as_deref(), Refusal::NotConfigured);
+    }
+    forward(shared, req, true).await
+}
+
+async fn forward(shared: Arc<Shared>, req: Request<Incoming>, relayed: bool) -> ProxyResponse {
     let under_way = shared.under_way().begin();
     let facts = shared.dialect.request_metadata(req.headers());
     let id = facts.id.clone();
-    let req = match read_request(&shared, facts, req).await {
+    let mut req = match read_request(&shared, facts, req).await {
         Ok(req) => req,
         Err(refusal) => return reject(&shared, id.as_deref(), refusal),
     };
+    req.relayed = relayed;
+    if relay::is_needed(&shared, &req) {
+        // The relay counts the request.
+        return relay::run(shared, req, false, under_way).await;
+    }
     shared.count_request(&req.service);
     match req.kind {
         RequestKind::Stream { .. } => stream::run(shared, req, under_way).await,
@@ -94,6 +115,7 @@
         version: table.deployment().version,
         started,
         deadline: started + deadline,
+        relayed: false,
         facts,
     })
 }
--- a/crates/toucanshelf-ingress/src/isolation.rs
+++ b/crates/toucanshelf-ingress/src/isolation.rs
@@ -14,7 +14,7 @@
 
 use crate::shared::Shared;
 
-/// Interval between probes while no target can be reached.
+/// Shortest interval between probes, and the interval while no target can be reached.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Number of targets in each zone to which a probe connects.
 const PROBES_PER_ZONE: usize = 2;
@@ -54,6 +54,13 @@
         }
     }
 
+    /// Records that no target was usable for a request.
+    pub fn record_no_target(&self) {
+        if self.detector().suspects_at_refusal() {
+            self.suspected.send_modify(|count| *count += 1);
+        }
+    }
+
     /// Records that a target has accepted a new connection.
     pub fn record_connection(&self) {
         self.detector().record_connection();
@@ -71,15 +78,18 @@
     let mut suspected = shared.isolation.suspected.subscribe();
     while suspected.changed().await.is_ok() {
         probe(&shared).await;
+        tokio::time::sleep(PROBE_INTERVAL).await;
         while shared.isolation.is_isolated() {
-            tokio::time::sleep(PROBE_INTERVAL).await;
             probe(&shared).await;
+            tokio::time::sleep(PROBE_INTERVAL).await;
         }
     }
 }
 
 /// Connects to some targets in each zone, and records whether any accepts a connection.
 async fn probe(shared: &Shared) {
+    // If no target can be reached, requests need relays at once.
+    shared.control.ask_relays();
     let addresses = shared.targets().probe_addresses(PROBES_PER_ZONE);
     if addresses.is_empty() {
         return;
@@ -103,6 +113,9 @@
         Some(Transition::Isolated) => {
             shared.metrics.isolated.set(1);
             tracing::warn!(event = "TS4320", probed = count, "no target can be reached");
+            shared.report_relay_status();
+            // Wakes the streams, which then continue at other ingresses.
+            shared.notify_failure();
         }
         Some(Transition::Reconnected { first_failure }) => {
             shared.metrics.isolated.set(0);
@@ -114,6 +127,7 @@
                 forgotten,
                 "targets can be reached again"
             );
+            shared.report_relay_status();
         }
         None => {}
     }
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod permits;
 pub mod plain;
 pub mod pool;
+pub mod relay;
 pub mod reports;
 pub mod request;
 pub mod response;
@@ -107,15 +108,26 @@
         let front = listen(settings.listen).await?;
         let ready = listen(settings.ready_listen).await?;
         let metrics = listen(settings.metrics_listen).await?;
+        let relay = match settings.relay_listen {
+            Some(address) => Some(listen(address).await?),
+            None => None,
+        };
         let address = front.local_addr().map_err(|e| e.to_string())?;
         let shared = Arc::new(Shared::new(settings, dialect, connector));
         let (stop, stop_rx) = watch::channel(false);
-        control::start(&shared, &key);
-        tokio::spawn(isolation::run(Arc::clone(&shared)));
         let context = Arc::clone(&shared);
         let handler = move |req| front::handle(Arc::clone(&context), req);
         let limits = shared.connection_limits();
-        tokio::spawn(serve(front, limits, stop_rx, handler));
+        tokio::spawn(serve(front, limits, stop_rx.clone(), handler));
+        if let Some(relay) = relay {
+            let address = relay.local_addr().map_err(|e| e.to_string())?;
+            shared.relays.set_own_address(address);
+            let context = Arc::clone(&shared);
+            let handler = move |req| front::handle_relayed(Arc::clone(&context), req);
+            tokio::spawn(serve(relay, shared.connection_limits(), stop_rx, handler));
+        }
+        control::start(&shared, &key);
+        tokio::spawn(isolation::run(Arc::clone(&shared)));
         start_probes(&shared, ready, metrics);
         tracing::info!(event = "TS4001", %address, "ingress listens");
         Ok(Self {
@@ -142,6 +154,7 @@
     pub async fn stop(self) {
         let started = tokio::time::Instant::now();
         self.shared.begin_stop();
+        self.shared.report_relay_status();
         let under_way = self.shared.under_way().get();
         tracing::info!(event = "TS4002", under_way, "ingress stopping");
         tokio::time::sleep(STOP_GRACE_PERIOD).await;
--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -13,6 +13,7 @@
 use crate::attempt::{AttemptError, Destination, send};
 use crate::content_guard::{ContentAttempt, begin_attempt};
 use crate::permits;
+use crate::relay;
 use crate::request::{CallerRequest, InFlight};
 use crate::response::{ProxyResponse, Refusal, full_body, refusal_response};
 use crate::shared::Shared;
@@ -89,6 +90,12 @@
             if self.req.response_due() <= Instant::now() {
                 return self.final_response(Refusal::ExpiredUnrun, Refusal::Expired);
             }
+            let may_run = self.runs == 0 || self.may_run_again();
+            if may_run && relay::is_needed(self.shared, self.req) {
+                let response = relay::run_plain(self.shared, self.req, self.runs > 0).await;
+                let outcome = "relayed";
+                return CompletedRequest { response, outcome };
+            }
             let content = match begin_attempt(self.shared, self.req).await {
                 Ok(content) => content,
                 Err(retry_after) => {
@@ -97,6 +104,7 @@
                 }
             };
             let Some(target) = self.next_target().await else {
+                self.shared.isolation.record_no_target();
                 let retry_after = permits::retry_after(self.shared, &self.req.service);
                 self.retry_after = retry_after.unwrap_or(RETRY_AFTER);
                 return self.final_response(Refusal::NoTarget, Refusal::Lost);
--- a/crates/toucanshelf-ingress/src/request.rs
+++ b/crates/toucanshelf-ingress/src/request.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Uri};
+use http::{HeaderMap, Method, Request, Uri, Version};
+use http_body_util::Full;
 use tokio::time::Instant;
 use toucanshelf_core::deployment::RequestKind;
 use toucanshelf_link::dialect::RequestMetadata;
@@ -59,9 +60,22 @@
     pub started: Instant,
     /// Time by which the caller must have the final response.
     pub deadline: Instant,
+    /// Whether another ingress has sent the request, for its caller.
+    pub relayed: bool,
 }
 
 impl CallerRequest {
+    /// Builds a request with the caller's method, path, headers and body.
+    pub fn to_request(&self) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        *request.uri_mut() = Uri::try_from(path).expect("the path was parsed as part of a URI");
+        *request.version_mut() = Version::HTTP_11;
+        *request.headers_mut() = self.headers.clone();
+        request
+    }
+
     /// Returns the request's identifier for logs, or `-` if it has none.
     pub fn id(&self) -> &str {
         self.facts.id.as_deref().unwrap_or("-")
--- a/crates/toucanshelf-ingress/src/settings.rs
+++ b/crates/toucanshelf-ingress/src/settings.rs
@@ -23,6 +23,11 @@
     pub ready_listen: SocketAddr,
     /// Address on which metrics are served.
     pub metrics_listen: SocketAddr,
+    /// Address on which requests of other ingresses are served, which reach no target themselves.
+    ///
+    /// Without it, this ingress serves no requests of others, but still sends its own to them.
+    #[serde(default)]
+    pub relay_listen: Option<SocketAddr>,
     /// Secret key shared by all processes of the system to authenticate their connections.
     pub link_key: Box<str>,
     /// Addresses of the control instances to which the ingress connects first.
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -5,6 +5,7 @@
 //! attempt to send a request after its first one; a budget limits these for each service.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
 use std::time::Instant;
@@ -25,6 +26,7 @@
 use crate::metrics::Metrics;
 use crate::permits::PendingPermits;
 use crate::pool::{Connector, Pool};
+use crate::relay::Relays;
 use crate::reports::Reports;
 use crate::response_buffer::ResponseBuffers;
 use crate::settings::IngressSettings;
@@ -61,6 +63,8 @@
     pub content: ContentGuard,
     /// Whether this ingress reaches any target.
     pub isolation: Isolation,
+    /// Other ingresses that reach targets.
+    pub relays: Relays,
     /// Requests for permits that are not answered yet.
     pub permits: PendingPermits,
     /// Buffers for responses that are read in full.
@@ -98,6 +102,7 @@
             content: ContentGuard::new(),
             response_buffers: ResponseBuffers::default(),
             isolation: Isolation::new(),
+            relays: Relays::default(),
             permits: PendingPermits::default(),
             pool: Pool::new(connector),
             reports: Reports::new(),
@@ -252,6 +257,22 @@
         !self.stopping.load(Ordering::Relaxed) && self.version().is_some()
     }
 
+    /// Returns the address for requests of other ingresses, and whether they may use it now.
+    ///
+    /// Returns `None` if this ingress accepts none.
+    pub(crate) fn relay_status(&self) -> Option<(SocketAddr, bool)> {
+        let stopping = self.stopping.load(Ordering::Relaxed);
+        let available = !stopping && !self.isolation.is_isolated();
+        Some((self.relays.own_address()?, available))
+    }
+
+    /// Tells control whether other ingresses may send their requests to this one.
+    pub(crate) fn report_relay_status(&self) {
+        if let Some((address, available)) = self.relay_status() {
+            self.control.report_relay_status(address, available);
+        }
+    }
+
     pub(crate) fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
     }
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -24,11 +24,14 @@
 use crate::content_guard::{ContentAttempt, refused};
 use crate::events::EventSplitter;
 use crate::live_route::{LiveRoute, StreamFailure};
+use crate::relay;
 use crate::request::CallerRequest;
 use crate::response::{ProxyResponse, Refusal, channel_body, full_body, refusal_response};
 use crate::shared::Shared;
 use crate::targets::TargetKey;
 
+/// Time without data after which an isolated ingress continues a stream at another one.
+const RELAY_SILENCE: Duration = Duration::from_millis(700);
 /// Default `Retry-After` time sent to the caller if the request fails without having run.
 const RETRY_AFTER: Duration = Duration::from_millis(2_500);
 
@@ -44,7 +47,7 @@
     let (mut head, mut upstream) = match session.open(AvoidedEngines::LastResort).await {
         Ok(Opened::Stream(head, upstream)) => (head, upstream),
         Ok(Opened::ErrorResponse(response)) => return response,
-        Err(refusal) => return session.refuse(refusal),
+        Err(refusal) => return session.relay_or_refuse(refusal, under_way).await,
     };
     loop {
         match session.next_item(&mut upstream, None).await {
@@ -66,7 +69,11 @@
                 match session.fail_over(&mut upstream, &failure, None).await {
                     Failover::Switched(new_head) => head = *new_head,
                     Failover::Kept => {}
-                    Failover::Ended => return session.refuse(session.unavailable_refusal()),
+                    Failover::Ended => {
+                        drop(upstream);
+                        let refusal = session.unavailable_refusal();
+                        return session.relay_or_refuse(refusal, under_way).await;
+                    }
                 }
             }
             StreamItem::CallerDisconnected => {
@@ -365,6 +372,12 @@
                 StreamItem::CallerDisconnected => return self.finish("caller-left", 200),
                 StreamItem::Failed(failure) => {
                     let failover = self.fail_over(&mut upstream, &failure, Some(&tx)).await;
+                    if matches!(failover, Failover::Ended) && self.takes_relay() {
+                        drop(upstream);
+                        let (shared, req) = (&self.shared, &self.req);
+                        relay::continue_stream(shared, req, self.last_event, &tx).await;
+                        return self.finish("relayed", 200);
+                    }
                     if matches!(failover, Failover::Ended) {
                         // The error aborts the caller's connection. Otherwise the interrupted
                         // response would look complete.
@@ -417,7 +430,7 @@
                 *upstream = next;
                 Failover::Switched(Box::new(head))
             }
-            None if may_recover => {
+            None if may_recover && !self.relay_is_due(&upstream.route) => {
                 upstream.route.extend_wait();
                 Failover::Kept
             }
@@ -479,6 +492,34 @@
         }
     }
 
+    /// Returns whether another ingress may continue the request, because this one is isolated.
+    fn may_relay(&self) -> bool {
+        let resumable = self.events == 0 || self.last_event.is_some();
+        let may_run = !self.may_have_run || self.may_retry();
+        may_run && resumable && relay::is_needed(&self.shared, &self.req)
+    }
+
+    /// Returns whether a stream on `route` should continue at another ingress.
+    ///
+    /// A connection may live on while no new one can be opened; the stream then stays.
+    fn relay_is_due(&self, route: &LiveRoute) -> bool {
+        self.may_relay() && route.time_since_activity() >= RELAY_SILENCE
+    }
+
+    /// Returns whether to relay the request now, and takes a repeated send for it if it may have run.
+    fn takes_relay(&self) -> bool {
+        let service = &self.req.service;
+        self.may_relay() && (!self.may_have_run || self.shared.take_repeat(service))
+    }
+
+    /// Sends a request of which the caller has no event to another ingress, or refuses it.
+    async fn relay_or_refuse(self, refusal: Refusal, under_way: InFlightGuard) -> ProxyResponse {
+        if self.takes_relay() {
+            return relay::run(self.shared, self.req, self.may_have_run, under_way).await;
+        }
+        self.refuse(refusal)
+    }
+
     fn refuse(&self, refusal: Refusal) -> ProxyResponse {
         self.finish(refusal.name(), refusal.status().as_u16());
         let retry_after = (!self.may_have_run).then_some(self.retry_after);
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -28,8 +28,12 @@
             if self.req.response_due() <= Instant::now() {
                 return Err(self.deadline_refusal());
             }
+            if self.may_relay() {
+                return Err(self.unavailable_refusal());
+            }
             let content = self.begin_attempt().await?;
             let Some(route) = self.next_route(avoided).await else {
+                self.shared.isolation.record_no_target();
                 let retry_after = permits::retry_after(&self.shared, &self.req.service);
                 self.retry_after = retry_after.unwrap_or(RETRY_AFTER);
                 return Err(self.unavailable_refusal());
@@ -190,6 +194,9 @@
     ///
     /// The run on `route` counts towards the limit of runs unless its first engine has failed.
     pub(super) fn can_fail_over(&self, route: &LiveRoute) -> bool {
+        if self.relay_is_due(route) {
+            return true;
+        }
         self.may_retry()
             && self.runs + self.runs_on(route) < self.req.max_attempts
             && self.total_attempts < MAX_TOTAL_ATTEMPTS
--- a/crates/toucanshelf-link/src/dialect.rs
+++ b/crates/toucanshelf-link/src/dialect.rs
@@ -174,6 +174,12 @@
     /// `headers` is changed in place, and the values of `metadata` are written to it.
     fn target_headers(&self, headers: &mut HeaderMap, metadata: &TargetRequestMetadata<'_>);
 
+    /// Replaces a caller's request headers with those for another ingress.
+    ///
+    /// `deadline_ms` is the time left until the caller's deadline, in milliseconds. `last_event` is
+    /// the number of the last event that the caller has, if this ingress has sent any.
+    fn relay_headers(&self, headers: &mut HeaderMap, deadline_ms: u64, last_event: Option<u64>);
+
     /// Reads the platform's metadata from the headers of a target's response.
     fn response_metadata(&self, headers: &HeaderMap) -> ResponseMetadata;
 
--- a/crates/toucanshelf-link/src/frame.rs
+++ b/crates/toucanshelf-link/src/frame.rs
@@ -154,6 +154,11 @@
         /// Older programs don't know them.
         #[serde(default)]
         sends_patches: bool,
+        /// Whether the sender accepts [`Frame::RelayStatus`] and [`Frame::AskRelays`].
+        ///
+        /// Older programs don't know them.
+        #[serde(default)]
+        lists_relays: bool,
     },
 
     /// Control to ingress: announces the version of the current deployment.
@@ -229,6 +234,20 @@
         /// Time after which the ingress may ask again, in milliseconds; `None` for a permit.
         wait_ms: Option<u64>,
     },
+    /// Ingress to control: tells whether other ingresses may send it their requests.
+    RelayStatus {
+        /// Address at which the sender accepts requests of other ingresses.
+        address: SocketAddr,
+        /// Whether it reaches targets and isn't stopping.
+        available: bool,
+    },
+    /// Ingress to control: requests addresses of ingresses that reach targets.
+    AskRelays,
+    /// Control to ingress: answers [`Frame::AskRelays`].
+    Relays {
+        /// Addresses at which available ingresses accept requests of other ingresses.
+        addresses: Vec<SocketAddr>,
+    },
     /// Ingress to control: reports a target at which requests fail or stall.
     Suspected {
         /// Address of the target at which requests fail or stall.
--- a/crates/toucanshelf-routing/src/isolation.rs
+++ b/crates/toucanshelf-routing/src/isolation.rs
@@ -55,6 +55,13 @@
         is_new && self.failed.len() >= SUSPECT_FAILURES && !self.is_isolated()
     }
 
+    /// Returns whether other targets should be probed before a request is refused.
+    ///
+    /// This is so if no target was usable and at least one has failed.
+    pub fn suspects_at_refusal(&self) -> bool {
+        !self.failed.is_empty() && !self.isolated
+    }
+
     /// Records that a target has accepted a new connection.
     ///
     /// The isolation itself starts and ends with probes only.
--- a/tests/testsuite/isolation.rs
+++ b/tests/testsuite/isolation.rs
@@ -17,6 +17,17 @@
     assert!(!detector.is_isolated(), "only a probe decides");
 }
 
+/// Guards against an isolated instance that goes unnoticed because it knows a single target.
+#[test]
+fn suspects_at_refusal_after_failure() {
+    let mut detector = IsolationDetector::new();
+    assert!(!detector.suspects_at_refusal(), "no target has failed");
+    detector.record_failure(target(1), 3);
+    assert!(detector.suspects_at_refusal());
+    detector.record_connection();
+    assert!(!detector.suspects_at_refusal());
+}
+
 /// Guards against an instance that takes a crash of single targets for its own isolation.
 #[test]
 fn record_failure_between_connections() {
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -136,12 +136,13 @@
         accepts_findings,
         issues_permits,
         sends_patches,
+        lists_relays,
         ..
     } = decoded
     else {
         panic!()
     };
-    assert!(!accepts_findings && !issues_permits && !sends_patches);
+    assert!(!accepts_findings && !issues_permits && !sends_patches && !lists_relays);
 }
 
 /// Guards against a log that a control instance of a build without patches can't read.
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -14,7 +14,7 @@
 
 use crate::platform_support::{
     CallerResponse, DeploymentBuilder, Platform, Target, TargetAction, WAIT_TIMEOUT, call_ingress,
-    start_control, start_ingress, start_ingress_with_connector,
+    send, start_control, start_ingress, start_ingress_with_connector,
 };
 
 /// How connections to the targets behind a cut end.
@@ -174,34 +174,158 @@
     assert_eq!(call(ingress, "GET", "/read/").await.status, 200);
 }
 
-/// Guards against streams that an isolated ingress refuses, or passes on in part.
+/// Guards against a request that goes in circles between ingresses without targets.
 #[tokio::test(flavor = "multi_thread")]
-async fn stream_with_connections_refused() {
-    let events = &["id: 1\ndata: x\n\n", "id: 2\n\n"];
-    let engine = Target::start([TargetAction::Stream(events), TargetAction::Stream(events)]).await;
-    let later = Target::start([]).await;
-    let addresses = [engine.address, later.address];
-    let document = DeploymentBuilder::new(1)
-        .model_service("model")
-        .route_of_kind("draft", "/draft/", "model", "streaming");
-    let (control, folder) = start_control().await;
-    let connector = CutConnector::default();
-    let ingress = start_ingress_with_connector("i1", &control, connector.clone()).await;
-    let platform = Platform::with_ingress(control, folder, ingress, &document.build(), &[]).await;
-    for (n, address) in addresses.iter().enumerate() {
+async fn both_ingresses_isolated() {
+    let cut_platform = CutPlatform::start().await;
+    let platform = &cut_platform.platform;
+    let connector = cut_platform.connector.clone();
+    let other = start_ingress_with_connector("i2", &platform.control, connector).await;
+    served(&other, "GET", "/read/").await;
+    cut_platform.cut(Cut::Refused);
+    let ingresses = [&platform.ingress, &other];
+    let both_isolated = async {
+        for ingress in ingresses {
+            while !ingress.shared().isolation.is_isolated() {
+                assert_ne!(call(ingress, "POST", "/book/").await.status, 200);
+            }
+        }
+    };
+    tokio::time::timeout(WAIT_TIMEOUT, both_isolated)
+        .await
+        .unwrap();
+    let before = cut_platform.runs();
+    for ingress in ingresses {
+        let response = call(ingress, "POST", "/book/").await;
+        assert_eq!(response.status, 503);
+        assert!(response.headers.contains_key("retry-after"));
+    }
+    assert_eq!(cut_platform.runs(), before);
+}
+
+/// Guards against a caller that sees an older deployment at the same ingress through a relay.
+#[tokio::test(flavor = "multi_thread")]
+async fn relay_with_older_deployment() {
+    let cut_platform = CutPlatform::start().await;
+    let relay = cut_platform.platform.ingress.shared().relays.own_address();
+    let status_for = async |min_deployment: &str| {
+        let request = http::Request::get("/read/")
+            .header("host", "a.example")
+            .header("x-toucanshelf-request-id", "r1")
+            .header("toucanshelf-min-deployment", min_deployment);
+        let request = request.body(String::new()).unwrap();
+        send(relay.unwrap(), request).await.status
+    };
+    assert_eq!(status_for("2").await, 503);
+    assert_eq!(cut_platform.runs(), 0);
+    assert_eq!(status_for("1").await, 200);
+    let received = cut_platform.targets.iter();
+    let received = received.flat_map(Target::received_requests).next().unwrap();
+    assert_eq!(received.header("toucanshelf-min-deployment"), "");
+}
+
+/// An ingress that can be cut off from two engines, which hold all layers together.
+struct CutEngines {
+    platform: Platform,
+    connector: CutConnector,
+    engine: Target,
+    later: Target,
+}
+
+impl CutEngines {
+    /// Starts engines of which the first one answers as `script` says.
+    async fn start(script: impl IntoIterator<Item = TargetAction>) -> Self {
+        let (engine, later) = (Target::start(script).await, Target::start([]).await);
+        let document = DeploymentBuilder::new(1)
+            .model_service("model")
+            .route("read", "a.example", "/read/", "plain")
+            .route_of_kind("draft", "/draft/", "model", "streaming")
+            .build();
+        let (control, folder) = start_control().await;
+        let connector = CutConnector::default();
+        let ingress = start_ingress_with_connector("i1", &control, connector.clone()).await;
+        let platform = Platform::with_ingress(control, folder, ingress, &document, &[]).await;
+        platform
+            .register_engine("e0", engine.address, "z", 0..2)
+            .await;
         platform
-            .register_engine(
-                &format!("e{n}"),
-                *address,
-                "z",
-                2 * n as u32..2 * n as u32 + 2,
-            )
+            .register_engine("e1", later.address, "z", 2..4)
             .await;
+        Self {
+            platform,
+            connector,
+            engine,
+            later,
+        }
+    }
+
+    /// Waits until an ingress knows a route over both engines.
+    async fn wait_for_route(ingress: &Ingress) {
+        let route = async {
+            while ingress
+                .shared()
+                .targets()
+                .choose_route("model", &[], 0)
+                .is_none()
+            {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(WAIT_TIMEOUT, route).await.unwrap();
+    }
+
+    /// Cuts the first ingress off, and waits until it knows that.
+    async fn isolate(&self) {
+        let engines = [self.engine.address, self.later.address];
+        self.connector.cut(Cut::Refused, &engines);
+        let shared = self.platform.ingress.shared();
+        for engine in engines {
+            shared.isolation.record_failure(engine, shared.now());
+        }
+        let isolated = async {
+            while !shared.isolation.is_isolated() {
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(WAIT_TIMEOUT, isolated).await.unwrap();
     }
-    let other = start_ingress("i2", &platform.control).await;
-    served(&other, "POST", "/draft/").await;
-    connector.cut(Cut::Refused, &addresses);
-    let response = served(&platform.ingress, "POST", "/draft/").await;
+}
+
+/// Guards against streams that an isolated ingress refuses, or passes on in part.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_with_connections_refused() {
+    let events = &["id: 1\ndata: x\n\n", "id: 2\n\n"];
+    let engines = CutEngines::start([TargetAction::Stream(events)]).await;
+    CutEngines::wait_for_route(&engines.platform.ingress).await;
+    let other = start_ingress("i2", &engines.platform.control).await;
+    CutEngines::wait_for_route(&other).await;
+    let cut = [engines.engine.address, engines.later.address];
+    engines.connector.cut(Cut::Refused, &cut);
+    let response = served(&engines.platform.ingress, "POST", "/draft/").await;
     assert!(response.is_complete);
     assert_eq!(response.body, "id: 1\ndata: x\n\nid: 2\n\n");
 }
+
+/// Guards against streams that end with the connections of their ingress, or repeat events.
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_silent_since_cut() {
+    let first = &["id: 1\ndata: x\n\n"];
+    let rest = &["id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"];
+    let script = [TargetAction::Hang(first), TargetAction::Stream(rest)];
+    let engines = CutEngines::start(script).await;
+    CutEngines::wait_for_route(&engines.platform.ingress).await;
+    let other = start_ingress("i2", &engines.platform.control).await;
+    CutEngines::wait_for_route(&other).await;
+    let ingress = &engines.platform.ingress;
+    let isolate = async {
+        while engines.engine.received_requests().is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        engines.isolate().await;
+    };
+    let (response, ()) = tokio::join!(call(ingress, "POST", "/draft/"), isolate);
+    assert!(response.is_complete);
+    assert_eq!(response.body, "id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
+    let resumed = &engines.engine.received_requests()[1];
+    assert_eq!(resumed.header("last-event-id"), "1");
+}
