Take a relay's refusal as final once it has offered the request

Cause: a request that a relay's targets refused went to a second and a third relay, each of which counted its first send as the first of the request. The budget limits only what one ingress repeats by itself. Change: a relay marks a refusal as its own inability when it reaches no target or has an older deployment; only then the next relay is asked. Any other refusal goes to the caller at once, with the relay's Retry-After.

--- a/crates/toucanshelf-ingress/src/front.rs
+++ b/crates/toucanshelf-ingress/src/front.rs
@@ -34,9 +34,16 @@
 /// Forwards a request of another ingress's caller to a target and returns the response.
 pub async fn handle_relayed(shared: Arc<Shared>, mut req: Request<Incoming>) -> ProxyResponse {
     let min_deployment = relay::take_min_deployment(req.headers_mut());
-    if shared.version() < min_deployment {
+    let unable = if shared.version() < min_deployment {
+        Some(Refusal::NotConfigured)
+    } else {
+        shared.isolation.is_isolated().then_some(Refusal::NoTarget)
+    };
+    if let Some(refusal) = unable {
         let facts = shared.dialect.request_metadata(req.headers());
-        return reject(&shared, facts.id.as_deref(), Refusal::NotConfigured);
+        let mut response = reject(&shared, facts.id.as_deref(), refusal);
+        relay::mark_unable(&mut response);
+        return response;
     }
     forward(shared, req, true).await
 }
--- a/crates/toucanshelf-ingress/src/relay.rs
+++ b/crates/toucanshelf-ingress/src/relay.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use rand::seq::IteratorRandom as _;
@@ -34,6 +34,11 @@
 ///
 /// Without it, a caller could see an older deployment at the same ingress.
 const MIN_DEPLOYMENT: HeaderName = HeaderName::from_static("toucanshelf-min-deployment");
+/// Response header of a relay that has not offered the request to any target.
+///
+/// Without it, the refusal of a relay is final: another relay would offer the request anew, beyond
+/// the budget of repeated sends.
+const UNABLE: HeaderName = HeaderName::from_static("toucanshelf-relay-unable");
 /// Maximum number of relays to which one request is sent.
 const MAX_RELAYS: usize = 3;
 /// `Retry-After` time for the caller if no relay is known.
@@ -120,8 +125,6 @@
     tried: Vec<SocketAddr>,
     /// Whether a target may have run the request.
     may_have_run: bool,
-    /// Latest response of a relay that has not run the request.
-    refusal: Option<ProxyResponse>,
     /// Number of the last event that the caller has; `None` before the first event.
     last_event: Option<u64>,
 }
@@ -137,6 +140,12 @@
     value.to_str().ok()?.parse().ok()
 }
 
+/// Marks the response to a relayed request that was not offered to any target.
+pub(crate) fn mark_unable(response: &mut ProxyResponse) {
+    let headers = response.headers_mut();
+    headers.insert(UNABLE, HeaderValue::from_static("1"));
+}
+
 /// Sends a request to another ingress and returns its response.
 ///
 /// `may_have_run` tells whether the request may have run in an earlier attempt.
@@ -203,12 +212,11 @@
             shared: Arc::clone(shared),
             tried: Vec::new(),
             may_have_run,
-            refusal: None,
             last_event: None,
         }
     }
 
-    /// Sends the request to one relay after another until one doesn't refuse it.
+    /// Sends the request to one relay after another until one is able to handle it.
     async fn open(&mut self, req: &CallerRequest) -> Option<RelayedResponse> {
         while self.tried.len() < MAX_RELAYS {
             let address = self.shared.relays.choose(&self.tried)?;
@@ -221,11 +229,9 @@
                         sender,
                         load,
                     };
-                    if !self.is_refusal(&relayed.response) {
+                    if !relayed.response.headers().contains_key(UNABLE) {
                         return Some(relayed);
                     }
-                    let refusal = relayed.read_to_end(&self.shared, req).await;
-                    self.refusal = refusal.ok();
                 }
                 Err(e) if e.has_not_run() => {}
                 Err(_) => {
@@ -239,12 +245,6 @@
         None
     }
 
-    /// Returns whether a response is a relay's own, for a request that has not run.
-    fn is_refusal(&self, response: &Response<Incoming>) -> bool {
-        let metadata = self.shared.dialect.response_metadata(response.headers());
-        response.status() == StatusCode::SERVICE_UNAVAILABLE && !metadata.signed
-    }
-
     /// Returns whether the request may be sent again, and takes that from the service's budget.
     fn may_repeat(&self, req: &CallerRequest) -> bool {
         req.kind.is_retryable()
@@ -404,14 +404,13 @@
     }
 
     /// Returns the response for a request that no relay has served.
-    fn refuse(&mut self, req: &CallerRequest) -> ProxyResponse {
+    fn refuse(&self, req: &CallerRequest) -> ProxyResponse {
         if self.may_have_run {
             self.finish(req, Refusal::Lost.name());
             return refusal_response(Refusal::Lost, None);
         }
         self.finish(req, Refusal::NoTarget.name());
-        let refusal = self.refusal.take();
-        refusal.unwrap_or_else(|| refusal_response(Refusal::NoTarget, Some(RETRY_AFTER)))
+        refusal_response(Refusal::NoTarget, Some(RETRY_AFTER))
     }
 
     fn finish(&self, req: &CallerRequest, outcome: &'static str) {
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -214,12 +214,14 @@
     /// Address on which the target listens.
     pub address: SocketAddr,
     received_requests: Arc<Mutex<Vec<ReceivedRequest>>>,
+    /// Answers to the next requests.
+    script: Arc<Mutex<VecDeque<TargetAction>>>,
     /// Engine that the target's reports name as the one at which a request stalls.
     stalled: Arc<Mutex<Option<SocketAddr>>>,
     /// Set to stop the target; dropping the sender stops it as well.
     stop: Arc<watch::Sender<bool>>,
-    /// Requests a second that the target names as its limit in every answer, if any.
-    limit: Arc<Mutex<Option<&'static str>>>,
+    /// Headers that the target adds to every answer.
+    headers: Arc<Mutex<HeaderMap>>,
 }
 
 /// Body of a target's response.
@@ -247,10 +249,10 @@
         let handler_stalled = Arc::clone(&stalled);
         let (stop, stop_rx) = watch::channel(false);
         let stop = Arc::new(stop);
-        let limit = Arc::default();
+        let headers = Arc::default();
         let behaviour = Arc::new(Behaviour {
-            limit: Arc::clone(&limit),
-            script,
+            headers: Arc::clone(&headers),
+            script: Arc::clone(&script),
             crashes: Box::new(crashes),
             stop: Arc::downgrade(&stop),
         });
@@ -271,15 +273,31 @@
         Self {
             address,
             received_requests,
+            script,
             stalled,
             stop,
-            limit,
+            headers,
         }
     }
 
     /// Makes the target name a limit in its answers, in requests a second, or none.
     pub fn name_limit(&self, rate: Option<&'static str>) {
-        *self.limit.lock().unwrap() = rate;
+        self.add_header("server-limit", rate);
+    }
+
+    /// Makes the target refuse the next 50 requests without running them.
+    pub fn refuse_all(&self) {
+        let refusals = std::iter::repeat_n(TargetAction::NotRun(None), 50);
+        self.script.lock().unwrap().extend(refusals);
+    }
+
+    /// Makes the target add a header to its answers, or none of this name any more.
+    pub fn add_header(&self, name: &'static str, value: Option<&'static str>) {
+        let mut headers = self.headers.lock().unwrap();
+        headers.remove(name);
+        if let Some(value) = value {
+            headers.insert(name, value.parse().unwrap());
+        }
     }
 
     /// Whether the target has crashed.
@@ -304,8 +322,8 @@
     /// Whether a request crashes the target.
     crashes: Box<dyn Fn(&ReceivedRequest) -> bool + Send + Sync>,
     stop: Weak<watch::Sender<bool>>,
-    /// Requests a second that the target names as its limit, if any.
-    limit: Arc<Mutex<Option<&'static str>>>,
+    /// Headers that the target adds to every answer.
+    headers: Arc<Mutex<HeaderMap>>,
 }
 
 /// Answers a call of the target's API, or a caller's request as the script says.
@@ -353,9 +371,7 @@
     if let Some(id) = id {
         headers.insert("x-toucanshelf-request-id", id);
     }
-    if let Some(rate) = *behaviour.limit.lock().unwrap() {
-        headers.insert("server-limit", rate.parse().unwrap());
-    }
+    headers.extend(behaviour.headers.lock().unwrap().clone());
     let seal = format!("sealed-by-{}", address.port());
     headers.insert("x-toucanshelf-response-seal", seal.parse().unwrap());
     match action.unwrap_or(TargetAction::Answer(200, "done")) {
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -84,8 +84,8 @@
     }
 
     /// Starts another ingress, and waits until it serves requests.
-    async fn start_other_ingress(&self) -> Ingress {
-        let other = start_ingress("i2", &self.platform.control).await;
+    async fn start_other_ingress(&self, name: &str) -> Ingress {
+        let other = start_ingress(name, &self.platform.control).await;
         served(&other, "GET", "/read/").await;
         other
     }
@@ -125,7 +125,7 @@
 /// The platform sends callers to this ingress as long as it is ready, and those that come back as well.
 async fn plain_requests_during(cut: Cut) {
     let cut_platform = CutPlatform::start().await;
-    let _other = cut_platform.start_other_ingress().await;
+    let _other = cut_platform.start_other_ingress("i2").await;
     cut_platform.cut(cut);
     let ingress = &cut_platform.platform.ingress;
     served(ingress, "GET", "/read/").await;
@@ -203,6 +203,30 @@
     assert_eq!(cut_platform.runs(), before);
 }
 
+/// Guards against repeated sends beyond the budget, which each relay would count as first ones.
+///
+/// A relay that has offered the request to targets in vain has the final word.
+#[tokio::test(flavor = "multi_thread")]
+async fn targets_refuse_relayed_request() {
+    let cut_platform = CutPlatform::start().await;
+    let _others = [
+        cut_platform.start_other_ingress("i2").await,
+        cut_platform.start_other_ingress("i3").await,
+    ];
+    cut_platform.cut(Cut::Refused);
+    let ingress = &cut_platform.platform.ingress;
+    served(ingress, "GET", "/read/").await;
+    for target in &cut_platform.targets {
+        target.refuse_all();
+    }
+    let before = cut_platform.runs();
+    let response = call(ingress, "GET", "/read/").await;
+    assert_eq!(response.status, 503);
+    assert!(response.headers.contains_key("retry-after"));
+    let arrivals = cut_platform.runs() - before;
+    assert!(arrivals <= cut_platform.targets.len(), "{arrivals}");
+}
+
 /// Guards against a caller that sees an older deployment at the same ingress through a relay.
 #[tokio::test(flavor = "multi_thread")]
 async fn relay_with_older_deployment() {
