--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -35,5 +35,6 @@
 mod state_patches;
 mod support;
 mod target_limits;
+mod target_notices;
 mod tickets;
 mod unframed;
