Send no more requests to a target that says that it leaves

What callers saw: nothing yet; the header is new. A target that leaves may end with requests under way. Cause: an ingress learned of a departure from registrations only, which may come late or not at all. Change: an answer with Server-Leaving makes the target unusable for this ingress until it restarts; TS4316. Measured: leaving_target: 20 of 20 requests reached it before, none now.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -157,6 +157,15 @@
     };
     let metadata = shared.dialect.response_metadata(response.headers());
     record_limit(shared, req, to, metadata.request_rate_limit, sent_ms);
+    if metadata.leaving && shared.targets().record_leaving(to.id) {
+        tracing::info!(
+            event = "TS4316",
+            request = req.id(),
+            target_id = to.id,
+            address = %to.address,
+            "target leaves"
+        );
+    }
     if metadata.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
         return Err(AttemptError::NotRun {
             status: response.status(),
--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -10,6 +10,7 @@
 //! restart, after which the target registers as a new incarnation, ends this early.
 
 mod limits;
+mod notices;
 mod probes;
 mod stages;
 
@@ -105,6 +106,8 @@
     missing_layers_until: u64,
     /// Moving average of the share of plain requests that failed, from 0 to 1.
     error_rate: f64,
+    /// Whether the target has said in an answer that it leaves.
+    leaving: bool,
     /// Limit that the target names in its answers, while it does.
     limit: Option<TargetLimit>,
 }
@@ -125,13 +128,14 @@
             refused_until: 0,
             missing_layers_until: 0,
             error_rate: 0.0,
+            leaving: false,
             limit: None,
         }
     }
 
-    /// Returns whether the target is registered as ready and isn't marked down.
+    /// Returns whether the target is registered as ready, doesn't leave and isn't marked down.
     fn is_usable(&self, now: u64) -> bool {
-        self.record.readiness == Readiness::Ready && now >= self.down_until
+        self.record.readiness == Readiness::Ready && !self.leaving && now >= self.down_until
     }
 
     /// Returns the time until which the target isn't chosen for lack of a permit, in milliseconds.
--- /dev/null
+++ b/crates/toucanshelf-ingress/src/targets/notices.rs
@@ -0,0 +1,14 @@
+//! What targets say of themselves in their answers.
+
+use super::Targets;
+
+impl Targets {
+    /// Records that the target `id` has said that it leaves; returns whether that is new.
+    ///
+    /// It gets no more requests. Only a restart, as a new incarnation, ends this.
+    pub fn record_leaving(&mut self, id: &str) -> bool {
+        let key = self.by_id.get(id).copied();
+        let target = key.and_then(|key| self.arena.get_mut(key));
+        target.is_some_and(|target| !std::mem::replace(&mut target.leaving, true))
+    }
+}
--- a/crates/toucanshelf-link/src/dialect.rs
+++ b/crates/toucanshelf-link/src/dialect.rs
@@ -94,6 +94,8 @@
     pub failed_engine: Option<SocketAddr>,
     /// Requests a second that the target accepts from all instances together, while it needs relief.
     pub request_rate_limit: Option<f64>,
+    /// Whether the target leaves and should get no more requests.
+    pub leaving: bool,
 }
 
 /// State that an engine reports on request; it may have changed since.
