Send nothing to a target for the time that its refusal names

What callers saw: nothing yet; the header is new. A target that has turned a request away got the next one 250 ms later. Cause: nothing read Retry-After of a target's 503; any refusal put the target on probation for 250 ms. Change: a 503 with Retry-After keeps the target from being chosen as first engine or plain target for so long; TS4317. If no target is left, the caller is refused at once with the time until the first wants requests again. As a later engine of a route the target may still be used: such requests don't come from this instance.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, timeout_at};
 use toucanshelf_core::deployment::RequestKind;
 use toucanshelf_core::layers::LayerRange;
-use toucanshelf_link::dialect::TargetRequestMetadata;
+use toucanshelf_link::dialect::{ResponseMetadata, TargetRequestMetadata};
 
 use crate::pool::Sender;
 use crate::request::CallerRequest;
@@ -157,15 +157,7 @@
     };
     let metadata = shared.dialect.response_metadata(response.headers());
     record_limit(shared, req, to, metadata.request_rate_limit, sent_ms);
-    if metadata.leaving && shared.targets().record_leaving(to.id) {
-        tracing::info!(
-            event = "TS4316",
-            request = req.id(),
-            target_id = to.id,
-            address = %to.address,
-            "target leaves"
-        );
-    }
+    record_notices(shared, req, to, response.status(), &metadata);
     if metadata.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
         return Err(AttemptError::NotRun {
             status: response.status(),
@@ -210,6 +202,41 @@
     }
 }
 
+/// Records what an answer says about further requests to its target.
+fn record_notices(
+    shared: &Shared,
+    req: &CallerRequest,
+    to: &Destination<'_>,
+    status: StatusCode,
+    metadata: &ResponseMetadata,
+) {
+    if metadata.leaving && shared.targets().record_leaving(to.id) {
+        tracing::info!(
+            event = "TS4316",
+            request = req.id(),
+            target_id = to.id,
+            address = %to.address,
+            "target leaves"
+        );
+    }
+    let Some(wait) = metadata.retry_after else {
+        return;
+    };
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        let wait_ms = wait.as_millis() as u64;
+        let until = shared.now().saturating_add(wait_ms);
+        shared.targets().record_unwanted(to.id, until);
+        tracing::info!(
+            event = "TS4317",
+            request = req.id(),
+            target_id = to.id,
+            address = %to.address,
+            wait_ms,
+            "target wants no requests"
+        );
+    }
+}
+
 /// Connects to the target and sends the request.
 async fn exchange_on_new_connection(
     shared: &Shared,
--- a/crates/toucanshelf-ingress/src/targets/limits.rs
+++ b/crates/toucanshelf-ingress/src/targets/limits.rs
@@ -86,10 +86,10 @@
         self.arena.get_mut(key)?.limit.as_mut()
     }
 
-    /// Returns the time until a limited target of `service` may be chosen, in milliseconds.
+    /// Returns the time until a target of `service` may be chosen, in milliseconds.
     ///
-    /// Returns `None` if some target that could receive a request now lacks no permit. `now` is in
-    /// milliseconds.
+    /// Returns `None` if some target that could receive a request now lacks no permit and wants
+    /// requests. `now` is in milliseconds.
     pub fn permit_wait_ms(&self, service: &str, now: u64) -> Option<u64> {
         let receives = |target: &Target| {
             let layers = target.record.layers;
--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -106,6 +106,8 @@
     missing_layers_until: u64,
     /// Moving average of the share of plain requests that failed, from 0 to 1.
     error_rate: f64,
+    /// Time until which the target wants no requests, in milliseconds since the ingress started.
+    unwanted_until: u64,
     /// Whether the target has said in an answer that it leaves.
     leaving: bool,
     /// Limit that the target names in its answers, while it does.
@@ -128,6 +130,7 @@
             refused_until: 0,
             missing_layers_until: 0,
             error_rate: 0.0,
+            unwanted_until: 0,
             leaving: false,
             limit: None,
         }
@@ -138,11 +141,13 @@
         self.record.readiness == Readiness::Ready && !self.leaving && now >= self.down_until
     }
 
-    /// Returns the time until which the target isn't chosen for lack of a permit, in milliseconds.
+    /// Returns the time until which no request is sent to the target, in milliseconds.
     ///
-    /// It is 0 for a target that names no limit.
+    /// It lacks a permit until then, or wants no requests. As a later engine of a route it may be
+    /// used.
     fn deferred_until(&self) -> u64 {
-        self.limit.map_or(0, |limit| limit.deferred_until)
+        let permit = self.limit.map_or(0, |limit| limit.deferred_until);
+        permit.max(self.unwanted_until)
     }
 
     /// Returns whether the target costs extra after a failure or a refusal.
--- a/crates/toucanshelf-ingress/src/targets/notices.rs
+++ b/crates/toucanshelf-ingress/src/targets/notices.rs
@@ -11,4 +11,14 @@
         let target = key.and_then(|key| self.arena.get_mut(key));
         target.is_some_and(|target| !std::mem::replace(&mut target.leaving, true))
     }
+
+    /// Records that the target `id` wants no requests until `until`.
+    ///
+    /// `until` is in milliseconds since the ingress started.
+    pub fn record_unwanted(&mut self, id: &str, until: u64) {
+        let key = self.by_id.get(id).copied();
+        if let Some(target) = key.and_then(|key| self.arena.get_mut(key)) {
+            target.unwanted_until = until;
+        }
+    }
 }
--- a/crates/toucanshelf-link/src/dialect.rs
+++ b/crates/toucanshelf-link/src/dialect.rs
@@ -11,6 +11,7 @@
 
 use std::fmt;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use http::{HeaderMap, Method};
 use toucanshelf_core::deployment::{Deployment, DeploymentError};
@@ -94,6 +95,10 @@
     pub failed_engine: Option<SocketAddr>,
     /// Requests a second that the target accepts from all instances together, while it needs relief.
     pub request_rate_limit: Option<f64>,
+    /// Time for which the target wants no requests from this instance.
+    ///
+    /// It counts only with a refusal.
+    pub retry_after: Option<Duration>,
     /// Whether the target leaves and should get no more requests.
     pub leaving: bool,
 }
