Count a relayed request once for the budget of repeated sends

Cause: an ingress that had counted a request before it became isolated relayed it, and the relay counted it again, as did each further relay; and a request that a target had refused was relayed without taking a repeated send. Change: a header tells the relay that the request has been counted; a send that follows one to a target or another relay is taken from the budget of the ingress that repeats it.

--- a/crates/toucanshelf-ingress/src/front.rs
+++ b/crates/toucanshelf-ingress/src/front.rs
@@ -14,6 +14,7 @@
 use toucanshelf_link::dialect::RequestMetadata;
 use toucanshelf_routing::matcher::{MatchError, RouteTable};
 
+use crate::relay::{History, RelayMetadata};
 use crate::request::CallerRequest;
 use crate::response::{
     ProxyResponse, Refusal, full_body, refusal_response, strip_connection_headers,
@@ -28,13 +29,13 @@
 ///
 /// If this ingress reaches no target, another one receives the request.
 pub async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> ProxyResponse {
-    forward(shared, req, false).await
+    forward(shared, req, None).await
 }
 
 /// Forwards a request of another ingress's caller to a target and returns the response.
 pub async fn handle_relayed(shared: Arc<Shared>, mut req: Request<Incoming>) -> ProxyResponse {
-    let min_deployment = relay::take_min_deployment(req.headers_mut());
-    let unable = if shared.version() < min_deployment {
+    let metadata = RelayMetadata::take(req.headers_mut());
+    let unable = if shared.version() < metadata.min_deployment {
         Some(Refusal::NotConfigured)
     } else {
         shared.isolation.is_isolated().then_some(Refusal::NoTarget)
@@ -45,10 +46,15 @@
         relay::mark_unable(&mut response);
         return response;
     }
-    forward(shared, req, true).await
+    forward(shared, req, Some(metadata)).await
 }
 
-async fn forward(shared: Arc<Shared>, req: Request<Incoming>, relayed: bool) -> ProxyResponse {
+/// Forwards a request, which another ingress has relayed if there is metadata of it.
+async fn forward(
+    shared: Arc<Shared>,
+    req: Request<Incoming>,
+    metadata: Option<RelayMetadata>,
+) -> ProxyResponse {
     let under_way = shared.under_way().begin();
     let facts = shared.dialect.request_metadata(req.headers());
     let id = facts.id.clone();
@@ -56,12 +62,14 @@
         Ok(req) => req,
         Err(refusal) => return reject(&shared, id.as_deref(), refusal),
     };
-    req.relayed = relayed;
+    req.relayed = metadata.is_some();
     if relay::is_needed(&shared, &req) {
         // The relay counts the request.
-        return relay::run(shared, req, false, under_way).await;
+        return relay::run(shared, req, History::default(), under_way).await;
+    }
+    if !metadata.is_some_and(|metadata| metadata.counted) {
+        shared.count_request(&req.service);
     }
-    shared.count_request(&req.service);
     match req.kind {
         RequestKind::Stream { .. } => stream::run(shared, req, under_way).await,
         _ => plain::run(&shared, &req).await,
--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -13,7 +13,7 @@
 use crate::attempt::{AttemptError, Destination, send};
 use crate::content_guard::{ContentAttempt, begin_attempt};
 use crate::permits;
-use crate::relay;
+use crate::relay::{self, History};
 use crate::request::{CallerRequest, InFlight};
 use crate::response::{ProxyResponse, Refusal, full_body, refusal_response};
 use crate::shared::Shared;
@@ -43,6 +43,7 @@
         excluded: Vec::new(),
         runs: 0,
         total_attempts: 0,
+        offered: false,
         error_response: None,
         retry_after: RETRY_AFTER,
     };
@@ -78,6 +79,8 @@
     runs: u32,
     /// Number of all attempts, including those in which no target ran the request.
     total_attempts: u32,
+    /// Whether a target has received the request.
+    offered: bool,
     /// Latest server error from a target, returned if no other target answers.
     error_response: Option<Response<Bytes>>,
     /// `Retry-After` time for the caller if the request has not run.
@@ -90,9 +93,12 @@
             if self.req.response_due() <= Instant::now() {
                 return self.final_response(Refusal::ExpiredUnrun, Refusal::Expired);
             }
-            let may_run = self.runs == 0 || self.may_run_again();
-            if may_run && relay::is_needed(self.shared, self.req) {
-                let response = relay::run_plain(self.shared, self.req, self.runs > 0).await;
+            if self.takes_relay() {
+                let history = History {
+                    may_have_run: self.runs > 0,
+                    counted: true,
+                };
+                let response = relay::run_plain(self.shared, self.req, history).await;
                 let outcome = "relayed";
                 return CompletedRequest { response, outcome };
             }
@@ -133,6 +139,14 @@
         self.req.kind.is_retryable() && self.runs < self.req.max_attempts
     }
 
+    /// Returns whether to relay the request now, and takes a repeated send for it if one is due.
+    fn takes_relay(&self) -> bool {
+        let may_run = self.runs == 0 || self.may_run_again();
+        may_run
+            && relay::is_needed(self.shared, self.req)
+            && (!self.offered || self.shared.take_repeat(&self.req.service))
+    }
+
     /// Chooses the target of the next attempt.
     ///
     /// Returns `None` if no target is usable, or if the attempt limit or the service's budget of
@@ -184,6 +198,7 @@
             response = answer => response,
             () = content.refused(req) => Err(AttemptError::Cancelled),
         };
+        self.offered |= !matches!(&response, Err(AttemptError::NotSent(_)));
         if !matches!(&response, Err(e) if e.has_not_run()) {
             self.runs += 1;
         }
--- a/crates/toucanshelf-ingress/src/relay.rs
+++ b/crates/toucanshelf-ingress/src/relay.rs
@@ -34,6 +34,8 @@
 ///
 /// Without it, a caller could see an older deployment at the same ingress.
 const MIN_DEPLOYMENT: HeaderName = HeaderName::from_static("toucanshelf-min-deployment");
+/// Header that tells the relay that another ingress has counted the request for its budget.
+const COUNTED: HeaderName = HeaderName::from_static("toucanshelf-counted");
 /// Response header of a relay that has not offered the request to any target.
 ///
 /// Without it, the refusal of a relay is final: another relay would offer the request anew, beyond
@@ -125,6 +127,8 @@
     tried: Vec<SocketAddr>,
     /// Whether a target may have run the request.
     may_have_run: bool,
+    /// Whether an ingress has counted the request for its budget of repeated sends.
+    counted: bool,
     /// Number of the last event that the caller has; `None` before the first event.
     last_event: Option<u64>,
 }
@@ -134,10 +138,35 @@
     !req.relayed && shared.isolation.is_isolated()
 }
 
-/// Takes the minimum version of the deployment out of the headers of a relayed request.
-pub(crate) fn take_min_deployment(headers: &mut HeaderMap) -> Option<u64> {
-    let value = headers.remove(MIN_DEPLOYMENT)?;
-    value.to_str().ok()?.parse().ok()
+/// What another ingress says about a request that it relays.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RelayMetadata {
+    /// Minimum version of the deployment, if it is named.
+    pub min_deployment: Option<u64>,
+    /// Whether an ingress has counted the request for its budget of repeated sends.
+    pub counted: bool,
+}
+
+impl RelayMetadata {
+    /// Takes the metadata out of the headers of a relayed request.
+    pub fn take(headers: &mut HeaderMap) -> Self {
+        let min_deployment = headers.remove(MIN_DEPLOYMENT);
+        let min_deployment = min_deployment.and_then(|value| value.to_str().ok()?.parse().ok());
+        let counted = headers.remove(COUNTED).is_some();
+        Self {
+            min_deployment,
+            counted,
+        }
+    }
+}
+
+/// What has happened to a request before it is relayed.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct History {
+    /// Whether a target may have run the request.
+    pub may_have_run: bool,
+    /// Whether this ingress has counted the request for its budget of repeated sends.
+    pub counted: bool,
 }
 
 /// Marks the response to a relayed request that was not offered to any target.
@@ -148,17 +177,17 @@
 
 /// Sends a request to another ingress and returns its response.
 ///
-/// `may_have_run` tells whether the request may have run in an earlier attempt.
+/// A repeated send must be taken from the budget before, if a target has received the request.
 pub(crate) async fn run(
     shared: Arc<Shared>,
     req: CallerRequest,
-    may_have_run: bool,
+    history: History,
     under_way: InFlightGuard,
 ) -> ProxyResponse {
     if !matches!(req.kind, RequestKind::Stream { .. }) {
-        return run_plain(&shared, &req, may_have_run).await;
+        return run_plain(&shared, &req, history).await;
     }
-    let mut session = RelaySession::new(&shared, may_have_run);
+    let mut session = RelaySession::new(&shared, history);
     let Some(relayed) = session.open(&req).await else {
         return session.refuse(&req);
     };
@@ -176,14 +205,12 @@
 }
 
 /// Sends a plain request to another ingress and reads the whole response.
-///
-/// `may_have_run` tells whether the request may have run in an earlier attempt.
 pub(crate) async fn run_plain(
     shared: &Arc<Shared>,
     req: &CallerRequest,
-    may_have_run: bool,
+    history: History,
 ) -> ProxyResponse {
-    let mut session = RelaySession::new(shared, may_have_run);
+    let mut session = RelaySession::new(shared, history);
     match session.open(req).await {
         Some(relayed) => session.read_to_end(req, relayed).await,
         None => session.refuse(req),
@@ -197,7 +224,11 @@
     last_event: Option<u64>,
     tx: &mpsc::Sender<io::Result<Bytes>>,
 ) {
-    let mut session = RelaySession::new(shared, true);
+    let history = History {
+        may_have_run: true,
+        counted: true,
+    };
+    let mut session = RelaySession::new(shared, history);
     session.last_event = last_event;
     let opened = session.reopen(req).await;
     match opened {
@@ -207,11 +238,12 @@
 }
 
 impl RelaySession {
-    fn new(shared: &Arc<Shared>, may_have_run: bool) -> Self {
+    fn new(shared: &Arc<Shared>, history: History) -> Self {
         Self {
             shared: Arc::clone(shared),
             tried: Vec::new(),
-            may_have_run,
+            may_have_run: history.may_have_run,
+            counted: history.counted,
             last_event: None,
         }
     }
@@ -230,12 +262,14 @@
                         load,
                     };
                     if !relayed.response.headers().contains_key(UNABLE) {
+                        self.counted = true;
                         return Some(relayed);
                     }
                 }
                 Err(e) if e.has_not_run() => {}
                 Err(_) => {
                     self.may_have_run = true;
+                    self.counted = true;
                     if !self.may_repeat(req) {
                         return None;
                     }
@@ -308,6 +342,9 @@
         let dialect = &self.shared.dialect;
         dialect.relay_headers(headers, deadline_ms, self.last_event);
         headers.insert(MIN_DEPLOYMENT, HeaderValue::from(req.version));
+        if self.counted {
+            headers.insert(COUNTED, HeaderValue::from_static("1"));
+        }
         Ok(request)
     }
 
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -24,7 +24,7 @@
 use crate::content_guard::{ContentAttempt, refused};
 use crate::events::EventSplitter;
 use crate::live_route::{LiveRoute, StreamFailure};
-use crate::relay;
+use crate::relay::{self, History};
 use crate::request::CallerRequest;
 use crate::response::{ProxyResponse, Refusal, channel_body, full_body, refusal_response};
 use crate::shared::Shared;
@@ -195,6 +195,8 @@
     total_attempts: u32,
     /// Whether the request may have run on any engine, including failed ones.
     may_have_run: bool,
+    /// Whether an engine has received the request.
+    offered: bool,
     /// Number of the last event that the caller has received.
     ///
     /// It may stem from an earlier response, if the caller states it in the request.
@@ -225,6 +227,7 @@
             runs: 0,
             total_attempts: 0,
             may_have_run: false,
+            offered: false,
             last_event,
             events: 0,
             first_event_ms: None,
@@ -506,16 +509,19 @@
         self.may_relay() && route.time_since_activity() >= RELAY_SILENCE
     }
 
-    /// Returns whether to relay the request now, and takes a repeated send for it if it may have run.
+    /// Returns whether to relay the request now, and takes a repeated send for it if one is due.
     fn takes_relay(&self) -> bool {
-        let service = &self.req.service;
-        self.may_relay() && (!self.may_have_run || self.shared.take_repeat(service))
+        self.may_relay() && (!self.offered || self.shared.take_repeat(&self.req.service))
     }
 
     /// Sends a request of which the caller has no event to another ingress, or refuses it.
     async fn relay_or_refuse(self, refusal: Refusal, under_way: InFlightGuard) -> ProxyResponse {
         if self.takes_relay() {
-            return relay::run(self.shared, self.req, self.may_have_run, under_way).await;
+            let history = History {
+                may_have_run: self.may_have_run,
+                counted: true,
+            };
+            return relay::run(self.shared, self.req, history, under_way).await;
         }
         self.refuse(refusal)
     }
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -227,6 +227,7 @@
     fn record_attempt_error(&mut self, route: &LiveRoute, error: &AttemptError) {
         let first = route.hops()[0];
         let now = self.shared.now();
+        self.offered |= !matches!(error, AttemptError::NotSent(_));
         match error {
             AttemptError::NotSent(_) => {
                 mark_down_and_report(&self.shared, self.req.id(), first, "connection failed");
@@ -260,6 +261,7 @@
     // It also counts if only a later engine of the route has failed.
     pub(super) fn count_run(&mut self, route: &LiveRoute) {
         self.may_have_run = true;
+        self.offered = true;
         let runs = self.runs_on(route);
         self.runs += runs;
         if runs > 0 {
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 use toucanshelf_ingress::Ingress;
 use toucanshelf_ingress::pool::{Connector, TcpConnector};
+use toucanshelf_routing::budget::RepeatBudget;
 
 use crate::platform_support::{
     CallerResponse, DeploymentBuilder, Platform, Target, TargetAction, WAIT_TIMEOUT, call_ingress,
@@ -248,6 +249,35 @@
     assert_eq!(received.header("toucanshelf-min-deployment"), "");
 }
 
+/// Guards against a budget of repeated sends that grows because two ingresses count one request.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_counted_at_sender() {
+    let cut_platform = CutPlatform::start().await;
+    let shared = cut_platform.platform.ingress.shared();
+    let relay = shared.relays.own_address().unwrap();
+    for _ in 0..200 {
+        let request = http::Request::get("/read/")
+            .header("host", "a.example")
+            .header("x-toucanshelf-request-id", "r1")
+            .header("toucanshelf-counted", "1");
+        let request = request.body(String::new()).unwrap();
+        assert_eq!(send(relay, request).await.status, 200);
+    }
+    let mut repeats = 0;
+    while shared.take_repeat("plain") {
+        repeats += 1;
+    }
+    let mut without_requests = RepeatBudget::new(shared.settings.budget_limits());
+    let mut expected = 0;
+    while without_requests.take_repeat(0, 1) {
+        expected += 1;
+    }
+    assert_eq!(repeats, expected);
+    let received = cut_platform.targets.iter();
+    let received = received.flat_map(Target::received_requests).next().unwrap();
+    assert_eq!(received.header("toucanshelf-counted"), "");
+}
+
 /// An ingress that can be cut off from two engines, which hold all layers together.
 struct CutEngines {
     platform: Platform,
