Give a restarted ingress its share of the slack after one window only

Cause: four ingresses were restarted within that window; each new process had its whole share of the slack again, since it doesn't know what its predecessor has spent. Change: repeat-slack-after-ms, on the platform the length of the window; what follows from counted requests is available at once.

--- a/crates/toucanshelf-ingress/src/settings.rs
+++ b/crates/toucanshelf-ingress/src/settings.rs
@@ -52,6 +52,11 @@
     /// They add to those that `repeat_ratio` allows and are shared evenly among all ingresses.
     #[serde(default = "default_repeat_slack")]
     pub repeat_slack: f64,
+    /// Time from the start of the ingress after which `repeat_slack` applies, in milliseconds.
+    ///
+    /// With the length of the window, an ingress that restarts doesn't spend its share twice.
+    #[serde(default)]
+    pub repeat_slack_after_ms: u64,
     /// Length of the sliding window in which repeated sends are counted, in milliseconds.
     #[serde(default = "default_repeat_window")]
     pub repeat_window_ms: u64,
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -212,7 +212,8 @@
     fn with_budget<T>(&self, service: &str, operation: impl FnOnce(&mut RepeatBudget) -> T) -> T {
         let mut budgets = self.budgets.lock().expect("no holder panics");
         if !budgets.contains_key(service) {
-            let budget = RepeatBudget::new(self.settings.budget_limits());
+            let budget = RepeatBudget::new(self.settings.budget_limits())
+                .with_slack_from(self.settings.repeat_slack_after_ms);
             budgets.insert(service.into(), budget);
         }
         operation(budgets.get_mut(service).expect("it was just inserted"))
--- a/crates/toucanshelf-routing/src/budget.rs
+++ b/crates/toucanshelf-routing/src/budget.rs
@@ -37,6 +37,8 @@
 #[derive(Clone, Debug)]
 pub struct RepeatBudget {
     limits: BudgetLimits,
+    /// Time from which the slack may be used, in milliseconds.
+    slack_from: u64,
     buckets: Vec<Bucket>,
 }
 
@@ -48,10 +50,19 @@
         let count = limits.window_ms.div_ceil(BUCKET_MS) as usize + 1;
         Self {
             limits,
+            slack_from: 0,
             buckets: vec![Bucket::default(); count],
         }
     }
 
+    /// Allows the slack only from a time on, in milliseconds.
+    ///
+    /// An instance that restarts doesn't know what it has spent before.
+    #[must_use]
+    pub fn with_slack_from(self, slack_from: u64) -> Self {
+        Self { slack_from, ..self }
+    }
+
     /// Returns the bucket of the current period, cleared if it held an older one.
     fn bucket(&mut self, now: u64) -> &mut Bucket {
         let period = now / BUCKET_MS;
@@ -80,7 +91,11 @@
         let (requests, repeats) = recent.fold((0, 0), |(requests, repeats), bucket| {
             (requests + bucket.requests, repeats + bucket.repeats)
         });
-        let slack = self.limits.slack / f64::from(instances.max(1));
+        let slack = if now < self.slack_from {
+            0.0
+        } else {
+            self.limits.slack / f64::from(instances.max(1))
+        };
         let allowed = USABLE_SHARE * (self.limits.ratio * f64::from(requests) + slack);
         f64::from(repeats) + 1.0 <= allowed
     }
--- a/tests/testsuite/budget.rs
+++ b/tests/testsuite/budget.rs
@@ -29,6 +29,28 @@
     assert!(budget.has_repeat(12_000, 6));
 }
 
+/// Guards against an instance that spends its share of the slack again after each restart.
+#[test]
+fn restarted_instance() {
+    let mut before = RepeatBudget::new(LIMITS);
+    let spent = (0..100).filter(|_| before.take_repeat(50_000, 6)).count();
+    // The new process counts its time from its start.
+    let mut after = RepeatBudget::new(LIMITS).with_slack_from(LIMITS.window_ms);
+    let again = (0..LIMITS.window_ms).filter(|now| after.take_repeat(*now, 6));
+    assert_eq!(again.count(), 0, "after {spent} sends in the same window");
+    assert!(after.take_repeat(LIMITS.window_ms, 6));
+}
+
+/// The share that follows from counted requests is available at once.
+#[test]
+fn restarted_instance_with_requests() {
+    let mut budget = RepeatBudget::new(LIMITS).with_slack_from(LIMITS.window_ms);
+    for _ in 0..100 {
+        budget.count_request(10);
+    }
+    assert!(budget.take_repeat(20, 6));
+}
+
 proptest! {
     /// No window exceeds the limits, whatever the order of requests and repeated sends.
     #[test]
