Let a stopping ingress wait for its open connections

Cause: the stop ends when no request is in flight; a request is counted once its head has been read, and the process could end in between. Change: the server ends with its last connection, and the stop waits for it, within the time limit. Measured: request_head_half_read: the stop had ended while the head was half read; now the request is answered.

--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -48,6 +48,7 @@
 
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 use toucanshelf_link::dialect::Dialect;
 use toucanshelf_runtime::in_flight::STOP_POLL_INTERVAL;
 use toucanshelf_runtime::serve::{ConnectionLimits, serve};
@@ -66,6 +67,8 @@
     shared: Arc<Shared>,
     address: SocketAddr,
     stop: watch::Sender<bool>,
+    /// Servers of callers and of other ingresses, which end with their last connections.
+    servers: JoinSet<()>,
 }
 
 impl fmt::Debug for Ingress {
@@ -118,13 +121,14 @@
         let context = Arc::clone(&shared);
         let handler = move |req| front::handle(Arc::clone(&context), req);
         let limits = shared.connection_limits();
-        tokio::spawn(serve(front, limits, stop_rx.clone(), handler));
+        let mut servers = JoinSet::new();
+        servers.spawn(serve(front, limits, stop_rx.clone(), handler));
         if let Some(relay) = relay {
             let address = relay.local_addr().map_err(|e| e.to_string())?;
             shared.relays.set_own_address(address);
             let context = Arc::clone(&shared);
             let handler = move |req| front::handle_relayed(Arc::clone(&context), req);
-            tokio::spawn(serve(relay, shared.connection_limits(), stop_rx, handler));
+            servers.spawn(serve(relay, shared.connection_limits(), stop_rx, handler));
         }
         control::start(&shared, &key);
         tokio::spawn(isolation::run(Arc::clone(&shared)));
@@ -134,6 +138,7 @@
             shared,
             address,
             stop,
+            servers,
         })
     }
 
@@ -150,8 +155,9 @@
     /// Stops the ingress gracefully.
     ///
     /// The ingress first reports itself as not ready, then stops accepting connections, and finally
-    /// waits for the requests in flight, until `stop_timeout_ms` after the start of the stop.
-    pub async fn stop(self) {
+    /// waits for the requests in flight and the connections, until `stop_timeout_ms` after the start
+    /// of the stop.
+    pub async fn stop(mut self) {
         let started = tokio::time::Instant::now();
         self.shared.begin_stop();
         self.shared.report_relay_status();
@@ -160,7 +166,11 @@
         tokio::time::sleep(STOP_GRACE_PERIOD).await;
         self.stop.send_replace(true);
         let limit = Duration::from_millis(self.shared.settings.stop_timeout_ms);
-        let idle = self.shared.under_way().wait_until_idle();
+        let idle = async {
+            // A request whose head is still being read isn't counted yet, but its connection is open.
+            while self.servers.join_next().await.is_some() {}
+            self.shared.under_way().wait_until_idle().await;
+        };
         if tokio::time::timeout_at(started + limit, idle)
             .await
             .is_err()
--- a/crates/toucanshelf-runtime/src/serve.rs
+++ b/crates/toucanshelf-runtime/src/serve.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::JoinSet;
 
 /// Delay before the server accepts connections again after a failure to accept one.
 ///
@@ -50,8 +51,8 @@
 
 /// Serves HTTP connections until `stop` becomes true or its sender is dropped.
 ///
-/// Open connections then complete their current request and close; this function does not wait for
-/// them. Changed `limits` apply to connections that are accepted afterwards.
+/// Open connections then complete their current request and close, and the function returns with the
+/// last of them. Changed `limits` apply to connections that are accepted afterwards.
 pub async fn serve<H, F, B>(
     listener: TcpListener,
     limits: watch::Receiver<ConnectionLimits>,
@@ -63,16 +64,18 @@
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = wait_for_stop(&mut stop) => return,
+            Some(_) = connections.join_next() => continue,
+            () = wait_for_stop(&mut stop) => break,
         };
         match accepted {
             Ok((stream, _)) => {
                 let limits = *limits.borrow();
                 let (stop, handler) = (stop.clone(), handler.clone());
-                tokio::spawn(serve_connection(stream, limits, stop, handler));
+                connections.spawn(serve_connection(stream, limits, stop, handler));
             }
             Err(e) => {
                 tracing::warn!(event = "TS1201", cause = %e, "failed to accept a connection");
@@ -80,6 +83,8 @@
             }
         }
     }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
 }
 
 /// Waits for a request to stop: `stop` is true or its sender is dropped.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod events;
 mod hops;
 mod ingress;
+mod ingress_stop;
 mod isolation;
 mod links;
 mod matcher;
