--- a/crates/toucanshelf-ingress/src/relay.rs
+++ b/crates/toucanshelf-ingress/src/relay/mod.rs
@@ -5,17 +5,18 @@
 //! request that may run again goes to another one, and a stream continues there after its last
 //! event.
 
-use std::collections::HashMap;
+mod headers;
+mod table;
+
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, OnceLock};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Request, Response};
-use http_body_util::BodyExt as _;
+use http::{HeaderMap, Request, Response};
+use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
-use rand::seq::IteratorRandom as _;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 use toucanshelf_core::deployment::RequestKind;
@@ -29,91 +30,17 @@
     ProxyResponse, Refusal, channel_body, full_body, refusal_response, strip_connection_headers,
 };
 use crate::shared::Shared;
+use headers::is_marked_unable;
+use table::RelayLoad;
+
+pub(crate) use headers::{RelayMetadata, mark_unable};
+pub use table::Relays;
 
-/// Header with the version of the deployment that the relay must at least have.
-///
-/// Without it, a caller could see an older deployment at the same ingress.
-const MIN_DEPLOYMENT: HeaderName = HeaderName::from_static("toucanshelf-min-deployment");
-/// Header that tells the relay that another ingress has counted the request for its budget.
-const COUNTED: HeaderName = HeaderName::from_static("toucanshelf-counted");
-/// Response header of a relay that has not offered the request to any target.
-///
-/// Without it, the refusal of a relay is final: another relay would offer the request anew, beyond
-/// the budget of repeated sends.
-const UNABLE: HeaderName = HeaderName::from_static("toucanshelf-relay-unable");
 /// Maximum number of relays to which one request is sent.
 const MAX_RELAYS: usize = 3;
 /// `Retry-After` time for the caller if no relay is known.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Ingresses that reach targets, as control has listed them.
-#[derive(Debug, Default)]
-pub struct Relays {
-    /// Address at which this ingress accepts requests of others, if it does.
-    own: OnceLock<SocketAddr>,
-    addresses: Mutex<Vec<SocketAddr>>,
-    /// Number of requests in flight at each relay.
-    in_flight: Mutex<HashMap<SocketAddr, u32>>,
-}
-
-impl Relays {
-    /// Returns the address at which this ingress accepts requests of others, if it does.
-    pub fn own_address(&self) -> Option<SocketAddr> {
-        self.own.get().copied()
-    }
-
-    pub(crate) fn set_own_address(&self, address: SocketAddr) {
-        self.own.get_or_init(|| address);
-    }
-
-    /// Replaces the known relays, unless the new list is empty.
-    pub fn update(&self, addresses: Vec<SocketAddr>) {
-        if !addresses.is_empty() {
-            *self.addresses.lock().expect("no holder panics") = addresses;
-        }
-    }
-
-    /// Chooses the less loaded of two random relays that are not in `tried`.
-    fn choose(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
-        let addresses = self.addresses.lock().expect("no holder panics");
-        let untried = addresses.iter().filter(|address| !tried.contains(address));
-        let two = untried.copied().sample(&mut rand::rng(), 2);
-        let in_flight = self.in_flight.lock().expect("no holder panics");
-        let load = |address: &SocketAddr| in_flight.get(address).copied().unwrap_or(0);
-        two.into_iter().min_by_key(load)
-    }
-}
-
-/// Guard that counts a request towards the load of its relay until dropped.
-struct RelayLoad {
-    shared: Arc<Shared>,
-    address: SocketAddr,
-}
-
-impl RelayLoad {
-    fn new(shared: &Arc<Shared>, address: SocketAddr) -> Self {
-        let mut in_flight = shared.relays.in_flight.lock().expect("no holder panics");
-        *in_flight.entry(address).or_default() += 1;
-        drop(in_flight);
-        let shared = Arc::clone(shared);
-        Self { shared, address }
-    }
-}
-
-impl Drop for RelayLoad {
-    fn drop(&mut self) {
-        let mut in_flight = self
-            .shared
-            .relays
-            .in_flight
-            .lock()
-            .expect("no holder panics");
-        if let Some(count) = in_flight.get_mut(&self.address) {
-            *count = count.saturating_sub(1);
-        }
-    }
-}
-
 /// Response of a relay, whose body is still unread.
 struct RelayedResponse {
     response: Response<Incoming>,
@@ -138,28 +65,6 @@
     !req.relayed && shared.isolation.is_isolated()
 }
 
-/// What another ingress says about a request that it relays.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct RelayMetadata {
-    /// Minimum version of the deployment, if it is named.
-    pub min_deployment: Option<u64>,
-    /// Whether an ingress has counted the request for its budget of repeated sends.
-    pub counted: bool,
-}
-
-impl RelayMetadata {
-    /// Takes the metadata out of the headers of a relayed request.
-    pub fn take(headers: &mut HeaderMap) -> Self {
-        let min_deployment = headers.remove(MIN_DEPLOYMENT);
-        let min_deployment = min_deployment.and_then(|value| value.to_str().ok()?.parse().ok());
-        let counted = headers.remove(COUNTED).is_some();
-        Self {
-            min_deployment,
-            counted,
-        }
-    }
-}
-
 /// What has happened to a request before it is relayed.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct History {
@@ -169,12 +74,6 @@
     pub counted: bool,
 }
 
-/// Marks the response to a relayed request that was not offered to any target.
-pub(crate) fn mark_unable(response: &mut ProxyResponse) {
-    let headers = response.headers_mut();
-    headers.insert(UNABLE, HeaderValue::from_static("1"));
-}
-
 /// Sends a request to another ingress and returns its response.
 ///
 /// A repeated send must be taken from the budget before, if a target has received the request.
@@ -261,7 +160,7 @@
                         sender,
                         load,
                     };
-                    if !relayed.response.headers().contains_key(UNABLE) {
+                    if !is_marked_unable(relayed.response.headers()) {
                         self.counted = true;
                         return Some(relayed);
                     }
@@ -330,10 +229,7 @@
         send_request(sender, self.build_request(req)?, req.response_due()).await
     }
 
-    fn build_request(
-        &self,
-        req: &CallerRequest,
-    ) -> Result<Request<http_body_util::Full<Bytes>>, AttemptError> {
+    fn build_request(&self, req: &CallerRequest) -> Result<Request<Full<Bytes>>, AttemptError> {
         let Some(deadline_ms) = req.remaining_ms() else {
             return Err(AttemptError::NotSent("no time left to send".into()));
         };
@@ -341,10 +237,11 @@
         let headers = request.headers_mut();
         let dialect = &self.shared.dialect;
         dialect.relay_headers(headers, deadline_ms, self.last_event);
-        headers.insert(MIN_DEPLOYMENT, HeaderValue::from(req.version));
-        if self.counted {
-            headers.insert(COUNTED, HeaderValue::from_static("1"));
-        }
+        let metadata = RelayMetadata {
+            min_deployment: Some(req.version),
+            counted: self.counted,
+        };
+        metadata.set(headers);
         Ok(request)
     }
 
