Accept relayed requests until a stopping ingress has finished

Cause: a stopping ingress closed its listener for relayed requests together with that for callers, 2.8 s after SIGTERM, but went on with its streams until 7.5 s; no other ingress that reached targets was left to accept any. Change: that listener is stopped last. Control still doesn't list a stopping ingress; the ones that know it go on with it as long as none else is named.

--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -48,7 +48,7 @@
 
 use tokio::net::TcpListener;
 use tokio::sync::watch;
-use tokio::task::JoinSet;
+use tokio::task::JoinHandle;
 use toucanshelf_link::dialect::Dialect;
 use toucanshelf_runtime::in_flight::STOP_POLL_INTERVAL;
 use toucanshelf_runtime::serve::{ConnectionLimits, serve};
@@ -66,9 +66,37 @@
 pub struct Ingress {
     shared: Arc<Shared>,
     address: SocketAddr,
+    /// Server of callers, which ends with its last connection.
+    callers: StoppableServer,
+    /// Server of other ingresses' requests, if there is one.
+    relay: Option<StoppableServer>,
+}
+
+/// A server that runs until it is stopped and its connections have closed.
+struct StoppableServer {
     stop: watch::Sender<bool>,
-    /// Servers of callers and of other ingresses, which end with their last connections.
-    servers: JoinSet<()>,
+    task: JoinHandle<()>,
+}
+
+impl StoppableServer {
+    /// Serves requests on `listener` with the connection limits of the deployment.
+    fn new<H, F>(listener: TcpListener, shared: &Shared, handler: H) -> Self
+    where
+        H: Clone + Fn(http::Request<hyper::body::Incoming>) -> F + Send + 'static,
+        F: Future<Output = response::ProxyResponse> + Send + 'static,
+    {
+        let (stop, stop_rx) = watch::channel(false);
+        let limits = shared.connection_limits();
+        let task = tokio::spawn(serve(listener, limits, stop_rx, handler));
+        Self { stop, task }
+    }
+
+    /// Accepts no more connections, and waits until the open ones have closed.
+    async fn stop(&mut self) {
+        self.stop.send_replace(true);
+        // The task ends early only if the runtime shuts down.
+        let _ = (&mut self.task).await;
+    }
 }
 
 impl fmt::Debug for Ingress {
@@ -117,19 +145,19 @@
         };
         let address = front.local_addr().map_err(|e| e.to_string())?;
         let shared = Arc::new(Shared::new(settings, dialect, connector));
-        let (stop, stop_rx) = watch::channel(false);
         let context = Arc::clone(&shared);
         let handler = move |req| front::handle(Arc::clone(&context), req);
-        let limits = shared.connection_limits();
-        let mut servers = JoinSet::new();
-        servers.spawn(serve(front, limits, stop_rx.clone(), handler));
-        if let Some(relay) = relay {
-            let address = relay.local_addr().map_err(|e| e.to_string())?;
-            shared.relays.set_own_address(address);
-            let context = Arc::clone(&shared);
-            let handler = move |req| front::handle_relayed(Arc::clone(&context), req);
-            servers.spawn(serve(relay, shared.connection_limits(), stop_rx, handler));
-        }
+        let callers = StoppableServer::new(front, &shared, handler);
+        let relay = match relay {
+            Some(listener) => {
+                let address = listener.local_addr().map_err(|e| e.to_string())?;
+                shared.relays.set_own_address(address);
+                let context = Arc::clone(&shared);
+                let handler = move |req| front::handle_relayed(Arc::clone(&context), req);
+                Some(StoppableServer::new(listener, &shared, handler))
+            }
+            None => None,
+        };
         control::start(&shared, &key);
         tokio::spawn(isolation::run(Arc::clone(&shared)));
         start_probes(&shared, ready, metrics);
@@ -137,8 +165,8 @@
         Ok(Self {
             shared,
             address,
-            stop,
-            servers,
+            callers,
+            relay,
         })
     }
 
@@ -164,12 +192,15 @@
         let under_way = self.shared.under_way().get();
         tracing::info!(event = "TS4002", under_way, "ingress stopping");
         tokio::time::sleep(STOP_GRACE_PERIOD).await;
-        self.stop.send_replace(true);
         let limit = Duration::from_millis(self.shared.settings.stop_timeout_ms);
         let idle = async {
             // A request whose head is still being read isn't counted yet, but its connection is open.
-            while self.servers.join_next().await.is_some() {}
+            self.callers.stop().await;
             self.shared.under_way().wait_until_idle().await;
+            // Until here, isolated ingresses may have no other one to send their requests to.
+            if let Some(relay) = &mut self.relay {
+                relay.stop().await;
+            }
         };
         if tokio::time::timeout_at(started + limit, idle)
             .await
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -8,6 +8,7 @@
 
 use futures_util::FutureExt as _;
 use futures_util::future::BoxFuture;
+use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
 use toucanshelf_ingress::Ingress;
 use toucanshelf_ingress::pool::{Connector, TcpConnector};
@@ -228,6 +229,38 @@
     assert!(arrivals <= cut_platform.targets.len(), "{arrivals}");
 }
 
+/// Guards against callers that are refused while all ingresses that reach targets are stopping.
+///
+/// Each of them goes on for seconds, until its last stream has ended.
+#[tokio::test(flavor = "multi_thread")]
+async fn relay_that_stops() {
+    let cut_platform = CutPlatform::start().await;
+    let other = cut_platform.start_other_ingress("i2").await;
+    cut_platform.cut(Cut::Refused);
+    let ingress = &cut_platform.platform.ingress;
+    served(ingress, "GET", "/read/").await;
+    // A request that is being read keeps the other ingress from ending.
+    let address = other.address();
+    let mut caller = TcpStream::connect(address).await.unwrap();
+    caller.write_all(b"GET /read/ HTTP/1.1\r\n").await.unwrap();
+    let stop = tokio::spawn(other.stop());
+    let closed = async {
+        while TcpStream::connect(address).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(WAIT_TIMEOUT, closed).await.unwrap();
+    for _ in 0..5 {
+        assert_eq!(call(ingress, "POST", "/book/").await.status, 200);
+    }
+    assert!(!stop.is_finished());
+    drop(caller);
+    tokio::time::timeout(WAIT_TIMEOUT, stop)
+        .await
+        .expect("the stop ends")
+        .unwrap();
+}
+
 /// Guards against a caller that sees an older deployment at the same ingress through a relay.
 #[tokio::test(flavor = "multi_thread")]
 async fn relay_with_older_deployment() {
