--- a/tests/testsuite/ingress.rs
+++ b/tests/testsuite/ingress.rs
@@ -434,3 +434,34 @@
         "the last valid heartbeat stays in effect"
     );
 }
+
+/// Guards against streams that move from engine to engine while each of them goes on serving.
+///
+/// An engine that leaves may deregister first and serve on for seconds. It hasn't failed: a run on
+/// it counts, and its stream needs no other engine.
+#[tokio::test(flavor = "multi_thread")]
+async fn deregistered_engine_keeps_stream() {
+    let events = (1..=300).map(|id| &*format!("id: {id}\n\n").leak());
+    let events: &[&str] = events.collect::<Vec<_>>().leak();
+    let first = Target::start([TargetAction::Stream(events)]).await;
+    let other = Target::start([]).await;
+    let later = Target::start([]).await;
+    let document = DeploymentBuilder::new(1)
+        .model_service("model")
+        .route_of_kind("draft", "/draft/", "model", "streaming");
+    let placed = [("z", 0, 2), ("y", 0, 2), ("z", 2, 4)];
+    let platform = with_engines_on(&document, &[&first, &other, &later], &placed).await;
+    let deregister = async {
+        while first.received_requests().is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let request = Request::delete("/api/instances/e0").header("host", "control");
+        let request = request.body(r#"{"born":1000}"#.into()).unwrap();
+        let status = send(platform.control_api_address(), request).await.status;
+        assert_eq!(status, 200);
+    };
+    let (response, ()) = tokio::join!(platform.call("POST", "/draft/", &[ID]), deregister);
+    assert_eq!((response.status, response.is_complete), (200, true));
+    assert_eq!(response.body, events.concat());
+    assert_eq!(other.received_requests().len(), 0);
+}
