--- a/crates/toucanshelf-control/src/settings.rs
+++ b/crates/toucanshelf-control/src/settings.rs
@@ -8,7 +8,7 @@
 use toucanshelf_core::target::check_text;
 use toucanshelf_link::handshake::SharedKey;
 use toucanshelf_runtime::program::DaemonSettings;
-use toucanshelf_runtime::settings::LogSettings;
+use toucanshelf_runtime::settings::{LogSettings, milliseconds};
 
 /// Settings of a control instance.
 #[derive(Clone, Debug, Deserialize)]
@@ -68,7 +68,7 @@
     #[serde(default = "default_losses")]
     pub tolerated_losses: usize,
     /// Interval at which every target sends heartbeats, in milliseconds.
-    #[serde(default = "default_heartbeat")]
+    #[serde(default = "default_heartbeat", deserialize_with = "milliseconds")]
     pub heartbeat_ms: u64,
 }
 
--- a/crates/toucanshelf-ingress/src/settings.rs
+++ b/crates/toucanshelf-ingress/src/settings.rs
@@ -7,7 +7,7 @@
 use toucanshelf_link::handshake::SharedKey;
 use toucanshelf_routing::budget::BudgetLimits;
 use toucanshelf_runtime::program::DaemonSettings;
-use toucanshelf_runtime::settings::LogSettings;
+use toucanshelf_runtime::settings::{LogSettings, milliseconds};
 
 /// Settings of an ingress, which stay the same while it runs.
 #[derive(Clone, Debug, Deserialize)]
@@ -55,10 +55,10 @@
     /// Time from the start of the ingress after which `repeat_slack` applies, in milliseconds.
     ///
     /// With the length of the window, an ingress that restarts doesn't spend its share twice.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "milliseconds")]
     pub repeat_slack_after_ms: u64,
     /// Length of the sliding window in which repeated sends are counted, in milliseconds.
-    #[serde(default = "default_repeat_window")]
+    #[serde(default = "default_repeat_window", deserialize_with = "milliseconds")]
     pub repeat_window_ms: u64,
     /// Settings of logs and traces.
     #[serde(default)]
--- a/crates/toucanshelf-runtime/src/settings.rs
+++ b/crates/toucanshelf-runtime/src/settings.rs
@@ -2,8 +2,8 @@
 
 use std::path::Path;
 
-use serde::Deserialize;
-use serde::de::DeserializeOwned;
+use serde::de::{DeserializeOwned, Error as _};
+use serde::{Deserialize, Deserializer};
 
 /// Reason why a settings file was rejected.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -32,6 +32,27 @@
     },
 }
 
+/// Largest number of milliseconds that a setting may have; all up to it are exact as floats.
+const MAX_MS: f64 = 9.0e15;
+
+/// Deserializes a number of milliseconds, whole or not; a fraction is rounded up.
+///
+/// For use with `#[serde(deserialize_with)]`.
+///
+/// # Errors
+///
+/// Fails unless the value is a number that is not negative and at most 9e15.
+pub fn milliseconds<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    let ms = f64::deserialize(deserializer)?;
+    if (0.0..=MAX_MS).contains(&ms) {
+        Ok(ms.ceil() as u64)
+    } else {
+        Err(D::Error::custom(format!(
+            "{ms} is no number of milliseconds"
+        )))
+    }
+}
+
 /// Reads and parses a settings file in TOML.
 ///
 /// # Errors
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod permits;
 mod placement;
 mod platform_support;
+mod platform_templates;
 mod processes;
 mod quarantine;
 mod raw_target;
