Keep a deregistered target until its last request has ended

But an engine may deregister first and serve on for seconds. Change: a departed target with requests in flight stays in the table, unusable for new requests, until its last request has ended; a new incarnation or a later target at its address removes it at once.

--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -251,13 +251,20 @@
 
     /// Adds, updates, replaces or removes the target that a registration describes.
     ///
-    /// A new incarnation, after a restart, replaces the target and thus resets its health.
+    /// A new incarnation, after a restart, replaces the target and thus resets its health. A target
+    /// may deregister before it has answered all requests, so it is kept until its last one ends.
     fn update_target(&mut self, record: Registration) {
         let known = self.by_id.get(&record.id).copied();
         if record.readiness == Readiness::Gone {
-            if let Some(key) = known {
-                self.arena.remove(key);
-                self.by_id.remove(&record.id);
+            let Some(key) = known else { return };
+            let replaced = self.is_replaced(&record);
+            if let Some(target) = self.arena.get_mut(key)
+                && target.in_flight_requests > 0
+                && !replaced
+            {
+                target.record = record;
+            } else {
+                self.remove(key);
             }
             return;
         }
@@ -281,6 +288,25 @@
         }
     }
 
+    /// Returns whether another target has started later at the address of `record`.
+    fn is_replaced(&self, record: &Registration) -> bool {
+        self.registry.entries().any(|entry| {
+            let other = &entry.record;
+            other.address == record.address
+                && other.id != record.id
+                && other.incarnation > record.incarnation
+        })
+    }
+
+    /// Removes a target; its streams take it for failed.
+    fn remove(&mut self, key: TargetKey) {
+        if let Some(target) = self.arena.remove(key)
+            && self.by_id.get(&target.record.id) == Some(&key)
+        {
+            self.by_id.remove(&target.record.id);
+        }
+    }
+
     /// Returns the index of a zone in [`Targets::zones`]; an unknown zone is added.
     fn zone_index(&mut self, zone: &str) -> u16 {
         let known = self.zones.iter().position(|known| &**known == zone);
@@ -355,7 +381,7 @@
 
     /// Replaces the failed engines of a route and keeps the others.
     ///
-    /// An engine counts as failed if it is marked down, deregistered or in `excluded`. Returns
+    /// An engine counts as failed if [`Targets::has_failed`] says so or it is in `excluded`. Returns
     /// `None` if the first engine has failed, or if no other engines hold the layers of the failed
     /// ones.
     pub fn repair_route(
@@ -472,7 +498,9 @@
             .is_some_and(|target| target.failures > 0)
     }
 
-    /// Returns whether a target is marked down now, has deregistered or has restarted.
+    /// Returns whether a target is marked down now, has restarted or isn't in the table any more.
+    ///
+    /// A target that has deregistered stays in the table until its last request has ended.
     pub fn has_failed(&self, key: TargetKey, now: u64) -> bool {
         self.arena
             .get(key)
@@ -501,6 +529,9 @@
                 .saturating_sub(u32::from(is_first));
             target.in_flight_requests = target.in_flight_requests.saturating_sub(1);
             target.reserved_token_layers = (target.reserved_token_layers - token_layers).max(0.0);
+            if target.record.readiness == Readiness::Gone && target.in_flight_requests == 0 {
+                self.remove(key);
+            }
         }
     }
 
