Count the run of a silent engine towards the limit of runs

Cause: a run wasn't counted while its first engine was marked down. Change: a run counts unless its engine has certainly ended: it refuses connections, or another incarnation or target has replaced it. A refused connection is told from other connect errors. Measured: ingress::silent_engine_counts_as_run: 2 runs beside the silent one before, 1 after.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -15,7 +15,7 @@
 use toucanshelf_core::layers::LayerRange;
 use toucanshelf_link::dialect::{ResponseMetadata, TargetRequestMetadata};
 
-use crate::pool::Sender;
+use crate::pool::{ConnectError, Sender};
 use crate::request::CallerRequest;
 use crate::response::strip_connection_headers;
 use crate::response_buffer::ResponseBuffers;
@@ -251,6 +251,9 @@
         }
         Ok(Err(e)) => {
             shared.isolation.record_failure(to.address, shared.now());
+            if matches!(e, ConnectError::Refused(_)) {
+                shared.targets().record_ended(to.id);
+            }
             return Err(AttemptError::NotSent(e.to_string().into()));
         }
         Err(_) => {
--- a/crates/toucanshelf-ingress/src/pool.rs
+++ b/crates/toucanshelf-ingress/src/pool.rs
@@ -68,9 +68,12 @@
 /// Error that prevented a connection to a target.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum ConnectError {
-    /// The TCP connection or its HTTP handshake failed.
+    /// Nothing listens at the target's address.
     #[error("connecting failed: {0}")]
     Refused(Box<str>),
+    /// The TCP connection or its HTTP handshake failed for another reason.
+    #[error("connecting failed: {0}")]
+    Failed(Box<str>),
     /// The target did not accept the connection within `CONNECT_TIMEOUT`.
     #[error("no connection within {CONNECT_TIMEOUT:?}")]
     Timeout,
@@ -138,7 +141,10 @@
     pub async fn connect(&self, address: SocketAddr) -> Result<Sender, ConnectError> {
         let stream = match timeout(CONNECT_TIMEOUT, self.connector.connect(address)).await {
             Ok(Ok(stream)) => stream,
-            Ok(Err(e)) => return Err(ConnectError::Refused(e.to_string().into())),
+            Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(ConnectError::Refused(e.to_string().into()));
+            }
+            Ok(Err(e)) => return Err(ConnectError::Failed(e.to_string().into())),
             Err(_) => return Err(ConnectError::Timeout),
         };
         // An error is ignored: it means that the connection is closed, so that the request fails as
@@ -146,7 +152,7 @@
         let _ = stream.set_nodelay(true);
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) =
-            handshake.map_err(|e| ConnectError::Refused(e.to_string().into()))?;
+            handshake.map_err(|e| ConnectError::Failed(e.to_string().into()))?;
         tokio::spawn(async move {
             if let Err(e) = connection.await {
                 tracing::debug!(event = "TS4201", %address, cause = %e, "connection to target failed");
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -189,7 +189,7 @@
     /// Number of attempts that count towards the limit of runs (`max_attempts`).
     ///
     /// An attempt counts if the request may have run, unless the first engine of the route had
-    /// failed when the attempt ended.
+    /// ended when the attempt was given up.
     runs: u32,
     /// Number of all attempts, including those in which no engine ran the request.
     total_attempts: u32,
@@ -323,7 +323,7 @@
 
     /// Logs that a stream failed on its route, and counts the run.
     ///
-    /// The run counts towards the limit of runs unless the first engine of the route has failed.
+    /// The run counts towards the limit of runs unless the first engine of the route has ended.
     fn record_failure(&mut self, upstream: &Upstream, failure: &StreamFailure) {
         tracing::info!(
             event = "TS4305",
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -2,7 +2,7 @@
 //!
 //! A route is a sequence of engines that together run all layers of a model. An attempt is one send
 //! of the request to the first engine of a route. It counts as a run if the request may have run
-//! there and that engine has not failed; the number of runs is limited.
+//! there and that engine has not ended; the number of runs is limited.
 
 use tokio::time::Instant;
 
@@ -192,7 +192,7 @@
 
     /// Returns whether the stream on `route` may move to another route now.
     ///
-    /// The run on `route` counts towards the limit of runs unless its first engine has failed.
+    /// The run on `route` counts towards the limit of runs unless its first engine has ended.
     pub(super) fn can_fail_over(&self, route: &LiveRoute) -> bool {
         if self.relay_is_due(route) {
             return true;
@@ -257,8 +257,8 @@
 
     /// Records that the request may have run in an attempt on `route`.
     ///
-    /// The attempt counts towards the limit of runs unless the first engine of `route` has failed.
-    // It also counts if only a later engine of the route has failed.
+    /// The attempt counts towards the limit of runs unless the first engine of `route` has ended.
+    // An engine that is silent, or marked down for another reason, may still run the request.
     pub(super) fn count_run(&mut self, route: &LiveRoute) {
         self.may_have_run = true;
         self.offered = true;
@@ -271,10 +271,9 @@
 
     /// Returns the number of runs that an attempt on a route counts as.
     ///
-    /// It is 1, or 0 if the first engine of the route has failed.
+    /// It is 1, or 0 if the first engine of the route has ended.
     fn runs_on(&self, route: &LiveRoute) -> u32 {
         let first = route.hops()[0].key;
-        let failed = self.shared.targets().has_failed(first, self.shared.now());
-        u32::from(!failed)
+        u32::from(!self.shared.targets().has_ended(first))
     }
 }
--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -110,6 +110,8 @@
     unwanted_until: u64,
     /// Whether the target has said in an answer that it leaves.
     leaving: bool,
+    /// Whether the target's process has ended, so that it refuses connections.
+    ended: bool,
     /// Limit that the target names in its answers, while it does.
     limit: Option<TargetLimit>,
 }
@@ -132,6 +134,7 @@
             error_rate: 0.0,
             unwanted_until: 0,
             leaving: false,
+            ended: false,
             limit: None,
         }
     }
--- a/crates/toucanshelf-ingress/src/targets/notices.rs
+++ b/crates/toucanshelf-ingress/src/targets/notices.rs
@@ -1,6 +1,6 @@
-//! What targets say of themselves in their answers.
+//! What targets say of themselves, in their answers or by refusing a connection.
 
-use super::Targets;
+use super::{TargetKey, Targets};
 
 impl Targets {
     /// Records that the target `id` has said that it leaves; returns whether that is new.
@@ -21,4 +21,20 @@
             target.unwanted_until = until;
         }
     }
+
+    /// Records that nothing listens at the address of the target `id`: its process has ended.
+    pub fn record_ended(&mut self, id: &str) {
+        let key = self.by_id.get(id).copied();
+        if let Some(target) = key.and_then(|key| self.arena.get_mut(key)) {
+            target.ended = true;
+        }
+    }
+
+    /// Returns whether the process of a target has certainly ended, and its requests with it.
+    ///
+    /// It then refuses connections, or another incarnation or target has replaced it. A target that is
+    /// only marked down may still run requests.
+    pub fn has_ended(&self, key: TargetKey) -> bool {
+        self.arena.get(key).is_none_or(|target| target.ended)
+    }
 }
--- a/tests/testsuite/ingress.rs
+++ b/tests/testsuite/ingress.rs
@@ -328,6 +328,44 @@
     );
 }
 
+/// Guards against more runs than the route allows when a silent engine is taken for failed.
+///
+/// The first engine sends neither events nor reports and is marked down, but it still runs the
+/// request. The second one breaks off, so that the limit of two runs is reached.
+#[tokio::test]
+async fn silent_engine_counts_as_run() {
+    let hang = || [TargetAction::Hang(&["id: 1\n\n"])];
+    let silent = Target::start(hang()).await;
+    silent.hide_reports();
+    let breaking = || {
+        [
+            TargetAction::Break(&["id: 2\n\n"]),
+            TargetAction::Break(&[]),
+        ]
+    };
+    let others = [
+        Target::start(breaking()).await,
+        Target::start(breaking()).await,
+    ];
+    let later = Target::start([]).await;
+    let engines = [&silent, &others[0], &others[1], &later];
+    let placed = [("z", 0, 2), ("y", 0, 2), ("x", 0, 2), ("z", 2, 4)];
+    let platform = with_engines(&engines, &placed).await;
+    let response = platform.call("POST", "/draft/", &[ID]).await;
+    assert!(!response.is_complete);
+    let received = |target: &Target| target.received_requests().len();
+    assert_eq!(
+        received(&silent),
+        1,
+        "the silent engine runs the request first"
+    );
+    let runs = received(&others[0]) + received(&others[1]);
+    assert_eq!(
+        runs, 1,
+        "the route allows two runs, and the silent engine hasn't ended"
+    );
+}
+
 #[tokio::test]
 async fn held_up_stream_is_kept() {
     let first = Target::start([TargetAction::Pause(&["id: 1\n\n", "id: 2\n\n"])]).await;
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -6,6 +6,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::ops::Range;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
@@ -218,6 +219,8 @@
     script: Arc<Mutex<VecDeque<TargetAction>>>,
     /// Engine that the target's reports name as the one at which a request stalls.
     stalled: Arc<Mutex<Option<SocketAddr>>>,
+    /// Whether the target fails calls for its report.
+    hides_reports: Arc<AtomicBool>,
     /// Set to stop the target; dropping the sender stops it as well.
     stop: Arc<watch::Sender<bool>>,
     /// Headers that the target adds to every answer.
@@ -250,7 +253,9 @@
         let (stop, stop_rx) = watch::channel(false);
         let stop = Arc::new(stop);
         let headers = Arc::default();
+        let hides_reports = Arc::default();
         let behaviour = Arc::new(Behaviour {
+            hides_reports: Arc::clone(&hides_reports),
             headers: Arc::clone(&headers),
             script: Arc::clone(&script),
             crashes: Box::new(crashes),
@@ -275,11 +280,17 @@
             received_requests,
             script,
             stalled,
+            hides_reports,
             stop,
             headers,
         }
     }
 
+    /// Makes the target fail all calls for its report, as one whose reports are held up.
+    pub fn hide_reports(&self) {
+        self.hides_reports.store(true, Ordering::Relaxed);
+    }
+
     /// Makes the target name a limit in its answers, in requests a second, or none.
     pub fn name_limit(&self, rate: Option<&'static str>) {
         self.add_header("server-limit", rate);
@@ -318,6 +329,8 @@
 
 /// How a target answers requests.
 struct Behaviour {
+    /// Whether the target fails calls for its report.
+    hides_reports: Arc<AtomicBool>,
     script: Arc<Mutex<VecDeque<TargetAction>>>,
     /// Whether a request crashes the target.
     crashes: Box<dyn Fn(&ReceivedRequest) -> bool + Send + Sync>,
@@ -343,6 +356,9 @@
         } else {
             200
         };
+        if behaviour.hides_reports.load(Ordering::Relaxed) {
+            return respond(503, &HeaderMap::new(), static_body(""));
+        }
         let stalled = stalled.iter();
         let stalled: Vec<_> = stalled
             .map(|address| serde_json::json!({ "id": "r1", "address": address }))
