Suspend a replica whose disk fails, and resume it without a restart

Change: when its store is unavailable, the replica is suspended: it sends nothing, so it neither votes, acknowledges nor leads. The instance goes on with what it has applied, passes changes on to the leader it hears of, opens the store anew with pauses of 0.1 to 1 s, proves it by a write and starts the replica from what is durable. A start on a full disk waits. An existing store is opened by reading alone. What was emptied meanwhile gets a new identity. The store's opener is a trait, so that tests can fill the disk. Measured: failing_disk (a disk that refuses every change after n of them, n from 0 on): each write is there in whole or not at all, and the store says that it may recover; full_disk: the instance stays up, refuses the change with 503, serves callers, and takes the change once there is space. No space is kept in reserve: the platform's full disk refuses every write.

--- a/crates/toucanshelf-control/src/api.rs
+++ b/crates/toucanshelf-control/src/api.rs
@@ -371,6 +371,11 @@
         "1 where it hears a leader.",
         u64::from(status.current),
     );
+    gauge(
+        "toucanshelf_control_suspended",
+        "1 while its store fails, so that it takes no part in the log.",
+        u64::from(rqctx.context().driver.status().suspended),
+    );
     gauge("toucanshelf_control_term", "Election term.", status.term);
     gauge(
         "toucanshelf_control_commit_index",
--- a/crates/toucanshelf-control/src/driver/bootstrap.rs
+++ b/crates/toucanshelf-control/src/driver/bootstrap.rs
@@ -1,7 +1,7 @@
 //! Identities of replicas, and the initial voters of a new replicated log.
 
 use toucanshelf_coordination::replica::{Persisted, Ready, ReplicaId};
-use toucanshelf_coordination::store::{LogStore as _, RedbStore, StoreError};
+use toucanshelf_coordination::store::{LogStore, StoreError};
 
 /// Disk number in the [`ReplicaId`]s of a replicated log's initial voters.
 ///
@@ -26,7 +26,7 @@
 ///
 /// Every initial voter stores the same list on its own disk.
 pub(super) fn store_initial_membership(
-    store: &mut RedbStore,
+    store: &mut dyn LogStore,
     initial_voters: &[Box<str>],
 ) -> Result<Persisted, StoreError> {
     let ids = initial_voters.iter();
--- a/crates/toucanshelf-control/src/driver/mod.rs
+++ b/crates/toucanshelf-control/src/driver/mod.rs
@@ -7,6 +7,7 @@
 
 mod apply;
 mod bootstrap;
+mod suspension;
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -19,7 +20,7 @@
     Entry, Index, MAX_VOTERS, Membership, Message, Persisted, Replica, ReplicaConfig, ReplicaId,
     Role, Term, VoterPolicy, next_membership,
 };
-use toucanshelf_coordination::store::{LogStore, RedbStore, StoreError};
+use toucanshelf_coordination::store::{LogStore, OpenStore, StoreError};
 use toucanshelf_core::ids::{LogTimeMs, Revision};
 use toucanshelf_core::state::{Command, CommandBody, ControlState, Reply};
 use toucanshelf_link::frame::{LogId, SubmitError};
@@ -28,6 +29,7 @@
 use crate::settings::ControlSettings;
 use apply::apply_entry;
 use bootstrap::rand_u64;
+pub(crate) use suspension::next_reopen_delay;
 
 /// Interval between ticks, which advance the replica's timers.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
@@ -82,6 +84,8 @@
     ///
     /// It counts as having one if it follows a known leader, or leads with a valid lease.
     pub current: bool,
+    /// Whether this replica takes no part in the log, because its store has failed.
+    pub suspended: bool,
 }
 
 /// Handle that sends inputs to the replica's thread and reads its published state.
@@ -92,7 +96,8 @@
     ///
     /// They are the receiving end of the input channel, the replica's store, and the state from
     /// which the replica starts.
-    thread_state: Mutex<Option<(Receiver<Input>, RedbStore, Persisted)>>,
+    thread_state: Mutex<Option<(Receiver<Input>, Box<dyn LogStore>, Persisted)>>,
+    opener: Arc<dyn OpenStore>,
     state: Arc<RwLock<ControlState>>,
     status: Arc<watch::Sender<ReplicaStatus>>,
     revision: Arc<watch::Sender<Revision>>,
@@ -109,17 +114,20 @@
 }
 
 impl Driver {
-    /// Opens the replica's store in the data folder, without starting the replica.
+    /// Opens the replica's store, without starting the replica.
     ///
     /// # Errors
     ///
-    /// Fails when the data folder cannot be used or is damaged.
-    pub fn open(settings: &ControlSettings) -> Result<Self, StoreError> {
+    /// Fails when the store cannot be used or is damaged.
+    pub fn open(
+        settings: &ControlSettings,
+        opener: Arc<dyn OpenStore>,
+    ) -> Result<Self, StoreError> {
         let initial_voters = settings.initial_voters();
         let new_id = bootstrap::new_replica_id(&settings.name, initial_voters.is_empty());
-        let (mut store, replica, mut persisted) = RedbStore::open(&settings.data_folder, new_id)?;
+        let (mut store, replica, mut persisted) = opener.open(new_id)?;
         if !initial_voters.is_empty() && persisted == Persisted::default() {
-            persisted = bootstrap::store_initial_membership(&mut store, &initial_voters)?;
+            persisted = bootstrap::store_initial_membership(&mut *store, &initial_voters)?;
         }
         if settings.deployment.is_none()
             && settings.is_alone()
@@ -132,6 +140,7 @@
             replica,
             inputs,
             thread_state: Mutex::new(Some((receiver, store, persisted))),
+            opener,
             state: Arc::default(),
             status: Arc::new(watch::Sender::new(ReplicaStatus::default())),
             revision: Arc::new(watch::Sender::new(Revision(0))),
@@ -254,7 +263,9 @@
 /// State of the thread that runs this instance's replica of the replicated log.
 struct Core {
     replica: Replica,
-    store: RedbStore,
+    /// Store of the replica; `None` while the replica is suspended.
+    store: Option<Box<dyn LogStore>>,
+    opener: Arc<dyn OpenStore>,
     shared: Arc<Shared>,
     state: Arc<RwLock<ControlState>>,
     status: Arc<watch::Sender<ReplicaStatus>>,
@@ -283,13 +294,19 @@
 }
 
 impl Core {
-    fn new(driver: &Driver, store: RedbStore, persisted: Persisted, shared: Arc<Shared>) -> Self {
+    fn new(
+        driver: &Driver,
+        store: Box<dyn LogStore>,
+        persisted: Persisted,
+        shared: Arc<Shared>,
+    ) -> Self {
         let config = ReplicaConfig::new(driver.replica);
         let snapshot_index = persisted.snapshot.index;
         let replica = Replica::new(config, persisted, rand_u64(), 1);
         Self {
             replica,
-            store,
+            store: Some(store),
+            opener: Arc::clone(&driver.opener),
             shared,
             state: Arc::clone(&driver.state),
             status: Arc::clone(&driver.status),
@@ -298,7 +315,7 @@
             started: Instant::now(),
             pending: BTreeMap::new(),
             known_replicas: Vec::new(),
-            applied: snapshot_index,
+            applied: Index(0),
             snapshot_index,
             bytes_since_snapshot: 0,
             last_command_ms: 0,
@@ -306,7 +323,23 @@
         }
     }
 
+    /// Runs the replica until it is stopped; while its store fails, the replica is suspended.
     fn run(mut self, inputs: &Receiver<Input>) -> Result<(), StoreError> {
+        loop {
+            match self.replicate(inputs) {
+                Ok(()) => return Ok(()),
+                Err(e) if e.may_recover() => {
+                    if !self.suspend(inputs, &e)? {
+                        return Ok(());
+                    }
+                }
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// Runs the replica until it is stopped or its store fails.
+    fn replicate(&mut self, inputs: &Receiver<Input>) -> Result<(), StoreError> {
         let mut next_tick = Instant::now();
         loop {
             let wait = next_tick.saturating_duration_since(Instant::now());
@@ -391,8 +424,10 @@
     fn process_ready(&mut self) -> Result<(), StoreError> {
         loop {
             let ready = self.replica.ready();
-            if ready.must_store() {
-                self.store.store(&ready)?;
+            if ready.must_store()
+                && let Some(store) = &mut self.store
+            {
+                store.store(&ready)?;
             }
             self.replica.persisted(&ready);
             let idle = !ready.must_store() && ready.messages.is_empty();
@@ -413,7 +448,9 @@
 
     /// Applies installed snapshots and committed entries, and compacts the log when it is due.
     fn apply(&mut self) {
-        if let Some(snapshot) = self.replica.take_installed_snapshot() {
+        // After a suspension, the state machine may be ahead of the replica's snapshot and entries.
+        let snapshot = self.replica.take_installed_snapshot();
+        if let Some(snapshot) = snapshot.filter(|snapshot| snapshot.index > self.applied) {
             if !snapshot.state.is_empty() {
                 let state = ControlState::from_bytes(&snapshot.state);
                 *self.state.write().expect("no lock holder panics") =
@@ -422,7 +459,8 @@
             self.applied = snapshot.index;
             self.snapshot_index = snapshot.index;
         }
-        let entries = self.replica.take_committed();
+        let mut entries = self.replica.take_committed();
+        entries.retain(|entry| entry.index > self.applied);
         if entries.is_empty() {
             return;
         }
@@ -470,6 +508,7 @@
             commit: self.replica.commit_index(),
             membership: self.replica.membership().clone(),
             current: self.leader_contact_ms > 0 && now < self.leader_contact_ms + LEADER_TIMEOUT_MS,
+            suspended: false,
         };
         self.status.send_if_modified(|old| {
             let changed = *old != status;
--- a/crates/toucanshelf-control/src/lib.rs
+++ b/crates/toucanshelf-control/src/lib.rs
@@ -34,6 +34,7 @@
 
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use toucanshelf_coordination::store::{DataFolder, OpenStore, StoreError};
 use toucanshelf_core::state::{CommandBody, Reply};
 use toucanshelf_link::dialect::Dialect;
 use toucanshelf_link::frame::SubmitError;
@@ -41,7 +42,7 @@
 use toucanshelf_link::link::{self, Link};
 
 use crate::directory::Directory;
-use crate::driver::Driver;
+use crate::driver::{Driver, next_reopen_delay};
 use crate::peers::Peers;
 use crate::sessions::Sessions;
 use crate::settings::ControlSettings;
@@ -107,13 +108,31 @@
     pub async fn start_with_dialect(
         settings: ControlSettings,
         dialect: Option<Arc<dyn Dialect>>,
+    ) -> Result<Self, Box<str>> {
+        let folder = DataFolder::new(settings.data_folder.clone());
+        Self::start_on_store(settings, dialect, Arc::new(folder)).await
+    }
+
+    /// Starts a control instance whose replica keeps its state in the store that `opener` opens.
+    ///
+    /// Waits while the store is unavailable, for example because the disk is full.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Control::start_with_dialect`] does.
+    pub async fn start_on_store(
+        settings: ControlSettings,
+        dialect: Option<Arc<dyn Dialect>>,
+        opener: Arc<dyn OpenStore>,
     ) -> Result<Self, Box<str>> {
         let key = settings.shared_key()?;
         let listener = TcpListener::bind(settings.link_listen)
             .await
             .map_err(|e| format!("listening on {}: {e}", settings.link_listen))?;
         let link_address = listener.local_addr().map_err(|e| e.to_string())?;
-        let driver = Driver::open(&settings).map_err(|e| e.to_string())?;
+        let driver = open_driver(&settings, &opener)
+            .await
+            .map_err(|e| e.to_string())?;
         let hello = Hello::for_control(
             settings.name.clone(),
             settings.zone.clone(),
@@ -179,6 +198,24 @@
     }
 }
 
+/// Opens the driver's store, and tries again as long as the store is unavailable.
+async fn open_driver(
+    settings: &ControlSettings,
+    opener: &Arc<dyn OpenStore>,
+) -> Result<Driver, StoreError> {
+    let mut delay = Duration::ZERO;
+    loop {
+        match Driver::open(settings, Arc::clone(opener)) {
+            Err(e) if e.may_recover() => {
+                tracing::warn!(event = "TS2109", cause = %e, "waiting for the store of the replica");
+                delay = next_reopen_delay(delay);
+                tokio::time::sleep(delay).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 async fn accept_links(shared: Arc<Shared>, mut links: mpsc::Receiver<Link>) {
     while let Some(link) = links.recv().await {
         let shared = Arc::clone(&shared);
@@ -218,11 +255,11 @@
     }
 }
 
-/// Runs a control instance until SIGTERM, SIGINT or a failure of its store.
+/// Runs a control instance until SIGTERM, SIGINT or lasting damage of its store.
 ///
 /// # Errors
 ///
-/// Fails when the instance cannot start or the store of its replica fails.
+/// Fails when the instance cannot start or the store of its replica is damaged.
 pub async fn run_program(
     settings: ControlSettings,
     dialect: Arc<dyn Dialect>,
--- a/crates/toucanshelf-coordination/src/replica/message.rs
+++ b/crates/toucanshelf-coordination/src/replica/message.rs
@@ -86,7 +86,8 @@
 }
 
 impl MessageBody {
-    pub(super) fn is_from_leader(&self) -> bool {
+    /// Returns whether only the leader of the message's term sends such messages.
+    pub fn is_from_leader(&self) -> bool {
         matches!(self, Self::Append { .. } | Self::Snapshot { .. })
     }
 }
--- a/crates/toucanshelf-coordination/src/store.rs
+++ b/crates/toucanshelf-coordination/src/store.rs
@@ -1,8 +1,11 @@
 //! Durable storage of a replica's state.
 
-use std::path::Path;
+use std::io;
+use std::path::{Path, PathBuf};
 
-use redb::{Database, ReadableDatabase as _, ReadableTable as _, TableDefinition};
+use redb::{
+    Database, ReadableDatabase as _, ReadableTable, StorageBackend, TableDefinition, TableError,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::replica::{Entry, LogSnapshot, Persisted, Ready, ReplicaId, Term};
@@ -15,6 +18,9 @@
 /// Name of the database file in the data directory.
 const FILE_NAME: &str = "log.redb";
 
+/// Number of the error that a failing disk returns for reads and writes.
+const EIO: i32 = 5;
+
 /// Error from opening, reading or writing the store of a replica.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum StoreError {
@@ -28,6 +34,16 @@
         /// Description of the underlying error.
         cause: Box<str>,
     },
+    /// The disk is full or fails, and may work again later.
+    #[error("{action} `{file}` failed for now: {cause}")]
+    Unavailable {
+        /// Operation on the file that failed, such as "reading".
+        action: &'static str,
+        /// Path of the database file.
+        file: Box<str>,
+        /// Description of the underlying error.
+        cause: Box<str>,
+    },
     /// The content of the database is corrupted.
     #[error("`{file}` is corrupted: {detail}; restore it from a backup or join as a new replica")]
     Corrupted {
@@ -38,16 +54,57 @@
     },
 }
 
+impl StoreError {
+    /// Returns whether the store may work when it is opened again later.
+    pub fn may_recover(&self) -> bool {
+        matches!(self, Self::Unavailable { .. })
+    }
+}
+
 /// Interface to the durable storage of a replica's state.
 pub trait LogStore: Send {
     /// Stores the state in `ready` and returns once it is durable.
     ///
     /// # Errors
     ///
-    /// Fails if the state may not be durable. The caller must then stop the replica.
+    /// Fails if the state may not be durable. The caller must then stop the replica, drop the store
+    /// and open it again: the state is then there in whole or not at all.
     fn store(&mut self, ready: &Ready) -> Result<(), StoreError>;
 }
 
+/// A store with the id and the state of its replica.
+pub type OpenedStore = (Box<dyn LogStore>, ReplicaId, Persisted);
+
+/// Opens the store of a replica, at the start and again after each failure.
+pub trait OpenStore: Send + Sync {
+    /// Opens or creates the store. An empty one receives the id `new_id`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store cannot be used; [`StoreError::Unavailable`] tells that it may work later.
+    fn open(&self, new_id: ReplicaId) -> Result<OpenedStore, StoreError>;
+}
+
+/// Folder whose file `log.redb` holds the state of a replica.
+#[derive(Clone, Debug)]
+pub struct DataFolder {
+    path: PathBuf,
+}
+
+impl DataFolder {
+    /// Creates a handle to the folder, which needn't exist yet.
+    pub fn new(path: impl Into<PathBuf>) -> Self {
+        Self { path: path.into() }
+    }
+}
+
+impl OpenStore for DataFolder {
+    fn open(&self, new_id: ReplicaId) -> Result<OpenedStore, StoreError> {
+        let (store, replica, persisted) = RedbStore::open(&self.path, new_id)?;
+        Ok((Box::new(store), replica, persisted))
+    }
+}
+
 /// Stored id of the replica that a data directory belongs to.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 struct Identity {
@@ -84,52 +141,94 @@
     ) -> Result<(Self, ReplicaId, Persisted), StoreError> {
         let path = directory.join(FILE_NAME);
         let file: Box<str> = path.display().to_string().into();
-        std::fs::create_dir_all(directory).map_err(|e| io_error("creating", &file, &e))?;
-        let database = Database::create(&path).map_err(|e| io_error("opening", &file, &e))?;
+        std::fs::create_dir_all(directory).map_err(|e| io_error("creating", &file, e.into()))?;
+        let database = Database::create(&path).map_err(|e| io_error("opening", &file, e.into()))?;
+        Self::with_database(database, file, new_id)
+    }
+
+    /// Opens or creates the store on a storage backend, whose name is `file` in errors.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`RedbStore::open`] does.
+    pub fn open_on(
+        backend: impl StorageBackend,
+        file: impl Into<Box<str>>,
+        new_id: ReplicaId,
+    ) -> Result<(Self, ReplicaId, Persisted), StoreError> {
+        let file = file.into();
+        let database = Database::builder()
+            .create_with_backend(backend)
+            .map_err(|e| io_error("opening", &file, e.into()))?;
+        Self::with_database(database, file, new_id)
+    }
+
+    fn with_database(
+        database: Database,
+        file: Box<str>,
+        new_id: ReplicaId,
+    ) -> Result<(Self, ReplicaId, Persisted), StoreError> {
         let store = Self { database, file };
-        let (replica, persisted) = store.load(new_id)?;
+        let known = store.load()?;
+        let (replica, persisted) = if let Some(known) = known {
+            known
+        } else {
+            store.store_identity(new_id)?;
+            (new_id, Persisted::default())
+        };
+        store.check_consistency(&persisted)?;
         Ok((store, replica, persisted))
     }
 
-    fn load(&self, new_id: ReplicaId) -> Result<(ReplicaId, Persisted), StoreError> {
+    /// Creates the tables and stores the id of the replica that the store belongs to.
+    fn store_identity(&self, replica: ReplicaId) -> Result<(), StoreError> {
         let txn = self
             .database
             .begin_write()
-            .map_err(|e| self.io("reading", &e))?;
-        let mut out = Persisted::default();
-        let replica;
+            .map_err(|e| self.io("writing", e))?;
         {
-            let mut meta = txn.open_table(META).map_err(|e| self.io("reading", &e))?;
-            replica = if let Some(identity) = self.read_meta::<Identity>(&meta, IDENTITY_KEY)? {
-                identity.replica
-            } else {
-                let identity = encode(&Identity { replica: new_id });
-                meta.insert(IDENTITY_KEY, &*identity)
-                    .map_err(|e| self.io("writing", &e))?;
-                new_id
-            };
-            if let Some(stored) = self.read_meta::<StoredVote>(&meta, VOTE_KEY)? {
-                out.term = stored.term;
-                out.vote = stored.vote;
-            }
-            if let Some(snapshot) = self.read_meta::<LogSnapshot>(&meta, SNAPSHOT_KEY)? {
-                out.snapshot = snapshot;
-            }
-            let entries = txn
-                .open_table(ENTRIES)
-                .map_err(|e| self.io("reading", &e))?;
-            for row in entries.iter().map_err(|e| self.io("reading", &e))? {
-                let (index, value) = row.map_err(|e| self.io("reading", &e))?;
-                let entry: Entry = self.decode("a log entry", value.value())?;
-                if entry.index.0 != index.value() {
-                    return Err(self.corrupted("the key of an entry differs from its index"));
-                }
-                out.entries.push(entry);
+            let mut meta = txn.open_table(META).map_err(|e| self.io("writing", e))?;
+            let identity = encode(&Identity { replica });
+            meta.insert(IDENTITY_KEY, &*identity)
+                .map_err(|e| self.io("writing", e))?;
+            txn.open_table(ENTRIES).map_err(|e| self.io("writing", e))?;
+        }
+        txn.commit().map_err(|e| self.io("writing", e))
+    }
+
+    /// Reads the id and the state of the replica; `None` if the store is new.
+    // A full disk can't be written, so an existing store is opened by reading alone.
+    fn load(&self) -> Result<Option<(ReplicaId, Persisted)>, StoreError> {
+        let txn = self
+            .database
+            .begin_read()
+            .map_err(|e| self.io("reading", e))?;
+        let meta = match txn.open_table(META) {
+            Ok(meta) => meta,
+            Err(TableError::TableDoesNotExist(_)) => return Ok(None),
+            Err(e) => return Err(self.io("reading", e)),
+        };
+        let Some(identity) = self.read_meta::<Identity>(&meta, IDENTITY_KEY)? else {
+            return Ok(None);
+        };
+        let mut out = Persisted::default();
+        if let Some(stored) = self.read_meta::<StoredVote>(&meta, VOTE_KEY)? {
+            out.term = stored.term;
+            out.vote = stored.vote;
+        }
+        if let Some(snapshot) = self.read_meta::<LogSnapshot>(&meta, SNAPSHOT_KEY)? {
+            out.snapshot = snapshot;
+        }
+        let entries = txn.open_table(ENTRIES).map_err(|e| self.io("reading", e))?;
+        for row in entries.iter().map_err(|e| self.io("reading", e))? {
+            let (index, value) = row.map_err(|e| self.io("reading", e))?;
+            let entry: Entry = self.decode("a log entry", value.value())?;
+            if entry.index.0 != index.value() {
+                return Err(self.corrupted("the key of an entry differs from its index"));
             }
+            out.entries.push(entry);
         }
-        txn.commit().map_err(|e| self.io("writing", &e))?;
-        self.check_consistency(&out)?;
-        Ok((replica, out))
+        Ok(Some((identity.replica, out)))
     }
 
     /// Checks that the loaded state is consistent.
@@ -156,10 +255,10 @@
 
     fn read_meta<T: serde::de::DeserializeOwned>(
         &self,
-        table: &redb::Table<'_, &'static str, &'static [u8]>,
+        table: &impl ReadableTable<&'static str, &'static [u8]>,
         key: &str,
     ) -> Result<Option<T>, StoreError> {
-        let value = table.get(key).map_err(|e| self.io("reading", &e))?;
+        let value = table.get(key).map_err(|e| self.io("reading", e))?;
         value
             .map(|value| self.decode(key, value.value()))
             .transpose()
@@ -181,8 +280,8 @@
         }
     }
 
-    fn io(&self, action: &'static str, cause: &dyn std::fmt::Display) -> StoreError {
-        io_error(action, &self.file, cause)
+    fn io(&self, action: &'static str, cause: impl Into<redb::Error>) -> StoreError {
+        io_error(action, &self.file, cause.into())
     }
 
     /// Returns the number of log entries in the store.
@@ -194,11 +293,9 @@
         let txn = self
             .database
             .begin_read()
-            .map_err(|e| self.io("reading", &e))?;
-        let entries = txn
-            .open_table(ENTRIES)
-            .map_err(|e| self.io("reading", &e))?;
-        redb::ReadableTableMetadata::len(&entries).map_err(|e| self.io("reading", &e))
+            .map_err(|e| self.io("reading", e))?;
+        let entries = txn.open_table(ENTRIES).map_err(|e| self.io("reading", e))?;
+        redb::ReadableTableMetadata::len(&entries).map_err(|e| self.io("reading", e))
     }
 }
 
@@ -207,21 +304,19 @@
         let txn = self
             .database
             .begin_write()
-            .map_err(|e| self.io("writing", &e))?;
+            .map_err(|e| self.io("writing", e))?;
         {
-            let mut meta = txn.open_table(META).map_err(|e| self.io("writing", &e))?;
-            let mut entries = txn
-                .open_table(ENTRIES)
-                .map_err(|e| self.io("writing", &e))?;
+            let mut meta = txn.open_table(META).map_err(|e| self.io("writing", e))?;
+            let mut entries = txn.open_table(ENTRIES).map_err(|e| self.io("writing", e))?;
             if let Some((term, vote)) = ready.vote {
                 let value = encode(&StoredVote { term, vote });
                 meta.insert(VOTE_KEY, &*value)
-                    .map_err(|e| self.io("writing", &e))?;
+                    .map_err(|e| self.io("writing", e))?;
             }
             if let Some(snapshot) = &ready.snapshot {
                 let value = encode(snapshot);
                 meta.insert(SNAPSHOT_KEY, &*value)
-                    .map_err(|e| self.io("writing", &e))?;
+                    .map_err(|e| self.io("writing", e))?;
                 let last_dropped = ready
                     .first_retained
                     .map_or(snapshot.index.0, |first| first.0 - 1);
@@ -232,33 +327,60 @@
                 };
                 entries
                     .retain_in(..=last_deleted, |_, _| false)
-                    .map_err(|e| self.io("writing", &e))?;
+                    .map_err(|e| self.io("writing", e))?;
             }
             if let Some(first) = ready.entries.first() {
                 let replaced = first.index.0..;
                 entries
                     .retain_in(replaced, |_, _| false)
-                    .map_err(|e| self.io("writing", &e))?;
+                    .map_err(|e| self.io("writing", e))?;
             }
             for entry in &ready.entries {
                 let value = encode(entry);
                 entries
                     .insert(entry.index.0, &*value)
-                    .map_err(|e| self.io("writing", &e))?;
+                    .map_err(|e| self.io("writing", e))?;
             }
         }
-        txn.commit().map_err(|e| self.io("syncing", &e))
+        txn.commit().map_err(|e| self.io("syncing", e))
     }
 }
 
-fn io_error(action: &'static str, file: &str, cause: &dyn std::fmt::Display) -> StoreError {
-    StoreError::Io {
-        action,
-        file: file.into(),
-        cause: cause.to_string().into(),
+fn io_error(action: &'static str, file: &str, cause: redb::Error) -> StoreError {
+    let may_recover = match &cause {
+        redb::Error::Io(e) => may_recover(e),
+        redb::Error::PreviousIo => true,
+        _ => false,
+    };
+    let (file, cause) = (file.into(), cause.to_string().into());
+    if may_recover {
+        StoreError::Unavailable {
+            action,
+            file,
+            cause,
+        }
+    } else {
+        StoreError::Io {
+            action,
+            file,
+            cause,
+        }
     }
 }
 
+/// Returns whether a disk that failed like this may work again later.
+fn may_recover(e: &io::Error) -> bool {
+    let kinds = [
+        io::ErrorKind::Interrupted,
+        io::ErrorKind::QuotaExceeded,
+        io::ErrorKind::ReadOnlyFilesystem,
+        io::ErrorKind::ResourceBusy,
+        io::ErrorKind::StorageFull,
+        io::ErrorKind::TimedOut,
+    ];
+    kinds.contains(&e.kind()) || e.raw_os_error() == Some(EIO)
+}
+
 fn encode(value: &impl Serialize) -> Vec<u8> {
     let mut buf = Vec::new();
     ciborium::into_writer(value, &mut buf).expect("values in the store are always serialisable");
--- a/crates/toucanshelf-coordination/tests/replica/main.rs
+++ b/crates/toucanshelf-coordination/tests/replica/main.rs
@@ -1,6 +1,7 @@
 //! Fault-injection tests of the replicated log, in virtual time from fixed seeds.
 
 mod cluster;
+mod failing_disk;
 mod store;
 
 use cluster::{Cluster, Faults};
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod docs;
 mod endless;
 mod events;
+mod full_disk;
 mod hops;
 mod ingress;
 mod ingress_stop;
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -21,6 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use toucanshelf_control::Control;
+use toucanshelf_coordination::store::{DataFolder, OpenStore};
 use toucanshelf_core::deployment::Deployment;
 use toucanshelf_ingress::Ingress;
 use toucanshelf_ingress::pool::Connector;
@@ -723,17 +724,21 @@
 /// Starts a control instance, and returns it with its data folder.
 pub async fn start_control() -> (Control, tempfile::TempDir) {
     let folder = tempfile::tempdir().unwrap();
+    let store = DataFolder::new(folder.path());
+    (start_control_on(Arc::new(store)).await, folder)
+}
+
+/// Starts a control instance whose replica keeps its state in the store that `opener` opens.
+pub async fn start_control_on(opener: Arc<dyn OpenStore>) -> Control {
     let settings = format!(
         "name = '127.0.0.1'\nzone = 'z'\nlisten = '127.0.0.1:0'\nlink-listen = '127.0.0.1:0'\n\
-             link-key = '{LINK_KEY}'\ndata-folder = '{}'\n\
+             link-key = '{LINK_KEY}'\ndata-folder = 'unused'\n\
              operator-token-digests = ['{OPERATOR_TOKEN_DIGEST}']\n\
              [deployment]\nlisten = '127.0.0.1:0'\nseeds = ['127.0.0.1:0']\nbootstrap = true\n\
              tolerated-losses = 0\n",
-        folder.path().display()
     );
     let settings = toucanshelf_runtime::settings::parse("control.toml", &settings).unwrap();
     let dialect = Arc::new(PlatformDialect);
-    let control = Control::start_with_dialect(settings, Some(dialect));
-    let control = control.await.unwrap();
-    (control, folder)
+    let control = Control::start_on_store(settings, Some(dialect), opener);
+    control.await.unwrap()
 }
