Keep the engines of a zone that can hold the model only without memory for requests

Change: a zone counts as complete only if its engines can hold the model with memory for 16 typical requests on each layer. A group that can't moves no engine that holds layers; routes pass through other zones, and an engine that returns takes the missing layers.

--- a/crates/toucanshelf-routing/src/placement/mod.rs
+++ b/crates/toucanshelf-routing/src/placement/mod.rs
@@ -46,6 +46,10 @@
 ///
 /// It is a share of [`Group::token_capacity`].
 const EXTENSION_CAPACITY_SHARE: f64 = 0.3;
+/// Typical requests for which each engine of a complete group has memory at least.
+///
+/// All requests of a group pass each layer, so that an engine with less would hold up all of them.
+const MIN_TYPICAL_REQUESTS: f64 = 16.0;
 /// Minimum gain of a move that closes no gap.
 ///
 /// It is a share of the cost of the placement. A move has a price: the engine serves no layers
@@ -139,15 +143,24 @@
             .filter(|i| engines[*i].zone == zone)
             .collect();
         let refs: Vec<_> = members.iter().map(|i| &engines[*i]).collect();
-        match shape.balanced_token_capacity(&refs) {
-            Some(_) => complete.push(members),
-            None => incomplete.extend(members),
+        if shape.can_serve(&refs) {
+            complete.push(members);
+        } else {
+            incomplete.extend(members);
         }
     }
     complete.push(incomplete);
     complete
 }
 
+impl ModelShape {
+    /// Returns whether these engines can hold the whole model and still serve requests.
+    fn can_serve(&self, engines: &[&EngineProfile]) -> bool {
+        let tokens = self.balanced_token_capacity(engines);
+        tokens.is_some_and(|tokens| tokens >= MIN_TYPICAL_REQUESTS * self.typical_tokens)
+    }
+}
+
 /// A group of engines that should hold every layer among them.
 struct Group<'a> {
     coverage: Coverage<'a>,
@@ -174,6 +187,12 @@
             return;
         }
         self.assign_unassigned();
+        let refs: Vec<_> = self.members.iter().map(|i| &self.engines[*i]).collect();
+        if !self.shape.can_serve(&refs) {
+            // Routes through other groups serve better than engines without memory for requests, and
+            // the engines that are missing may return.
+            return;
+        }
         self.close_gaps();
         if self.first_gap().is_some() && repartitioning == Repartitioning::Allowed {
             self.repartition();
--- /dev/null
+++ b/tests/testsuite/heavy_load.rs
@@ -0,0 +1,124 @@
+//! Tests of decisions under the load of the heaviest days, each named after the pattern it answers.
+
+use toucanshelf_core::layers::LayerRange;
+use toucanshelf_routing::placement::{EngineProfile, ModelShape, Repartitioning, plan};
+
+const SHAPE: ModelShape = ModelShape {
+    layers: 80,
+    layer_mb: 1_750.0,
+    token_layer_mb: 0.007_375,
+    slots: 192,
+    typical_tokens: 1_000.0,
+};
+
+fn engine(zone: u16, memory_mb: f64, step_factor: f64) -> EngineProfile {
+    EngineProfile {
+        zone,
+        memory_mb,
+        step_factor,
+        held: None,
+        loading: false,
+    }
+}
+
+/// Two large, two medium and two slow engines, which hold the model once.
+fn small_zone(number: u16) -> [EngineProfile; 6] {
+    [
+        engine(number, 72_000.0, 2.4),
+        engine(number, 72_000.0, 2.4),
+        engine(number, 14_400.0, 5.3),
+        engine(number, 14_400.0, 5.3),
+        engine(number, 21_600.0, 16.0),
+        engine(number, 21_600.0, 16.0),
+    ]
+}
+
+fn place(engines: &mut [EngineProfile]) {
+    let assignments = plan(&SHAPE, engines, Repartitioning::Allowed);
+    for (engine, assigned) in engines.iter_mut().zip(assignments) {
+        engine.held = assigned;
+    }
+}
+
+/// Plans the placement until it no longer changes.
+fn settle(engines: &mut [EngineProfile]) {
+    for _ in 0..20 {
+        let before = held(engines);
+        place(engines);
+        if held(engines) == before {
+            return;
+        }
+    }
+    panic!("the placement doesn't settle: {:?}", held(engines));
+}
+
+fn held(engines: &[EngineProfile]) -> Vec<Option<LayerRange>> {
+    engines.iter().map(|engine| engine.held).collect()
+}
+
+/// Pattern: a large engine falls dark for some seconds, and the rest of its zone could hold the model
+/// only without memory for requests.
+///
+/// Guards against a zone that moves all its engines at once, breaks the streams on them and then
+/// refuses nearly all requests, while other zones could run the missing layers.
+#[test]
+fn large_engine_dark_in_small_zone() {
+    let mut engines: Vec<_> = (0..3).flat_map(small_zone).collect();
+    settle(&mut engines);
+    let before = held(&engines);
+    for lost in [0, 1] {
+        let mut left = engines.clone();
+        left.remove(lost);
+        let mut expected = before.clone();
+        expected.remove(lost);
+        place(&mut left);
+        assert_eq!(
+            held(&left),
+            expected,
+            "no engine moves after the loss of engine {lost}"
+        );
+    }
+}
+
+/// Pattern: the same engine returns without layers.
+#[test]
+fn large_engine_returns_to_small_zone() {
+    let mut engines: Vec<_> = (0..3).flat_map(small_zone).collect();
+    settle(&mut engines);
+    let before = held(&engines);
+    engines[0].held = None;
+    place(&mut engines);
+    let after = held(&engines);
+    let others = before[1..].iter().zip(&after[1..]);
+    let moved = others.filter(|(before, after)| before != after).count();
+    assert!(
+        moved <= 1,
+        "{moved} engines move beside the returning one: {after:?}"
+    );
+    let holds = |layer| {
+        let mut ranges = after[..6].iter().flatten();
+        ranges.any(|range| range.from() <= layer && layer < range.to())
+    };
+    assert!(
+        (0..SHAPE.layers).all(holds),
+        "the zone is whole again: {after:?}"
+    );
+}
+
+/// Pattern: two zones lose the same layers, and neither can hold the model alone.
+///
+/// Together they can, so that one engine of them takes the missing layers.
+#[test]
+fn large_engines_dark_in_two_small_zones() {
+    let mut engines: Vec<_> = (0..2).flat_map(small_zone).collect();
+    settle(&mut engines);
+    let range = engines[0].held.unwrap();
+    engines.retain(|engine| engine.held != Some(range));
+    assert_eq!(engines.len(), 10, "both zones are placed alike");
+    place(&mut engines);
+    let holds = |layer| {
+        let mut ranges = engines.iter().filter_map(|engine| engine.held);
+        ranges.any(|range| range.from() <= layer && layer < range.to())
+    };
+    assert!((0..SHAPE.layers).all(holds), "{:?}", held(&engines));
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod endless;
 mod events;
 mod full_disk;
+mod heavy_load;
 mod hops;
 mod ingress;
 mod ingress_stop;
