Send members as counts, and findings from one control instance to each ingress

A new link carried all findings both ways: 150 kB for each of 295 ingresses and each control instance. Where a queue was full, a push of registrations was dropped and never sent again. Change: an ingress asks for the number of ingresses in each zone, sent when it changes and every five seconds, and wants findings from one control instance, in its own zone if there is one; on a new link it sends its own. Control forwards findings each 200 ms together. A link on which registrations can't be queued is closed, so that the next one brings all of them. Older programs get what they got before.

--- a/crates/toucanshelf-control/src/directory/ingresses.rs
+++ b/crates/toucanshelf-control/src/directory/ingresses.rs
@@ -27,6 +27,12 @@
 /// Interval between announcements of the deployment version, control instances and zones.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval at which new findings are forwarded to the ingresses.
+// Each finding goes to all ingresses, and targets that reset connections cause hundreds a second.
+const FINDINGS_INTERVAL: Duration = Duration::from_millis(200);
+/// Number of announcements after which unchanged numbers of ingresses are announced again.
+// A full queue may have dropped the last change.
+const COUNTS_INTERVAL_TICKS: u32 = 5;
 /// Maximum number of ingresses that are named to one that reaches no target.
 const MAX_LISTED_RELAYS: usize = 16;
 
@@ -39,6 +45,10 @@
     acknowledged_push: u64,
     /// Whether the instance shares findings about content that crashes targets.
     shares_findings: bool,
+    /// Whether the instance wants findings from here; `None` for older programs, which don't tell.
+    wants_findings: Option<bool>,
+    /// Whether the instance watches the numbers of ingresses instead of the list of members.
+    watches_counts: bool,
     /// Version of the deployment that the instance has reported to use.
     ///
     /// `None` for one that has none yet, or whose program doesn't report it.
@@ -46,6 +56,8 @@
     /// Address for requests of other ingresses, while the instance reaches targets.
     relay: Option<SocketAddr>,
     name: Box<str>,
+    /// Notified when the link is to close, because registrations could not be queued on it.
+    overflow: Arc<Notify>,
 }
 
 /// Open links to ingress instances, and the number of the latest push.
@@ -63,6 +75,8 @@
 pub struct Ingresses {
     sessions: Mutex<Sessions>,
     changed: Notify,
+    /// Findings that have not been forwarded yet.
+    queued_findings: Mutex<Vec<Finding>>,
 }
 
 impl Ingresses {
@@ -82,7 +96,25 @@
         open.map(|session| session.zone.clone()).collect()
     }
 
-    fn open(&self, link: &Link) -> u32 {
+    /// Returns the number of linked ingress instances in each availability zone.
+    fn counts(&self) -> BTreeMap<Box<str>, u32> {
+        let mut counts = BTreeMap::new();
+        for session in self.sessions().open.values() {
+            *counts.entry(session.zone.clone()).or_default() += 1;
+        }
+        counts
+    }
+
+    /// Sends the numbers of ingresses from now on, instead of the list of members.
+    fn watch_counts(&self, id: u32) {
+        if let Some(session) = self.sessions().open.get_mut(&id) {
+            session.watches_counts = true;
+        }
+    }
+
+    /// Adds a link, and returns its id and the notification that it is to close.
+    fn open(&self, link: &Link) -> (u32, Arc<Notify>) {
+        let overflow = Arc::new(Notify::new());
         let mut sessions = self.sessions();
         sessions.next_id += 1;
         let id = sessions.next_id;
@@ -93,12 +125,15 @@
                 tx: link.tx.clone(),
                 acknowledged_push: 0,
                 shares_findings: false,
+                wants_findings: None,
+                watches_counts: false,
                 deployment_in_force: None,
                 relay: None,
                 name: link.peer.name.clone(),
+                overflow: Arc::clone(&overflow),
             },
         );
-        id
+        (id, overflow)
     }
 
     fn close(&self, id: u32) {
@@ -123,9 +158,11 @@
         let push = sessions.last_push;
         for session in sessions.open.values() {
             let records = records.to_vec();
-            // A full queue drops the push. A link that makes no progress is closed after 3 seconds,
-            // and the ingress receives all registrations on its next link.
-            let _ = session.tx.try_send(Frame::Registrations { push, records });
+            let frame = Frame::Registrations { push, records };
+            if session.tx.try_send(frame).is_err() {
+                // The ingress receives all registrations on its next link.
+                session.overflow.notify_one();
+            }
         }
         push
     }
@@ -190,28 +227,52 @@
         }
     }
 
-    /// Marks an ingress instance as one that shares findings; returns whether it is new.
+    /// Marks an ingress instance as one that shares findings.
+    ///
+    /// Returns whether it is new and gets all findings because it hasn't told whether it wants them.
     fn add_finder(&self, id: u32) -> bool {
         let mut sessions = self.sessions();
-        let session = sessions.open.get_mut(&id);
-        session.is_some_and(|session| !std::mem::replace(&mut session.shares_findings, true))
+        let Some(session) = sessions.open.get_mut(&id) else {
+            return false;
+        };
+        let is_new = !std::mem::replace(&mut session.shares_findings, true);
+        is_new && session.wants_findings.is_none()
     }
 
-    /// Sends findings to the ingress instances that share them, except to their sender.
-    fn forward_findings(&self, sender: u32, findings: &[Finding]) {
-        for (id, session) in &self.sessions().open {
-            if *id != sender && session.shares_findings {
-                let findings = findings.to_vec();
-                // A full queue drops the findings. The ingress may receive them through the other
-                // control instances, and receives all of them on its next link.
-                let _ = session.tx.try_send(Frame::CrashFindings { findings });
-            }
+    fn record_findings_wish(&self, id: u32, wanted: bool) {
+        if let Some(session) = self.sessions().open.get_mut(&id) {
+            session.wants_findings = Some(wanted);
         }
     }
 
+    /// Keeps new findings until they are forwarded together.
+    fn queue_findings(&self, findings: Vec<Finding>) {
+        let mut queued = self.queued_findings.lock().expect("no lock holder panics");
+        queued.extend(findings);
+    }
+
+    /// Forwards the queued findings to the ingress instances that receive them from here.
+    fn forward_findings(&self) {
+        let queued = {
+            let mut queued = self.queued_findings.lock().expect("no lock holder panics");
+            std::mem::take(&mut *queued)
+        };
+        if queued.is_empty() {
+            return;
+        }
+        // A full queue drops the findings; the ingress receives all of them on its next link.
+        let receives =
+            |session: &Session| session.wants_findings.unwrap_or(session.shares_findings);
+        self.broadcast_to(&Frame::CrashFindings { findings: queued }, receives);
+    }
+
     fn broadcast(&self, frame: &Frame) {
-        for session in self.sessions().open.values() {
-            // A full queue drops the frame; the next announcement, within a second, replaces it.
+        self.broadcast_to(frame, |_| true);
+    }
+
+    fn broadcast_to(&self, frame: &Frame, receives: impl Fn(&Session) -> bool) {
+        for session in self.sessions().open.values().filter(|s| receives(s)) {
+            // A full queue drops the frame; a later announcement replaces it.
             let _ = session.tx.try_send(frame.clone());
         }
     }
@@ -219,6 +280,7 @@
 
 /// Announces each new deployment version to the ingresses, and repeats it every second.
 ///
+/// Forwards findings in between.
 /// The control instances and the zones of the ingresses are also announced every second.
 pub(crate) async fn announce(shared: Arc<Shared>) {
     let Some(directory) = &shared.directory else {
@@ -226,8 +288,14 @@
     };
     let mut deployment_versions = shared.driver.deployment_versions();
     let mut ticks = tokio::time::interval(ANNOUNCE_INTERVAL);
+    let mut findings_ticks = tokio::time::interval(FINDINGS_INTERVAL);
+    let mut counts = CountsAnnouncement::default();
     loop {
         tokio::select! {
+            _ = findings_ticks.tick() => {
+                directory.ingresses.forward_findings();
+                continue;
+            }
             changed = deployment_versions.changed() => {
                 if changed.is_err() {
                     return;
@@ -236,8 +304,7 @@
                 tracing::info!(event = "TS2504", version, "deployment applied");
             }
             _ = ticks.tick() => {
-                let frame = members_frame(&shared, directory);
-                directory.ingresses.broadcast(&frame);
+                announce_members(&shared, directory, &mut counts);
                 directory.prune();
             }
         }
@@ -249,6 +316,43 @@
     }
 }
 
+/// Latest announcement of the numbers of ingresses.
+#[derive(Debug, Default)]
+struct CountsAnnouncement {
+    links: Vec<SocketAddr>,
+    ingresses: BTreeMap<Box<str>, u32>,
+    /// Number of ticks since the announcement was sent.
+    age_ticks: u32,
+}
+
+/// Announces the control instances and ingresses.
+///
+/// The list of all ingresses' zones grows with their number and goes to each of them, so that only
+/// ingresses of older programs get it. The others get the number of ingresses in each zone, when it
+/// changes and every five seconds.
+fn announce_members(shared: &Shared, directory: &Directory, last: &mut CountsAnnouncement) {
+    let ingresses = &directory.ingresses;
+    let lists = |session: &Session| !session.watches_counts;
+    if ingresses.sessions().open.values().any(lists) {
+        ingresses.broadcast_to(&members_frame(shared, directory), lists);
+    }
+    last.age_ticks += 1;
+    let (links, counts) = (shared.peers.members(), ingresses.counts());
+    let changed = (&last.links, &last.ingresses) != (&links, &counts);
+    if changed || last.age_ticks >= COUNTS_INTERVAL_TICKS {
+        let frame = Frame::MemberCounts {
+            links: links.clone(),
+            ingresses: counts.clone(),
+        };
+        ingresses.broadcast_to(&frame, |session| session.watches_counts);
+        *last = CountsAnnouncement {
+            links,
+            ingresses: counts,
+            age_ticks: 0,
+        };
+    }
+}
+
 /// Creates the frame that lists the control instances and the zones of linked ingresses.
 fn members_frame(shared: &Shared, directory: &Directory) -> Frame {
     Frame::Members {
@@ -258,6 +362,7 @@
         issues_permits: true,
         sends_patches: true,
         lists_relays: true,
+        accepts_subscriptions: true,
     }
 }
 
@@ -266,10 +371,18 @@
     let Some(directory) = &shared.directory else {
         return;
     };
-    let id = directory.ingresses.open(&link);
+    let (id, overflow) = directory.ingresses.open(&link);
     tracing::info!(event = "TS2505", ingress = %link.peer.name, "ingress linked");
     if send_initial_state(&shared, &link.tx) {
-        while let Some(frame) = link.rx.recv().await {
+        loop {
+            let frame = tokio::select! {
+                frame = link.rx.recv() => frame,
+                () = overflow.notified() => {
+                    tracing::warn!(event = "TS2517", ingress = %link.peer.name, "ingress reads too slowly; its link is closed");
+                    None
+                }
+            };
+            let Some(frame) = frame else { break };
             match frame {
                 Frame::FetchDeployment if !send_deployment(&shared, &link) => break,
                 Frame::FetchPatches { known, wanted } => {
@@ -280,6 +393,13 @@
                         .ingresses
                         .record_relay(id, available.then_some(address));
                 }
+                Frame::WantFindings { wanted } => {
+                    directory.ingresses.record_findings_wish(id, wanted);
+                    if wanted && !send_findings(directory, &link.tx) {
+                        break;
+                    }
+                }
+                Frame::WatchCounts => directory.ingresses.watch_counts(id),
                 Frame::AskRelays => {
                     let addresses = directory.ingresses.relays_for(id);
                     // A full queue drops the answer; the ingress asks again, and others as well.
@@ -303,9 +423,7 @@
                 }
                 Frame::CrashFindings { findings } => {
                     let new = directory.apply_findings(findings);
-                    if !new.is_empty() {
-                        directory.ingresses.forward_findings(id, &new);
-                    }
+                    directory.ingresses.queue_findings(new);
                     if directory.ingresses.add_finder(id) && !send_findings(directory, &link.tx) {
                         break;
                     }
--- a/crates/toucanshelf-control/src/peers.rs
+++ b/crates/toucanshelf-control/src/peers.rs
@@ -292,6 +292,7 @@
                     issues_permits: false,
                     sends_patches: false,
                     lists_relays: false,
+                    accepts_subscriptions: false,
                 };
                 if link.tx.try_send(frame).is_err() {
                     return;
--- a/crates/toucanshelf-ingress/src/control.rs
+++ b/crates/toucanshelf-ingress/src/control.rs
@@ -5,7 +5,7 @@
 //! states of the targets (back ends). It also tells the control instances which targets are
 //! suspected, that is, seem to have failed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -25,6 +25,8 @@
 
 /// Delay between attempts to connect to a control instance.
 const RECONNECT_DELAY: Duration = Duration::from_millis(200);
+/// Maximum number of this ingress's own findings that are kept for new links.
+const MAX_OWN_FINDINGS: usize = 1_024;
 
 /// An open link to a control instance.
 #[derive(Debug)]
@@ -40,6 +42,10 @@
     sends_patches: Option<bool>,
     /// Whether the control instance lists relays.
     lists_relays: bool,
+    /// Whether the control instance is in the availability zone of this ingress.
+    is_near: bool,
+    /// Whether the control instance accepts [`Frame::WantFindings`].
+    accepts_subscriptions: bool,
 }
 
 #[derive(Debug, Default)]
@@ -48,6 +54,10 @@
     open: BTreeMap<SocketAddr, OpenLink>,
     /// Addresses of control instances for which a task keeps a link open.
     known: Vec<SocketAddr>,
+    /// Control instance that sends the findings of other ingresses, if one was chosen.
+    findings_from: Option<SocketAddr>,
+    /// Latest findings of this ingress itself.
+    own_findings: VecDeque<Finding>,
 }
 
 /// Links of this ingress to all control instances that it knows.
@@ -82,7 +92,12 @@
 
     /// Sends a finding about content that crashes targets to the connected control instances.
     pub fn share_finding(&self, finding: &Finding) {
-        for link in self.links().open.values() {
+        let mut links = self.links();
+        if links.own_findings.len() >= MAX_OWN_FINDINGS {
+            links.own_findings.pop_front();
+        }
+        links.own_findings.push_back(finding.clone());
+        for link in links.open.values() {
             if link.shares_findings {
                 let findings = vec![finding.clone()];
                 // A full channel drops the finding: it also takes the other links, and all findings
@@ -176,6 +191,47 @@
         }
     }
 
+    /// Marks a link as one to an instance that accepts subscriptions, and tells it what is wanted.
+    fn subscribe(&self, address: SocketAddr) {
+        let mut links = self.links();
+        let Some(link) = links.open.get_mut(&address) else {
+            return;
+        };
+        if std::mem::replace(&mut link.accepts_subscriptions, true) {
+            return;
+        }
+        // A full queue drops a frame: the instance then sends the list of members, or findings too.
+        let _ = link.tx.try_send(Frame::WatchCounts);
+        let _ = link.tx.try_send(Frame::WantFindings { wanted: false });
+        links.choose_findings_source();
+    }
+
+    /// Removes a link that has closed.
+    fn close(&self, address: SocketAddr) {
+        let mut links = self.links();
+        links.open.remove(&address);
+        if links.findings_from == Some(address) {
+            links.findings_from = None;
+            links.choose_findings_source();
+        }
+    }
+
+    /// Returns the findings for a new link: this ingress's own, or all for an older instance.
+    fn findings_for(
+        &self,
+        address: SocketAddr,
+        all: impl FnOnce() -> Vec<Finding>,
+    ) -> Vec<Finding> {
+        let links = self.links();
+        let link = links.open.get(&address);
+        if link.is_some_and(|link| link.accepts_subscriptions) {
+            links.own_findings.iter().cloned().collect()
+        } else {
+            drop(links);
+            all()
+        }
+    }
+
     /// Marks a link as one on which findings are shared; returns whether it is new.
     fn add_finding_link(&self, address: SocketAddr) -> bool {
         let mut links = self.links();
@@ -184,6 +240,32 @@
     }
 }
 
+impl LinkTable {
+    /// Chooses the control instance that sends findings, unless there is one; one nearby is preferred.
+    fn choose_findings_source(&mut self) {
+        let current = self
+            .findings_from
+            .and_then(|address| self.open.get(&address));
+        if current.is_some_and(|link| link.is_near) {
+            return;
+        }
+        let sources = self.open.iter();
+        let best = sources
+            .filter(|(_, link)| link.accepts_subscriptions)
+            .max_by_key(|(address, link)| (link.is_near, Some(**address) == self.findings_from));
+        let Some((address, link)) = best else { return };
+        if self.findings_from == Some(*address) {
+            return;
+        }
+        // A full queue drops the request. The link is then closed soon, and another one chosen.
+        let _ = link.tx.try_send(Frame::WantFindings { wanted: true });
+        if let Some(link) = current {
+            let _ = link.tx.try_send(Frame::WantFindings { wanted: false });
+        }
+        self.findings_from = Some(*address);
+    }
+}
+
 /// Starts links to the control instances in the settings.
 ///
 /// The instances then announce the addresses of the others, to which links are started as well.
@@ -231,6 +313,8 @@
         issues_permits: false,
         sends_patches: None,
         lists_relays: false,
+        is_near: link.peer.zone == shared.settings.zone,
+        accepts_subscriptions: false,
     };
     shared.control.links().open.insert(address, open);
     shared.metrics.control_links.inc();
@@ -239,7 +323,7 @@
             break;
         }
     }
-    shared.control.links().open.remove(&address);
+    shared.control.close(address);
     shared.metrics.control_links.dec();
     tracing::warn!(event = "TS4103", %address, "control link lost");
 }
@@ -262,8 +346,14 @@
             issues_permits,
             sends_patches,
             lists_relays,
+            accepts_subscriptions,
         } => {
-            shared.record_ingresses(&ingress_zones);
+            let own = ingress_zones.iter();
+            let own = own.filter(|zone| **zone == shared.settings.zone).count();
+            shared.record_ingresses(ingress_zones.len() as u32, own as u32);
+            if accepts_subscriptions {
+                shared.control.subscribe(address);
+            }
             shared.control.record_issuer(address, issues_permits);
             let is_new = shared.control.record_source(address, sends_patches);
             if let Some(version) = shared.version().filter(|_| is_new && sends_patches) {
@@ -281,7 +371,14 @@
             connect_new(shared, key, links);
             !accepts_findings
                 || !shared.control.add_finding_link(address)
-                || send_findings(shared, tx)
+                || send_findings(shared, address, tx)
+        }
+        Frame::MemberCounts { links, ingresses } => {
+            let own = ingresses.get(&shared.settings.zone).copied();
+            shared.record_ingresses(ingresses.values().sum(), own.unwrap_or(0));
+            shared.content.prune(shared.now());
+            connect_new(shared, key, links);
+            true
         }
         Frame::Relays { addresses } => {
             shared.relays.update(addresses);
@@ -325,8 +422,10 @@
     }
 }
 
-/// Sends all findings of this ingress on a new link; returns `false` if its queue is full.
-fn send_findings(shared: &Shared, tx: &mpsc::Sender<Frame>) -> bool {
-    let findings = shared.content.findings();
+/// Sends findings on a new link; returns `false` if its queue is full.
+fn send_findings(shared: &Shared, address: SocketAddr, tx: &mpsc::Sender<Frame>) -> bool {
+    let findings = shared
+        .control
+        .findings_for(address, || shared.content.findings());
     tx.try_send(Frame::CrashFindings { findings }).is_ok()
 }
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -219,15 +219,14 @@
         operation(budgets.get_mut(service).expect("it was just inserted"))
     }
 
-    /// Updates the count of ingress instances.
+    /// Updates the count of ingress instances, in all zones and in that of this instance.
     ///
-    /// `zones` has the zone of each instance. A count lower than the stored one is ignored until
-    /// 20 s (`INGRESS_COUNT_HOLD_MS`) after the stored count was last announced.
-    pub fn record_ingresses(&self, zones: &[Box<str>]) {
-        let own = zones.iter().filter(|zone| **zone == self.settings.zone);
+    /// A count lower than the stored one is ignored until 20 s (`INGRESS_COUNT_HOLD_MS`) after the
+    /// stored count was last announced.
+    pub fn record_ingresses(&self, total: u32, own_zone: u32) {
         let count = IngressCount {
-            total: zones.len() as u32,
-            own_zone: own.count() as u32,
+            total,
+            own_zone,
             updated_ms: self.now(),
         };
         let mut known = self.ingresses.lock().expect("no holder panics");
--- a/crates/toucanshelf-link/src/frame.rs
+++ b/crates/toucanshelf-link/src/frame.rs
@@ -4,6 +4,7 @@
 //! of changes applied to it. A target is a back end. A deployment is a versioned document with the
 //! routes and services of a platform. A push is one transfer of target registrations.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -159,6 +160,20 @@
         /// Older programs don't know them.
         #[serde(default)]
         lists_relays: bool,
+        /// Whether the sender accepts [`Frame::WatchCounts`] and [`Frame::WantFindings`].
+        ///
+        /// Older programs don't know them.
+        #[serde(default)]
+        accepts_subscriptions: bool,
+    },
+    /// Ingress to control: asks for [`Frame::MemberCounts`] in place of [`Frame::Members`].
+    WatchCounts,
+    /// Control to ingress: announces control instances and the number of ingresses in each zone.
+    MemberCounts {
+        /// Addresses at which the known control instances accept links.
+        links: Vec<SocketAddr>,
+        /// Availability zones with the number of ingress instances there that are linked to the sender.
+        ingresses: BTreeMap<Box<str>, u32>,
     },
 
     /// Control to ingress: announces the version of the current deployment.
@@ -218,6 +233,13 @@
         /// Findings that the receiver adds to its own.
         findings: Vec<Finding>,
     },
+    /// Ingress to control: tells whether the sender wants the findings of other ingresses.
+    ///
+    /// An ingress wants them from one control instance. That one replies with all findings.
+    WantFindings {
+        /// Whether findings are wanted.
+        wanted: bool,
+    },
     /// Ingress to control: asks whether a request may be sent to a target that has named a limit.
     AskPermit {
         /// Number of the question, which the answer repeats.
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -137,12 +137,14 @@
         issues_permits,
         sends_patches,
         lists_relays,
+        accepts_subscriptions,
         ..
     } = decoded
     else {
         panic!()
     };
     assert!(!accepts_findings && !issues_permits && !sends_patches && !lists_relays);
+    assert!(!accepts_subscriptions);
 }
 
 /// Guards against a log that a control instance of a build without patches can't read.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,6 +19,7 @@
 mod heavy_load;
 mod hops;
 mod ingress;
+mod ingress_links;
 mod ingress_stop;
 mod isolation;
 mod links;
