Acknowledge a drain once this instance's ingresses had time to apply it

Change: each control instance that is asked to acknowledge a drain or departure sends it to its own ingresses and waits for them, up to 0.7 s, unless it did so before for that state of the target. Measured: ingress_links::drain_known_but_not_applied waits without end for the second push without the change.

--- a/crates/toucanshelf-control/src/directory/calls.rs
+++ b/crates/toucanshelf-control/src/directory/calls.rs
@@ -168,7 +168,13 @@
     match directory.apply_registration(&record) {
         RegistryChange::Stale => {}
         RegistryChange::Refreshed => forward_registrations(shared, vec![record]),
-        RegistryChange::Changed => publish(shared, directory, record, is_draining).await,
+        RegistryChange::Changed => {
+            publish(shared, directory, record, is_draining).await;
+            return empty_response();
+        }
+    }
+    if is_draining {
+        publish_known(shared, directory, id).await;
     }
     empty_response()
 }
@@ -181,10 +187,27 @@
     if let Some(record) = departed {
         tracing::info!(event = "TS2514", target_id = %id, incarnation = record.incarnation.0, "target left");
         publish(shared, directory, record, true).await;
+    } else {
+        publish_known(shared, directory, id).await;
     }
     empty_response()
 }
 
+/// Publishes a departure or drain that this instance knows from another one, unless it did before.
+///
+/// A target calls the next instance if the first one doesn't answer in time, and that one may have told
+/// the others but not yet the ingresses.
+async fn publish_known(shared: &Shared, directory: &Directory, id: &str) {
+    let entry = directory
+        .registry()
+        .get(id)
+        .map(|entry| entry.record.clone());
+    let leaving = entry.filter(|record| record.readiness != Readiness::Ready);
+    if let Some(record) = leaving.filter(|record| !directory.is_published(record)) {
+        publish(shared, directory, record, true).await;
+    }
+}
+
 /// Sends a target's changed registration to the ingress and other control instances.
 ///
 /// If `wait` is set, returns only after every linked ingress has applied it, or after a timeout.
@@ -195,9 +218,10 @@
     let push = directory
         .ingresses
         .push_registrations(std::slice::from_ref(&record));
-    forward_registrations(shared, vec![record]);
+    forward_registrations(shared, vec![record.clone()]);
     if wait {
         let missing = directory.ingresses.wait_until_applied(push).await;
+        directory.record_published(&record);
         tracing::info!(event = "TS2515", target_id = %id, push, missing, "departure or drain published");
     }
 }
--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -24,7 +24,8 @@
 use toucanshelf_core::crash::Finding;
 use toucanshelf_core::deployment::Deployment;
 use toucanshelf_core::deployment_patch::DeploymentPatch;
-use toucanshelf_core::registration::Registration;
+use toucanshelf_core::ids::Incarnation;
+use toucanshelf_core::registration::{Readiness, Registration};
 use toucanshelf_core::registry::{Registry, RegistryChange};
 use toucanshelf_core::state::DeploymentDocument;
 use toucanshelf_link::dialect::Dialect;
@@ -52,6 +53,8 @@
     /// Links to ingress instances.
     pub ingresses: Ingresses,
     registry: Mutex<Registry>,
+    /// Departures and drains that this instance has sent to its ingresses, by the target's id.
+    published: Mutex<BTreeMap<Box<str>, (Incarnation, Readiness)>>,
     /// Time of the latest suspicion of a target, by its address.
     ///
     /// In milliseconds since this instance started.
@@ -76,6 +79,7 @@
             dialect,
             ingresses: Ingresses::new(),
             registry: Mutex::default(),
+            published: Mutex::default(),
             suspicions: Mutex::default(),
             crash_ledgers: Mutex::default(),
             permits: Mutex::default(),
@@ -123,6 +127,18 @@
         change
     }
 
+    /// Records that the linked ingresses had time to apply the state of a target that leaves.
+    pub(crate) fn record_published(&self, record: &Registration) {
+        let mut published = self.published.lock().expect("no lock holder panics");
+        published.insert(record.id.clone(), (record.incarnation, record.readiness));
+    }
+
+    /// Returns whether [`Directory::record_published`] was called for this state of the target.
+    pub(crate) fn is_published(&self, record: &Registration) -> bool {
+        let published = self.published.lock().expect("no lock holder panics");
+        published.get(&record.id) == Some(&(record.incarnation, record.readiness))
+    }
+
     /// Records an ingress's report that requests to the target at `address` fail or stall.
     pub(crate) fn record_suspicion(&self, address: SocketAddr) {
         let mut suspicions = self.suspicions.lock().expect("no lock holder panics");
@@ -167,7 +183,11 @@
     /// Removes expired suspicions and findings, and targets whose retention after leaving has ended.
     pub(crate) fn prune(&self) {
         let now = self.now();
-        self.registry().prune(now);
+        let mut registry = self.registry();
+        registry.prune(now);
+        let mut published = self.published.lock().expect("no lock holder panics");
+        published.retain(|id, _| registry.get(id).is_some());
+        drop((registry, published));
         self.crash_ledgers().prune(now);
         let mut permits = self.permits.lock().expect("no lock holder panics");
         permits.retain(|_, bucket| !bucket.is_unused(now, PERMIT_RETENTION_MS));
--- a/tests/testsuite/ingress_links.rs
+++ b/tests/testsuite/ingress_links.rs
@@ -2,15 +2,18 @@
 
 use std::collections::BTreeMap;
 
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
 use toucanshelf_control::Control;
 use toucanshelf_core::crash::{Content, Finding, Outcome};
 use toucanshelf_core::ids::{CrashId, PromptPart};
+use toucanshelf_core::registration::{Readiness, Registration};
 
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::handshake::{Hello, SharedKey};
 use toucanshelf_link::link::{Link, connect};
 
-use crate::platform_support::{LINK_KEY, start_control};
+use crate::platform_support::{DeploymentBuilder, LINK_KEY, Platform, Target, start_control};
 
 /// Opens the link of an ingress and reads the list of members, which comes first.
 async fn open_link(control: &Control, name: &str, zone: &str) -> Link {
@@ -110,3 +113,53 @@
     let frames = frames_until_answer(&mut other).await;
     assert_eq!(frames.iter().filter(unwanted).count(), 0);
 }
+
+/// Guards against a drain that is acknowledged although the ingresses don't know it.
+///
+/// The target calls again because the first call wasn't answered in time. Until the ingresses have
+/// had time to apply the drain, each call has to wait for them.
+#[tokio::test]
+async fn drain_known_but_not_applied() {
+    let target = Target::start([]).await;
+    let platform = Platform::start(&DeploymentBuilder::new(1).build(), &[("plain", &target)]).await;
+    let mut link = open_link(&platform.control, "slow", "z").await;
+    let heartbeat = |sequence: u64| {
+        serde_json::json!({
+            "service": "plain", "address": target.address, "zone": "z", "version": "v1",
+            "slots": 6, "state": "draining", "cold_left_ms": 0, "seq": sequence, "born": 5_000,
+        })
+    };
+    let drain = |frame| match frame {
+        Frame::Registrations { push, records } if push > 0 => {
+            let drains = |record: &&Registration| record.readiness == Readiness::Draining;
+            records.iter().find(drains).map(|_| push)
+        }
+        _ => None,
+    };
+    let body = heartbeat(2).to_string();
+    let mut call = TcpStream::connect(platform.control_api_address())
+        .await
+        .unwrap();
+    let head = format!(
+        "PUT /api/instances/leaving HTTP/1.1\r\nhost: control\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    call.write_all(head.as_bytes()).await.unwrap();
+    call.write_all(body.as_bytes()).await.unwrap();
+    next(&mut link, drain).await;
+    drop(call);
+    let beat = heartbeat(3);
+    let acknowledge = async {
+        let push = next(&mut link, drain).await;
+        link.tx
+            .send(Frame::RegistrationsSeen { push })
+            .await
+            .unwrap();
+    };
+    let (status, ()) = tokio::join!(platform.send_heartbeat("leaving", &beat), acknowledge);
+    assert_eq!(status, 200);
+    assert_eq!(platform.send_heartbeat("leaving", &heartbeat(4)).await, 200);
+    let frames = frames_until_answer(&mut link).await;
+    let again = frames.into_iter().find_map(drain);
+    assert_eq!(again, None, "a drain that was applied isn't sent again");
+}
