--- a/crates/toucanshelf-control/src/driver/mod.rs
+++ b/crates/toucanshelf-control/src/driver/mod.rs
@@ -88,15 +88,20 @@
     pub suspended: bool,
 }
 
+/// Values with which the replica's thread starts.
+struct ThreadState {
+    inputs: Receiver<Input>,
+    store: Box<dyn LogStore>,
+    /// State from which the replica starts.
+    persisted: Persisted,
+}
+
 /// Handle that sends inputs to the replica's thread and reads its published state.
 pub struct Driver {
     replica: ReplicaId,
     inputs: Sender<Input>,
-    /// Three values that the replica's thread takes when it starts.
-    ///
-    /// They are the receiving end of the input channel, the replica's store, and the state from
-    /// which the replica starts.
-    thread_state: Mutex<Option<(Receiver<Input>, Box<dyn LogStore>, Persisted)>>,
+    /// Values that the replica's thread takes when it starts.
+    thread_state: Mutex<Option<ThreadState>>,
     opener: Arc<dyn OpenStore>,
     state: Arc<RwLock<ControlState>>,
     status: Arc<watch::Sender<ReplicaStatus>>,
@@ -139,7 +144,11 @@
         Ok(Self {
             replica,
             inputs,
-            thread_state: Mutex::new(Some((receiver, store, persisted))),
+            thread_state: Mutex::new(Some(ThreadState {
+                inputs: receiver,
+                store,
+                persisted,
+            })),
             opener,
             state: Arc::default(),
             status: Arc::new(watch::Sender::new(ReplicaStatus::default())),
@@ -156,7 +165,12 @@
             .lock()
             .expect("no lock holder panics")
             .take();
-        let Some((receiver, store, persisted)) = thread_state else {
+        let Some(ThreadState {
+            inputs,
+            store,
+            persisted,
+        }) = thread_state
+        else {
             return;
         };
         let core = Core::new(self, store, persisted, shared);
@@ -164,7 +178,7 @@
         let spawned = std::thread::Builder::new()
             .name("replica".into())
             .spawn(move || {
-                if let Err(e) = core.run(&receiver) {
+                if let Err(e) = core.run(&inputs) {
                     tracing::error!(event = "TS2101", cause = %e, "the store of the replica failed");
                     failure.send_replace(Some(e.to_string().into()));
                 }
--- a/crates/toucanshelf-coordination/src/store.rs
+++ b/crates/toucanshelf-coordination/src/store.rs
@@ -141,8 +141,8 @@
     ) -> Result<(Self, ReplicaId, Persisted), StoreError> {
         let path = directory.join(FILE_NAME);
         let file: Box<str> = path.display().to_string().into();
-        std::fs::create_dir_all(directory).map_err(|e| io_error("creating", &file, e.into()))?;
-        let database = Database::create(&path).map_err(|e| io_error("opening", &file, e.into()))?;
+        std::fs::create_dir_all(directory).map_err(|e| io_error("creating", &file, e))?;
+        let database = Database::create(&path).map_err(|e| io_error("opening", &file, e))?;
         Self::with_database(database, file, new_id)
     }
 
@@ -159,7 +159,7 @@
         let file = file.into();
         let database = Database::builder()
             .create_with_backend(backend)
-            .map_err(|e| io_error("opening", &file, e.into()))?;
+            .map_err(|e| io_error("opening", &file, e))?;
         Self::with_database(database, file, new_id)
     }
 
@@ -281,7 +281,7 @@
     }
 
     fn io(&self, action: &'static str, cause: impl Into<redb::Error>) -> StoreError {
-        io_error(action, &self.file, cause.into())
+        io_error(action, &self.file, cause)
     }
 
     /// Returns the number of log entries in the store.
@@ -346,7 +346,8 @@
     }
 }
 
-fn io_error(action: &'static str, file: &str, cause: redb::Error) -> StoreError {
+fn io_error(action: &'static str, file: &str, cause: impl Into<redb::Error>) -> StoreError {
+    let cause = cause.into();
     let may_recover = match &cause {
         redb::Error::Io(e) => may_recover(e),
         redb::Error::PreviousIo => true,
--- a/crates/toucanshelf-ingress/src/control.rs
+++ b/crates/toucanshelf-ingress/src/control.rs
@@ -29,6 +29,10 @@
 const MAX_OWN_FINDINGS: usize = 1_024;
 
 /// An open link to a control instance.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each tells one ability of the control instance"
+)]
 #[derive(Debug)]
 struct OpenLink {
     tx: mpsc::Sender<Frame>,
--- a/tests/testsuite/platform_templates.rs
+++ b/tests/testsuite/platform_templates.rs
@@ -9,8 +9,10 @@
 const CONTROL_TEMPLATE: &str = include_str!("../../platform/settings/control.toml");
 const INGRESS_TEMPLATE: &str = include_str!("../../platform/settings/ingress.toml");
 
-/// Settings of the platform with the given numbers; `null` stands for an absent one.
-fn platform_settings(ratio: Value, slack: Value, window_s: Value, heartbeat_ms: Value) -> Value {
+/// Settings of the platform; `numbers` are the ratio, slack and window in seconds of retries, and the
+/// heartbeat interval in milliseconds. `null` stands for an absent one.
+fn platform_settings(numbers: &Value) -> Value {
+    let [ratio, slack, window_s, heartbeat_ms] = [0, 1, 2, 3].map(|i| &numbers[i]);
     json!({
         "node": "instance-1",
         "ip": "10.1.0.40",
@@ -83,7 +85,7 @@
 
 #[test]
 fn templates_with_whole_numbers() {
-    let fields = platform_settings(json!(1), json!(774), json!(10), json!(1_200));
+    let fields = platform_settings(&json!([1, 774, 10, 1_200]));
     let cfg = ingress(&fields).expect("the ingress starts");
     assert_eq!(cfg.check(), Ok(()));
     assert_eq!((cfg.repeat_ratio, cfg.repeat_slack), (1.0, 774.0));
@@ -104,7 +106,7 @@
 /// Guards against placeholders with text behind them that makes a fraction invalid.
 #[test]
 fn templates_with_fractions() {
-    let fields = platform_settings(json!(0.25), json!(40.7), json!(7.5), json!(1_250.5));
+    let fields = platform_settings(&json!([0.25, 40.7, 7.5, 1_250.5]));
     let cfg = ingress(&fields).expect("the ingress starts");
     assert_eq!((cfg.repeat_ratio, cfg.repeat_slack), (0.25, 40.7));
     assert_eq!(
@@ -118,7 +120,7 @@
 
 #[test]
 fn templates_with_absent_numbers() {
-    let fields = platform_settings(json!(null), json!(null), json!(null), json!(null));
+    let fields = platform_settings(&json!([null, null, null, null]));
     let cfg = ingress(&fields).expect("the ingress starts");
     assert_eq!(cfg.check(), Ok(()));
     assert_eq!((cfg.repeat_ratio, cfg.repeat_slack), (0.1, 20.0));
@@ -133,7 +135,7 @@
 
 #[test]
 fn templates_with_negative_time() {
-    let fields = platform_settings(json!(0.2), json!(1), json!(-1), json!(1_200));
+    let fields = platform_settings(&json!([0.2, 1, -1, 1_200]));
     let e = ingress(&fields).expect_err("a negative time is refused");
     assert!(
         e.to_string().contains("is no number of milliseconds"),
@@ -144,7 +146,7 @@
 /// Guards against names that end the string around them.
 #[test]
 fn templates_with_quotes_in_names() {
-    let mut fields = platform_settings(json!(0.2), json!(1), json!(10), json!(1_200));
+    let mut fields = platform_settings(&json!([0.2, 1, 10, 1_200]));
     fields["node"] = json!("instance \"1\" \\");
     let cfg = ingress(&fields).expect("the ingress starts");
     assert_eq!(&*cfg.name, "instance \"1\" \\");
