Let requests wait for the configuration of a starting instance

Cause: after a loss of power of all machines, instances get their configuration about 2.5 s after they have started. Until then they refused requests with Retry-After 0.3 s: callers whose streams had broken off came back once, met another such instance and were lost. Change: a request waits for the configuration, for 3 s or a quarter of the caller's time at most; then it is refused with Retry-After 2 s. The decision is routing::startup.

--- a/crates/toucanshelf-ingress/src/front.rs
+++ b/crates/toucanshelf-ingress/src/front.rs
@@ -13,6 +13,7 @@
 use toucanshelf_core::deployment::RequestKind;
 use toucanshelf_link::dialect::RequestMetadata;
 use toucanshelf_routing::matcher::{MatchError, RouteTable};
+use toucanshelf_routing::startup::configuration_wait;
 
 use crate::relay::{History, RelayMetadata};
 use crate::request::CallerRequest;
@@ -23,7 +24,7 @@
 use crate::{plain, relay, stream};
 
 /// `Retry-After` time sent to callers before the ingress has its configuration.
-const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_millis(300);
+const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_secs(2);
 
 /// Forwards a caller's request to a target and returns the response to the caller.
 ///
@@ -101,7 +102,9 @@
     req: Request<Incoming>,
 ) -> Result<CallerRequest, Refusal> {
     let started = Instant::now();
-    let table = shared.table().ok_or(Refusal::NotConfigured)?;
+    let wait = configuration_wait(facts.deadline_ms.map(Duration::from_millis));
+    let table = shared.wait_for_table(started + wait).await;
+    let table = table.ok_or(Refusal::NotConfigured)?;
     let (mut parts, body) = req.into_parts();
     let host = host(&parts);
     let found = table.find(&host, parts.uri.path(), facts.key.as_deref());
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -76,6 +76,8 @@
     /// Metrics for the metrics endpoint.
     pub metrics: Metrics,
     table: RwLock<Option<Arc<RouteTable>>>,
+    /// Whether there is a table.
+    configured: watch::Sender<bool>,
     limits: watch::Sender<ConnectionLimits>,
     targets: Mutex<Targets>,
     /// Budget of repeated sends for each service, by the service's name.
@@ -108,6 +110,7 @@
             reports: Reports::new(),
             metrics: Metrics::new(),
             table: RwLock::default(),
+            configured: watch::Sender::new(false),
             limits: watch::Sender::new(ConnectionLimits::default()),
             targets: Mutex::new(Targets::new(&settings.zone)),
             budgets: Mutex::default(),
@@ -133,6 +136,15 @@
         self.table.read().expect("no writer panics").clone()
     }
 
+    /// Returns the table of routes, once there is one; `None` if there is none by `due`.
+    pub async fn wait_for_table(&self, due: tokio::time::Instant) -> Option<Arc<RouteTable>> {
+        let mut configured = self.configured.subscribe();
+        let is_configured = configured.wait_for(|configured| *configured);
+        // The channel stays open, so that only the time can run out.
+        let _ = tokio::time::timeout_at(due, is_configured).await;
+        self.table()
+    }
+
     /// Returns the version of the active deployment, or `None` before the first one.
     pub fn version(&self) -> Option<u64> {
         let table = self.table.read().expect("no writer panics");
@@ -158,6 +170,7 @@
             *table = Some(Arc::new(RouteTable::new(deployment)));
         }
         self.limits.send_replace(limits);
+        self.configured.send_replace(true);
         true
     }
 
--- a/crates/toucanshelf-routing/src/lib.rs
+++ b/crates/toucanshelf-routing/src/lib.rs
@@ -40,3 +40,4 @@
 pub mod quarantine;
 pub mod retry;
 pub mod route;
+pub mod startup;
--- a/tests/testsuite/heavy_load.rs
+++ b/tests/testsuite/heavy_load.rs
@@ -1,7 +1,10 @@
 //! Tests of decisions under the load of the heaviest days, each named after the pattern it answers.
 
+use std::time::Duration;
+
 use toucanshelf_core::layers::LayerRange;
 use toucanshelf_routing::placement::{EngineProfile, ModelShape, Repartitioning, plan};
+use toucanshelf_routing::startup::configuration_wait;
 
 const SHAPE: ModelShape = ModelShape {
     layers: 80,
@@ -122,3 +125,16 @@
     };
     assert!((0..SHAPE.layers).all(holds), "{:?}", held(&engines));
 }
+
+/// Pattern: all instances lose power at once, and callers whose streams broke off come back, once, to
+/// instances that start and have no configuration yet.
+///
+/// Their requests wait for it, but for no more than a part of the time that the caller has.
+#[test]
+fn callers_return_to_starting_instances() {
+    let wait = |ms| configuration_wait(Some(Duration::from_millis(ms)));
+    assert_eq!(wait(20_000), Duration::from_secs(3), "a restart takes less");
+    assert_eq!(wait(1_500), Duration::from_millis(375));
+    assert_eq!(wait(0), Duration::ZERO);
+    assert_eq!(configuration_wait(None), Duration::from_secs(3));
+}
--- a/tests/testsuite/ingress_links.rs
+++ b/tests/testsuite/ingress_links.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use futures_util::FutureExt as _;
+use http::Request;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
 use toucanshelf_control::Control;
@@ -13,7 +15,9 @@
 use toucanshelf_link::handshake::{Hello, SharedKey};
 use toucanshelf_link::link::{Link, connect};
 
-use crate::platform_support::{DeploymentBuilder, LINK_KEY, Platform, Target, start_control};
+use crate::platform_support::{
+    DeploymentBuilder, LINK_KEY, Platform, Target, call_ingress, send, start_control, start_ingress,
+};
 
 /// Opens the link of an ingress and reads the list of members, which comes first.
 async fn open_link(control: &Control, name: &str, zone: &str) -> Link {
@@ -163,3 +167,37 @@
     let again = frames.into_iter().find_map(drain);
     assert_eq!(again, None, "a drain that was applied isn't sent again");
 }
+
+/// Guards against callers that are refused, and then lost, while all instances start.
+#[tokio::test]
+async fn request_before_configuration() {
+    let (control, folder) = start_control().await;
+    let ingress = start_ingress("i1", &control).await;
+    let target = Target::start([]).await;
+    let document = DeploymentBuilder::new(1)
+        .route("route", "a.example", "/route/", "plain")
+        .build();
+    let deadline = [("x-toucanshelf-deadline-ms", "60000")];
+    let impatient = [("x-toucanshelf-deadline-ms", "4")];
+    let refused = call_ingress(&ingress, "GET", "/route/", &impatient).await;
+    assert_eq!(refused.status, 503);
+    let early = call_ingress(&ingress, "GET", "/route/", &deadline);
+    let mut early = Box::pin(early);
+    assert!((&mut early).now_or_never().is_none());
+    let address = control.platform_address().unwrap();
+    let register = async {
+        let heartbeat = serde_json::json!({
+            "service": "plain", "address": target.address, "zone": "z", "version": "v1",
+            "slots": 6, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1_000,
+        });
+        let request = Request::put("/api/instances/t0").header("host", "control");
+        let status = send(address, request.body(heartbeat.to_string().into()).unwrap()).await;
+        assert_eq!(status.status, 200);
+        let request = Request::put("/api/config").header("host", "control");
+        let status = send(address, request.body(document.into()).unwrap()).await;
+        assert_eq!(status.status, 200);
+    };
+    let (response, ()) = tokio::join!(early, register);
+    assert_eq!(response.status, 200);
+    drop(folder);
+}
