--- a/tests/testsuite/ingress_links.rs
+++ b/tests/testsuite/ingress_links.rs
@@ -191,10 +191,10 @@
             "slots": 6, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1_000,
         });
         let request = Request::put("/api/instances/t0").header("host", "control");
-        let status = send(address, request.body(heartbeat.to_string().into()).unwrap()).await;
+        let status = send(address, request.body(heartbeat.to_string()).unwrap()).await;
         assert_eq!(status.status, 200);
         let request = Request::put("/api/config").header("host", "control");
-        let status = send(address, request.body(document.into()).unwrap()).await;
+        let status = send(address, request.body(document).unwrap()).await;
         assert_eq!(status.status, 200);
     };
     let (response, ()) = tokio::join!(early, register);
