Send no finding back to the ingress that made it

Cause: since findings are forwarded together, they also went back to their sender, up to 0.2 s late. A trial whose start came back after its end counted as begun again: requests with that content waited for it, up to their objective, and were refused. Change: queued findings keep the link that they came from, and each ingress gets those of the others, as it did before they were forwarded together. A task of its own forwards them, so that announcements stay one job. Measured: ingress_links::findings_of_other_ingresses_only: one frame came back before, none after.

--- a/crates/toucanshelf-control/src/directory/ingresses.rs
+++ b/crates/toucanshelf-control/src/directory/ingresses.rs
@@ -75,8 +75,8 @@
 pub struct Ingresses {
     sessions: Mutex<Sessions>,
     changed: Notify,
-    /// Findings that have not been forwarded yet.
-    queued_findings: Mutex<Vec<Finding>>,
+    /// Findings that have not been forwarded yet, with the id of the link that they came from.
+    queued_findings: Mutex<Vec<(u32, Finding)>>,
 }
 
 impl Ingresses {
@@ -245,25 +245,31 @@
         }
     }
 
-    /// Keeps new findings until they are forwarded together.
-    fn queue_findings(&self, findings: Vec<Finding>) {
+    /// Keeps new findings of an ingress until they are forwarded together.
+    fn queue_findings(&self, sender: u32, findings: Vec<Finding>) {
         let mut queued = self.queued_findings.lock().expect("no lock holder panics");
-        queued.extend(findings);
+        queued.extend(findings.into_iter().map(|finding| (sender, finding)));
     }
 
     /// Forwards the queued findings to the ingress instances that receive them from here.
+    ///
+    /// None goes back to its sender, which knows what has become of its trials since.
     fn forward_findings(&self) {
         let queued = {
             let mut queued = self.queued_findings.lock().expect("no lock holder panics");
             std::mem::take(&mut *queued)
         };
-        if queued.is_empty() {
-            return;
+        for (id, session) in &self.sessions().open {
+            if !session.wants_findings.unwrap_or(session.shares_findings) {
+                continue;
+            }
+            let others = queued.iter().filter(|(sender, _)| sender != id);
+            let findings: Vec<_> = others.map(|(_, finding)| finding.clone()).collect();
+            if !findings.is_empty() {
+                // A full queue drops the findings; the ingress receives all of them on its next link.
+                let _ = session.tx.try_send(Frame::CrashFindings { findings });
+            }
         }
-        // A full queue drops the findings; the ingress receives all of them on its next link.
-        let receives =
-            |session: &Session| session.wants_findings.unwrap_or(session.shares_findings);
-        self.broadcast_to(&Frame::CrashFindings { findings: queued }, receives);
     }
 
     fn broadcast(&self, frame: &Frame) {
@@ -280,22 +286,16 @@
 
 /// Announces each new deployment version to the ingresses, and repeats it every second.
 ///
-/// Forwards findings in between.
-/// The control instances and the zones of the ingresses are also announced every second.
+/// The control instances and the ingresses are announced as well; see [`announce_members`].
 pub(crate) async fn announce(shared: Arc<Shared>) {
     let Some(directory) = &shared.directory else {
         return;
     };
     let mut deployment_versions = shared.driver.deployment_versions();
     let mut ticks = tokio::time::interval(ANNOUNCE_INTERVAL);
-    let mut findings_ticks = tokio::time::interval(FINDINGS_INTERVAL);
     let mut counts = CountsAnnouncement::default();
     loop {
         tokio::select! {
-            _ = findings_ticks.tick() => {
-                directory.ingresses.forward_findings();
-                continue;
-            }
             changed = deployment_versions.changed() => {
                 if changed.is_err() {
                     return;
@@ -316,6 +316,18 @@
     }
 }
 
+/// Forwards the findings of ingresses to the others from time to time.
+pub(crate) async fn forward_findings(shared: Arc<Shared>) {
+    let Some(directory) = &shared.directory else {
+        return;
+    };
+    let mut ticks = tokio::time::interval(FINDINGS_INTERVAL);
+    loop {
+        ticks.tick().await;
+        directory.ingresses.forward_findings();
+    }
+}
+
 /// Latest announcement of the numbers of ingresses.
 #[derive(Debug, Default)]
 struct CountsAnnouncement {
@@ -423,7 +435,7 @@
                 }
                 Frame::CrashFindings { findings } => {
                     let new = directory.apply_findings(findings);
-                    directory.ingresses.queue_findings(new);
+                    directory.ingresses.queue_findings(id, new);
                     if directory.ingresses.add_finder(id) && !send_findings(directory, &link.tx) {
                         break;
                     }
--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -258,6 +258,7 @@
     });
     tokio::spawn(reconciler::run(Arc::clone(shared)));
     tokio::spawn(ingresses::announce(Arc::clone(shared)));
+    tokio::spawn(ingresses::forward_findings(Arc::clone(shared)));
     tracing::info!(event = "TS2503", %address, "platform API started");
     Ok(Some(address))
 }
--- a/tests/testsuite/ingress_links.rs
+++ b/tests/testsuite/ingress_links.rs
@@ -10,7 +10,6 @@
 use toucanshelf_core::crash::{Content, Finding, Outcome};
 use toucanshelf_core::ids::{CrashId, PromptPart};
 use toucanshelf_core::registration::{Readiness, Registration};
-
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::handshake::{Hello, SharedKey};
 use toucanshelf_link::link::{Link, connect};
@@ -81,41 +80,70 @@
     assert_eq!(frames.iter().find(lists).map(|_| "a list of members"), None);
 }
 
-/// Guards against findings that come from each control instance, while one is enough.
-#[tokio::test]
-async fn findings_where_wanted() {
-    let (control, _folder) = start_control().await;
-    let mut wanting = open_link(&control, "i1", "z").await;
-    let mut other = open_link(&control, "i2", "z").await;
-    let wish = |wanted| Frame::WantFindings { wanted };
-    wanting.tx.send(wish(true)).await.unwrap();
-    other.tx.send(wish(false)).await.unwrap();
-    frames_until_answer(&mut wanting).await;
-    frames_until_answer(&mut other).await;
-    let crash = CrashId(7);
+/// Returns a finding of a crash, sent alone.
+fn crash_finding() -> (Finding, Frame) {
     let finding = Finding {
         service: "model".into(),
         content: Content::Part(PromptPart(1)),
         position: 0,
         outcome: Outcome::Crashed {
-            crash,
+            crash: CrashId(7),
             in_trial: false,
         },
     };
     let findings = vec![finding.clone()];
-    other
-        .tx
-        .send(Frame::CrashFindings { findings })
-        .await
-        .unwrap();
-    let received = next(&mut wanting, |frame| match frame {
+    (finding, Frame::CrashFindings { findings })
+}
+
+/// Opens the link of an ingress that tells whether it wants findings, and waits until that is known.
+async fn open_findings_link(control: &Control, name: &str, wanted: bool) -> Link {
+    let mut link = open_link(control, name, "z").await;
+    link.tx.send(Frame::WantFindings { wanted }).await.unwrap();
+    frames_until_answer(&mut link).await;
+    link
+}
+
+/// Returns the next findings that arrive on a link.
+async fn next_findings(link: &mut Link) -> Vec<Finding> {
+    let findings = next(link, |frame| match frame {
         Frame::CrashFindings { findings } if !findings.is_empty() => Some(findings),
         _ => None,
     });
-    assert_eq!(received.await, [finding]);
-    let unwanted = |frame: &&Frame| matches!(frame, Frame::CrashFindings { .. });
-    let frames = frames_until_answer(&mut other).await;
-    assert_eq!(frames.iter().filter(unwanted).count(), 0);
+    findings.await
+}
+
+/// Returns the number of frames with findings that arrive before the answer to a question.
+async fn findings_until_answer(link: &mut Link) -> usize {
+    let frames = frames_until_answer(link).await;
+    let findings = frames.iter();
+    let findings = findings.filter(|frame| matches!(frame, Frame::CrashFindings { .. }));
+    findings.count()
+}
+
+/// Guards against findings that come from each control instance, while one is enough.
+#[tokio::test]
+async fn findings_where_wanted() {
+    let (control, _folder) = start_control().await;
+    let mut wanting = open_findings_link(&control, "i1", true).await;
+    let mut other = open_findings_link(&control, "i2", false).await;
+    let (finding, frame) = crash_finding();
+    other.tx.send(frame).await.unwrap();
+    assert_eq!(next_findings(&mut wanting).await, [finding]);
+    assert_eq!(findings_until_answer(&mut other).await, 0);
+}
+
+/// Guards against an ingress that learns late of its own trial, which has ended meanwhile.
+///
+/// It would let requests with the same content wait for that trial, and refuse them.
+#[tokio::test]
+async fn findings_of_other_ingresses_only() {
+    let (control, _folder) = start_control().await;
+    let mut finder = open_findings_link(&control, "i1", true).await;
+    let mut other = open_findings_link(&control, "i2", true).await;
+    let (finding, frame) = crash_finding();
+    finder.tx.send(frame).await.unwrap();
+    assert_eq!(next_findings(&mut other).await, [finding]);
+    assert_eq!(findings_until_answer(&mut finder).await, 0);
 }
 
 /// Guards against a drain that is acknowledged although the ingresses don't know it.
