Hand the store to the running replica instead of keeping it optional

Cause: the store was an Option that is empty during a suspension; had it been empty while the replica ran, state would have been acknowledged without being stored. Change: the thread owns the store, lends it to the running replica, and gets a new one from a suspension.

--- a/crates/toucanshelf-control/src/driver/mod.rs
+++ b/crates/toucanshelf-control/src/driver/mod.rs
@@ -173,12 +173,12 @@
         else {
             return;
         };
-        let core = Core::new(self, store, persisted, shared);
+        let core = Core::new(self, persisted, shared);
         let failure = Arc::clone(&self.failure);
         let spawned = std::thread::Builder::new()
             .name("replica".into())
             .spawn(move || {
-                if let Err(e) = core.run(&inputs) {
+                if let Err(e) = core.run(store, &inputs) {
                     tracing::error!(event = "TS2101", cause = %e, "the store of the replica failed");
                     failure.send_replace(Some(e.to_string().into()));
                 }
@@ -277,8 +277,6 @@
 /// State of the thread that runs this instance's replica of the replicated log.
 struct Core {
     replica: Replica,
-    /// Store of the replica; `None` while the replica is suspended.
-    store: Option<Box<dyn LogStore>>,
     opener: Arc<dyn OpenStore>,
     shared: Arc<Shared>,
     state: Arc<RwLock<ControlState>>,
@@ -308,18 +306,12 @@
 }
 
 impl Core {
-    fn new(
-        driver: &Driver,
-        store: Box<dyn LogStore>,
-        persisted: Persisted,
-        shared: Arc<Shared>,
-    ) -> Self {
+    fn new(driver: &Driver, persisted: Persisted, shared: Arc<Shared>) -> Self {
         let config = ReplicaConfig::new(driver.replica);
         let snapshot_index = persisted.snapshot.index;
         let replica = Replica::new(config, persisted, rand_u64(), 1);
         Self {
             replica,
-            store: Some(store),
             opener: Arc::clone(&driver.opener),
             shared,
             state: Arc::clone(&driver.state),
@@ -338,22 +330,32 @@
     }
 
     /// Runs the replica until it is stopped; while its store fails, the replica is suspended.
-    fn run(mut self, inputs: &Receiver<Input>) -> Result<(), StoreError> {
+    fn run(
+        mut self,
+        mut store: Box<dyn LogStore>,
+        inputs: &Receiver<Input>,
+    ) -> Result<(), StoreError> {
         loop {
-            match self.replicate(inputs) {
-                Ok(()) => return Ok(()),
+            match self.replicate(&mut *store, inputs) {
                 Err(e) if e.may_recover() => {
-                    if !self.suspend(inputs, &e)? {
-                        return Ok(());
+                    // The failed store must be closed before it is opened again.
+                    drop(store);
+                    match self.suspend(inputs, &e)? {
+                        Some(reopened) => store = reopened,
+                        None => return Ok(()),
                     }
                 }
-                Err(e) => return Err(e),
+                result => return result,
             }
         }
     }
 
     /// Runs the replica until it is stopped or its store fails.
-    fn replicate(&mut self, inputs: &Receiver<Input>) -> Result<(), StoreError> {
+    fn replicate(
+        &mut self,
+        store: &mut dyn LogStore,
+        inputs: &Receiver<Input>,
+    ) -> Result<(), StoreError> {
         let mut next_tick = Instant::now();
         loop {
             let wait = next_tick.saturating_duration_since(Instant::now());
@@ -376,7 +378,7 @@
                 self.replica.tick(self.now());
                 self.adjust_membership();
             }
-            self.process_ready()?;
+            self.process_ready(store)?;
         }
     }
 
@@ -435,12 +437,10 @@
     /// Stores the replica's new state, sends its messages and applies committed entries.
     ///
     /// Repeats this until the replica has no more output.
-    fn process_ready(&mut self) -> Result<(), StoreError> {
+    fn process_ready(&mut self, store: &mut dyn LogStore) -> Result<(), StoreError> {
         loop {
             let ready = self.replica.ready();
-            if ready.must_store()
-                && let Some(store) = &mut self.store
-            {
+            if ready.must_store() {
                 store.store(&ready)?;
             }
             self.replica.persisted(&ready);
--- a/crates/toucanshelf-control/src/driver/suspension.rs
+++ b/crates/toucanshelf-control/src/driver/suspension.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use toucanshelf_coordination::replica::{Message, Ready, Replica, ReplicaConfig};
-use toucanshelf_coordination::store::StoreError;
+use toucanshelf_coordination::store::{LogStore, StoreError};
 use toucanshelf_link::frame::SubmitError;
 
 use super::bootstrap::{new_replica_id, rand_u64};
@@ -25,9 +25,9 @@
 }
 
 impl Core {
-    /// Suspends the replica until its store can be opened and written again.
+    /// Suspends the replica, whose store was closed, until the store can be opened and written again.
     ///
-    /// Returns `false` if the replica is to stop.
+    /// Returns the store, or `None` if the replica is to stop.
     ///
     /// # Errors
     ///
@@ -36,10 +36,9 @@
         &mut self,
         inputs: &Receiver<Input>,
         cause: &StoreError,
-    ) -> Result<bool, StoreError> {
+    ) -> Result<Option<Box<dyn LogStore>>, StoreError> {
         tracing::error!(event = "TS2106", %cause, "store of the replica failed; replica suspended");
         let suspended_at = Instant::now();
-        self.store = None;
         self.fail_pending();
         self.leader_contact_ms = 0;
         self.status.send_modify(|status| {
@@ -50,10 +49,14 @@
         let mut delay = MIN_REOPEN_DELAY;
         loop {
             if !self.wait_suspended(inputs, delay) {
-                return Ok(false);
+                return Ok(None);
             }
             match self.reopen() {
-                Ok(()) => break,
+                Ok(store) => {
+                    let ms = suspended_at.elapsed().as_millis() as u64;
+                    tracing::info!(event = "TS2108", ms, "replica resumed");
+                    return Ok(Some(store));
+                }
                 Err(e) if e.may_recover() => {
                     tracing::info!(event = "TS2107", cause = %e, "store of the replica still fails");
                     delay = next_reopen_delay(delay);
@@ -61,9 +64,6 @@
                 Err(e) => return Err(e),
             }
         }
-        let ms = suspended_at.elapsed().as_millis() as u64;
-        tracing::info!(event = "TS2108", ms, "replica resumed");
-        Ok(true)
     }
 
     /// Handles inputs for some time without taking part in the log; returns `false` if it is to stop.
@@ -116,7 +116,7 @@
     }
 
     /// Opens the store, writes to it and starts the replica from the state that it holds.
-    fn reopen(&mut self) -> Result<(), StoreError> {
+    fn reopen(&mut self) -> Result<Box<dyn LogStore>, StoreError> {
         let id = self.replica.id();
         // A store that was emptied meanwhile must not get the old id: it has forgotten its vote.
         let new_id = new_replica_id(&self.shared.settings.name, true);
@@ -134,7 +134,6 @@
         })?;
         let now = self.now();
         self.replica = Replica::new(ReplicaConfig::new(id), persisted, rand_u64(), now);
-        self.store = Some(store);
-        Ok(())
+        Ok(store)
     }
 }
