--- a/crates/toucanshelf-core/src/registry.rs
+++ b/crates/toucanshelf-core/src/registry.rs
@@ -129,7 +129,8 @@
         entries.filter(move |entry| entry.record.address == address)
     }
 
-    fn is_outdated_at_address(&self, record: &Registration) -> bool {
+    /// Returns whether another target has started later at the address of `record`.
+    pub fn is_outdated_at_address(&self, record: &Registration) -> bool {
         self.at_address(record.address).any(|entry| {
             entry.record.id != record.id && entry.record.incarnation > record.incarnation
         })
--- a/crates/toucanshelf-ingress/src/control.rs
+++ b/crates/toucanshelf-ingress/src/control.rs
@@ -220,20 +220,13 @@
         }
     }
 
-    /// Returns the findings for a new link: this ingress's own, or all for an older instance.
-    fn findings_for(
-        &self,
-        address: SocketAddr,
-        all: impl FnOnce() -> Vec<Finding>,
-    ) -> Vec<Finding> {
+    /// Returns this ingress's own findings, which suffice for a link that accepts subscriptions.
+    ///
+    /// Returns `None` for another link.
+    fn own_findings_for(&self, address: SocketAddr) -> Option<Vec<Finding>> {
         let links = self.links();
-        let link = links.open.get(&address);
-        if link.is_some_and(|link| link.accepts_subscriptions) {
-            links.own_findings.iter().cloned().collect()
-        } else {
-            drop(links);
-            all()
-        }
+        let suffice = links.open.get(&address)?.accepts_subscriptions;
+        suffice.then(|| links.own_findings.iter().cloned().collect())
     }
 
     /// Marks a link as one on which findings are shared; returns whether it is new.
@@ -261,7 +254,7 @@
         if self.findings_from == Some(*address) {
             return;
         }
-        // A full queue drops the request. The link is then closed soon, and another one chosen.
+        // A full queue drops the request; no findings of others come then until this link closes.
         let _ = link.tx.try_send(Frame::WantFindings { wanted: true });
         if let Some(link) = current {
             let _ = link.tx.try_send(Frame::WantFindings { wanted: false });
@@ -428,8 +421,7 @@
 
 /// Sends findings on a new link; returns `false` if its queue is full.
 fn send_findings(shared: &Shared, address: SocketAddr, tx: &mpsc::Sender<Frame>) -> bool {
-    let findings = shared
-        .control
-        .findings_for(address, || shared.content.findings());
+    let own = shared.control.own_findings_for(address);
+    let findings = own.unwrap_or_else(|| shared.content.findings());
     tx.try_send(Frame::CrashFindings { findings }).is_ok()
 }
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -138,6 +138,9 @@
 
     /// Returns the table of routes, once there is one; `None` if there is none by `due`.
     pub async fn wait_for_table(&self, due: tokio::time::Instant) -> Option<Arc<RouteTable>> {
+        if let Some(table) = self.table() {
+            return Some(table);
+        }
         let mut configured = self.configured.subscribe();
         let is_configured = configured.wait_for(|configured| *configured);
         // The channel stays open, so that only the time can run out.
--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -260,7 +260,7 @@
         let known = self.by_id.get(&record.id).copied();
         if record.readiness == Readiness::Gone {
             let Some(key) = known else { return };
-            let replaced = self.is_replaced(&record);
+            let replaced = self.registry.is_outdated_at_address(&record);
             if let Some(target) = self.arena.get_mut(key)
                 && target.in_flight_requests > 0
                 && !replaced
@@ -291,16 +291,6 @@
         }
     }
 
-    /// Returns whether another target has started later at the address of `record`.
-    fn is_replaced(&self, record: &Registration) -> bool {
-        self.registry.entries().any(|entry| {
-            let other = &entry.record;
-            other.address == record.address
-                && other.id != record.id
-                && other.incarnation > record.incarnation
-        })
-    }
-
     /// Removes a target; its streams take it for failed.
     fn remove(&mut self, key: TargetKey) {
         if let Some(target) = self.arena.remove(key)
--- a/crates/toucanshelf-routing/src/placement/coverage.rs
+++ b/crates/toucanshelf-routing/src/placement/coverage.rs
@@ -80,6 +80,8 @@
     shape: &'a ModelShape,
     engines: &'a [EngineProfile],
     members: &'a [usize],
+    /// Balanced capacity of the group; `None` if its engines can't hold the whole model.
+    pub(super) balanced_capacity: Option<f64>,
     /// Desired total token capacity of the engines that hold a layer.
     desired_capacity: f64,
     /// Remaining token capacity at which the loss of an engine costs half.
@@ -98,7 +100,8 @@
         members: &'a [usize],
     ) -> Self {
         let refs: Vec<_> = members.iter().map(|i| &engines[*i]).collect();
-        let balanced_capacity = shape.balanced_token_capacity(&refs).unwrap_or(0.0);
+        let balanced_capacity = shape.balanced_token_capacity(&refs);
+        let balanced_tokens = balanced_capacity.unwrap_or(0.0);
         let total_memory_mb: f64 = refs.iter().map(|engine| engine.memory_mb).sum();
         let weighted = refs
             .iter()
@@ -108,10 +111,11 @@
             shape,
             engines,
             members,
-            desired_capacity: (DESIRED_CAPACITY_SHARE * balanced_capacity)
+            balanced_capacity,
+            desired_capacity: (DESIRED_CAPACITY_SHARE * balanced_tokens)
                 .max(shape.typical_tokens)
                 .max(1.0),
-            half_loss_capacity: (HALF_LOSS_COST_SHARE * balanced_capacity)
+            half_loss_capacity: (HALF_LOSS_COST_SHARE * balanced_tokens)
                 .max(shape.typical_tokens)
                 .max(1.0),
             mean_step_factor: (weighted.sum::<f64>() / total_memory_mb.max(1.0))
--- a/crates/toucanshelf-routing/src/placement/mod.rs
+++ b/crates/toucanshelf-routing/src/placement/mod.rs
@@ -143,7 +143,7 @@
             .filter(|i| engines[*i].zone == zone)
             .collect();
         let refs: Vec<_> = members.iter().map(|i| &engines[*i]).collect();
-        if shape.can_serve(&refs) {
+        if shape.can_serve(shape.balanced_token_capacity(&refs)) {
             complete.push(members);
         } else {
             incomplete.extend(members);
@@ -154,10 +154,10 @@
 }
 
 impl ModelShape {
-    /// Returns whether these engines can hold the whole model and still serve requests.
-    fn can_serve(&self, engines: &[&EngineProfile]) -> bool {
-        let tokens = self.balanced_token_capacity(engines);
-        tokens.is_some_and(|tokens| tokens >= MIN_TYPICAL_REQUESTS * self.typical_tokens)
+    /// Returns whether engines with this balanced capacity hold the whole model and serve requests.
+    fn can_serve(&self, balanced_capacity: Option<f64>) -> bool {
+        let least = MIN_TYPICAL_REQUESTS * self.typical_tokens;
+        balanced_capacity.is_some_and(|tokens| tokens >= least)
     }
 }
 
@@ -187,8 +187,7 @@
             return;
         }
         self.assign_unassigned();
-        let refs: Vec<_> = self.members.iter().map(|i| &self.engines[*i]).collect();
-        if !self.shape.can_serve(&refs) {
+        if !self.shape.can_serve(self.coverage.balanced_capacity) {
             // Routes through other groups serve better than engines without memory for requests, and
             // the engines that are missing may return.
             return;
