--- a/tests/testsuite/ingress.rs
+++ b/tests/testsuite/ingress.rs
@@ -366,6 +366,81 @@
     );
 }
 
+/// Guards against a third run because the stream that may move still waits on its first route.
+///
+/// The first engine stalls but lives on. The second one answers with the response of another request,
+/// so that it may have run this one.
+#[tokio::test]
+async fn stalled_run_counts_while_replaced() {
+    let stalled = Target::start([TargetAction::Hang(&["id: 1\n\n"])]).await;
+    let others = [
+        Target::start([TargetAction::AnswerOtherRequest]).await,
+        Target::start([TargetAction::AnswerOtherRequest]).await,
+    ];
+    let later_engines = [Target::start([]).await, Target::start([]).await];
+    stalled.report_stall_at(later_engines[0].address);
+    let engines = [
+        &stalled,
+        &others[0],
+        &others[1],
+        &later_engines[0],
+        &later_engines[1],
+    ];
+    let placed = [
+        ("z", 0, 2),
+        ("y", 0, 2),
+        ("x", 0, 2),
+        ("z", 2, 4),
+        ("y", 2, 4),
+    ];
+    let platform = with_engines(&engines, &placed).await;
+    let response = platform.call("POST", "/draft/", &[ID]).await;
+    assert!(!response.is_complete);
+    let runs: usize = others.iter().map(|t| t.received_requests().len()).sum();
+    assert_eq!(stalled.received_requests().len(), 1);
+    assert_eq!(
+        runs, 1,
+        "the route allows two runs, and no engine has ended"
+    );
+}
+
+/// Guards against uncounted runs at an engine that was taken for ended because of a cut.
+///
+/// A cut may refuse connections as an address does at which nothing listens. The engine then answers
+/// again under the same registration, and later falls silent.
+#[tokio::test]
+async fn engine_reached_again_counts_as_run() {
+    let script = [
+        TargetAction::Stream(&["id: 1\n\n"]),
+        TargetAction::Hang(&["id: 1\n\n"]),
+    ];
+    let silent = Target::start(script).await;
+    silent.hide_reports();
+    let breaking = || {
+        [
+            TargetAction::Break(&["id: 2\n\n"]),
+            TargetAction::Break(&[]),
+        ]
+    };
+    let others = [
+        Target::start(breaking()).await,
+        Target::start(breaking()).await,
+    ];
+    let later = Target::start([]).await;
+    let engines = [&silent, &others[0], &others[1], &later];
+    let placed = [("z", 0, 2), ("y", 0, 2), ("x", 0, 2), ("z", 2, 4)];
+    let platform = with_engines(&engines, &placed).await;
+    platform.ingress.shared().targets().record_ended("e0");
+    assert_eq!(platform.call("POST", "/draft/", &[ID]).await.status, 200);
+    assert!(!platform.call("POST", "/draft/", &[ID]).await.is_complete);
+    assert_eq!(silent.received_requests().len(), 2);
+    let runs: usize = others.iter().map(|t| t.received_requests().len()).sum();
+    assert_eq!(
+        runs, 1,
+        "the route allows two runs, and no engine has ended"
+    );
+}
+
 #[tokio::test]
 async fn held_up_stream_is_kept() {
     let first = Target::start([TargetAction::Pause(&["id: 1\n\n", "id: 2\n\n"])]).await;
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -111,6 +111,14 @@
         self.push_route(name, "a.example", prefix, &overrides)
     }
 
+    /// Adds a streaming route for the host `a.example` whose streams can't be resumed.
+    pub fn unresumable_route(self, name: &str, prefix: &str, service: &str) -> Self {
+        let overrides = serde_json::json!({
+            "service": service, "kind": "streaming", "resumable": false, "timeout_ms": 6_000
+        });
+        self.push_route(name, "a.example", prefix, &overrides)
+    }
+
     /// Adds a route that divides its requests by weight, from `(service, weight)` pairs.
     pub fn split_route(self, name: &str, host: &str, prefix: &str, split: &[(&str, u32)]) -> Self {
         let split = split.iter();
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -327,6 +327,7 @@
             .model_service("model")
             .route("read", "a.example", "/read/", "plain")
             .route_of_kind("draft", "/draft/", "model", "streaming")
+            .unresumable_route("once", "/once/", "model")
             .build();
         let (control, folder) = start_control().await;
         let connector = CutConnector::default();
@@ -362,9 +363,9 @@
     }
 
     /// Cuts the first ingress off, and waits until it knows that.
-    async fn isolate(&self) {
+    async fn isolate(&self, cut: Cut) {
         let engines = [self.engine.address, self.later.address];
-        self.connector.cut(Cut::Refused, &engines);
+        self.connector.cut(cut, &engines);
         let shared = self.platform.ingress.shared();
         for engine in engines {
             shared.isolation.record_failure(engine, shared.now());
@@ -408,7 +409,7 @@
         while engines.engine.received_requests().is_empty() {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
-        engines.isolate().await;
+        engines.isolate(Cut::Refused).await;
     };
     let (response, ()) = tokio::join!(call(ingress, "POST", "/draft/"), isolate);
     assert!(response.is_complete);
@@ -416,3 +417,67 @@
     let resumed = &engines.engine.received_requests()[1];
     assert_eq!(resumed.header("last-event-id"), "1");
 }
+
+/// Sends a stream to an ingress that is cut off once the engine has the request.
+///
+/// The cut is silent, so that nothing shows whether the engine still runs the request. Another
+/// ingress reaches the engine. Returns the response and the engines.
+async fn stream_during_silent_cut(
+    path: &str,
+    script: &[TargetAction],
+    has_budget: bool,
+) -> (CallerResponse, CutEngines) {
+    let engines = CutEngines::start(script.iter().cloned()).await;
+    let ingress = &engines.platform.ingress;
+    CutEngines::wait_for_route(ingress).await;
+    let other = start_ingress("i2", &engines.platform.control).await;
+    CutEngines::wait_for_route(&other).await;
+    let isolate = async {
+        while engines.engine.received_requests().is_empty() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        while !has_budget && ingress.shared().take_repeat("model") {}
+        engines.isolate(Cut::Hanging).await;
+    };
+    let (response, ()) = tokio::join!(call(ingress, "POST", path), isolate);
+    (response, engines)
+}
+
+/// Guards against more runs than the route allows because each ingress counts its own ones only.
+///
+/// The first ingress runs the stream once and relays it; the relay may run it once more.
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_counted_over_ingresses() {
+    let script = [
+        TargetAction::Hang(&["id: 1\n\n"]),
+        TargetAction::Break(&["id: 2\n\n"]),
+        TargetAction::Break(&["id: 3\n\n"]),
+        TargetAction::Break(&[]),
+    ];
+    let (response, engines) = stream_during_silent_cut("/draft/", &script, true).await;
+    assert!(!response.is_complete);
+    let runs = engines.engine.received_requests().len();
+    assert_eq!(runs, 2, "the route allows two runs");
+}
+
+/// Guards against repeated sends beyond the budget when stalled streams move to other ingresses.
+#[tokio::test(flavor = "multi_thread")]
+async fn relayed_stall_needs_budget() {
+    let script = [TargetAction::Hang(&["id: 1\n\n"])];
+    let (response, engines) = stream_during_silent_cut("/draft/", &script, false).await;
+    assert!(!response.is_complete);
+    assert_eq!(engines.engine.received_requests().len(), 1);
+}
+
+/// Guards against a second run of a stream that can't be resumed, and against a false "not run".
+#[tokio::test(flavor = "multi_thread")]
+async fn unresumable_stream_sent_once() {
+    let (response, engines) =
+        stream_during_silent_cut("/once/", &[TargetAction::Hang(&[])], true).await;
+    assert_eq!(engines.engine.received_requests().len(), 1);
+    assert!(
+        [502, 504].contains(&response.status),
+        "the engine may have run it, so the status {} must not deny that",
+        response.status
+    );
+}
