Log the counted runs of interrupted and relayed streams, and count repeated sends

Change: runs in TS4305 and TS4322, the metric toucanshelf_repeated_sends_total. No logic changes; TS4305 is written after the run is counted.

--- a/crates/toucanshelf-ingress/src/metrics.rs
+++ b/crates/toucanshelf-ingress/src/metrics.rs
@@ -16,6 +16,8 @@
     pub requests: IntCounterVec,
     /// Number of sends of requests to targets (back ends), by outcome.
     pub attempts: IntCounterVec,
+    /// Number of repeated sends that were asked of the budgets, by result (taken or denied).
+    pub repeated_sends: IntCounterVec,
     /// Time from a request to its complete response or first stream event, in seconds.
     pub latency: Histogram,
     /// Number of open connections to control instances.
@@ -47,6 +49,12 @@
             "Attempts at targets by outcome",
         );
         let attempts = IntCounterVec::new(attempts, &["outcome"]).expect("valid options");
+        let repeated_sends = Opts::new(
+            "toucanshelf_repeated_sends_total",
+            "Repeated sends asked of the budgets by result",
+        );
+        let repeated_sends =
+            IntCounterVec::new(repeated_sends, &["result"]).expect("valid options");
         let latency = HistogramOpts::new(
             "toucanshelf_latency_seconds",
             "Time to a whole answer, or to the first event of a stream",
@@ -60,9 +68,10 @@
             "Version of the deployment in force",
         );
         let isolated = gauge("toucanshelf_isolated", "1 while no target can be reached");
-        let collectors: [Box<dyn prometheus::core::Collector>; 6] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 7] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
+            Box::new(repeated_sends.clone()),
             Box::new(latency.clone()),
             Box::new(control_links.clone()),
             Box::new(deployment_version.clone()),
@@ -75,6 +84,7 @@
             registry,
             requests,
             attempts,
+            repeated_sends,
             latency,
             control_links,
             isolated,
--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -96,6 +96,7 @@
             if self.takes_relay() {
                 let history = History {
                     may_have_run: self.runs > 0,
+                    runs: self.runs,
                     counted: true,
                 };
                 let response = relay::run_plain(self.shared, self.req, history).await;
--- a/crates/toucanshelf-ingress/src/relay/mod.rs
+++ b/crates/toucanshelf-ingress/src/relay/mod.rs
@@ -54,6 +54,8 @@
     tried: Vec<SocketAddr>,
     /// Whether a target may have run the request.
     may_have_run: bool,
+    /// Number of runs that were counted before the request was relayed.
+    runs: u32,
     /// Whether an ingress has counted the request for its budget of repeated sends.
     counted: bool,
     /// Number of the last event that the caller has; `None` before the first event.
@@ -70,6 +72,8 @@
 pub(crate) struct History {
     /// Whether a target may have run the request.
     pub may_have_run: bool,
+    /// Number of runs that count towards the limit of the route.
+    pub runs: u32,
     /// Whether this ingress has counted the request for its budget of repeated sends.
     pub counted: bool,
 }
@@ -121,10 +125,12 @@
     shared: &Arc<Shared>,
     req: &CallerRequest,
     last_event: Option<u64>,
+    runs: u32,
     tx: &mpsc::Sender<io::Result<Bytes>>,
 ) {
     let history = History {
         may_have_run: true,
+        runs,
         counted: true,
     };
     let mut session = RelaySession::new(shared, history);
@@ -142,6 +148,7 @@
             shared: Arc::clone(shared),
             tried: Vec::new(),
             may_have_run: history.may_have_run,
+            runs: history.runs,
             counted: history.counted,
             last_event: None,
         }
@@ -200,6 +207,7 @@
             request = req.id(),
             %address,
             last_event = self.last_event,
+            runs = self.runs,
             age_ms = req.age_ms(),
             outcome,
             "request relayed"
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -212,7 +212,11 @@
     pub fn take_repeat(&self, service: &str) -> bool {
         let now = self.now();
         let instances = self.known_ingresses();
-        self.with_budget(service, |budget| budget.take_repeat(now, instances))
+        let taken = self.with_budget(service, |budget| budget.take_repeat(now, instances));
+        let result = if taken { "taken" } else { "denied" };
+        let sends = &self.metrics.repeated_sends;
+        sends.with_label_values(&[result]).inc();
+        taken
     }
 
     /// Whether the budget of `service` has a repeated send left.
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -325,6 +325,7 @@
     ///
     /// The run counts towards the limit of runs unless the first engine of the route has ended.
     fn record_failure(&mut self, upstream: &Upstream, failure: &StreamFailure) {
+        self.count_run(&upstream.route);
         tracing::info!(
             event = "TS4305",
             request = self.req.id(),
@@ -332,10 +333,10 @@
             hops = upstream.route.hops().len(),
             last_event = self.last_event,
             silent_ms = upstream.route.time_since_activity().as_millis() as u64,
+            runs = self.runs,
             cause = %failure,
             "stream interrupted"
         );
-        self.count_run(&upstream.route);
     }
 
     /// Returns whether the request may run again on another route.
@@ -378,7 +379,7 @@
                     if matches!(failover, Failover::Ended) && self.takes_relay() {
                         drop(upstream);
                         let (shared, req) = (&self.shared, &self.req);
-                        relay::continue_stream(shared, req, self.last_event, &tx).await;
+                        relay::continue_stream(shared, req, self.last_event, self.runs, &tx).await;
                         return self.finish("relayed", 200);
                     }
                     if matches!(failover, Failover::Ended) {
@@ -519,6 +520,7 @@
         if self.takes_relay() {
             let history = History {
                 may_have_run: self.may_have_run,
+                runs: self.runs,
                 counted: true,
             };
             return relay::run(self.shared, self.req, history, under_way).await;
