Count an attempt from its start instead of from its failure

Cause: the number of runs, and whether an engine has the request, were recorded when an attempt failed. A stream that is silent but may recover has not failed; meanwhile its request was relayed, or tried on further routes, as if it had never been sent: without budget, beyond the limit, and where it can't be resumed a second time, with 503 for what may have run. Change: a ledger without I/O (toucanshelf-routing, runs) owns the attempts of a request, for streams and plain requests. An attempt is entered before it is sent and counts until it is known that nothing was sent, that the target refused, or that its process has ended. A stalled stream stays on its route if the budget has no repeated send left. A decision can't overlook an attempt any more, since there is no time at which a sent request isn't in the ledger.

--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http::Response;
 use tokio::time::Instant;
+use toucanshelf_routing::runs::{AttemptState, RunLedger};
 
 use crate::attempt::{AttemptError, Destination, send};
 use crate::content_guard::{ContentAttempt, begin_attempt};
@@ -41,9 +42,7 @@
         shared,
         req,
         excluded: Vec::new(),
-        runs: 0,
-        total_attempts: 0,
-        offered: false,
+        ledger: RunLedger::new(req.max_attempts),
         error_response: None,
         retry_after: RETRY_AFTER,
     };
@@ -61,8 +60,8 @@
         version = req.version,
         status = completed.response.status().as_u16(),
         outcome = completed.outcome,
-        runs = session.runs,
-        offers = session.total_attempts,
+        runs = session.runs(),
+        offers = session.ledger.attempts(),
         ms = latency.as_millis() as u64,
         "request ended"
     );
@@ -75,12 +74,8 @@
     req: &'a CallerRequest,
     /// Targets that have been tried.
     excluded: Vec<TargetKey>,
-    /// Number of attempts in which the target may have run the request.
-    runs: u32,
-    /// Number of all attempts, including those in which no target ran the request.
-    total_attempts: u32,
-    /// Whether a target has received the request.
-    offered: bool,
+    /// All attempts, and the limit of runs (`max_attempts`).
+    ledger: RunLedger<TargetKey>,
     /// Latest server error from a target, returned if no other target answers.
     error_response: Option<Response<Bytes>>,
     /// `Retry-After` time for the caller if the request has not run.
@@ -95,8 +90,8 @@
             }
             if self.takes_relay() {
                 let history = History {
-                    may_have_run: self.runs > 0,
-                    runs: self.runs,
+                    may_have_run: self.ledger.may_have_run(),
+                    runs: self.runs(),
                     counted: true,
                 };
                 let response = relay::run_plain(self.shared, self.req, history).await;
@@ -116,7 +111,6 @@
                 self.retry_after = retry_after.unwrap_or(RETRY_AFTER);
                 return self.final_response(Refusal::NoTarget, Refusal::Lost);
             };
-            self.total_attempts += 1;
             let result = self.attempt(&target, content).await;
             self.excluded.push(target.key);
             match result {
@@ -135,17 +129,22 @@
         }
     }
 
+    /// Returns the number of runs that count towards the limit.
+    fn runs(&self) -> u32 {
+        self.ledger.runs(|_| false)
+    }
+
     /// Returns whether the request's kind and its limit of runs allow another run.
     fn may_run_again(&self) -> bool {
-        self.req.kind.is_retryable() && self.runs < self.req.max_attempts
+        self.req.kind.is_retryable() && self.ledger.has_run_left(|_| false)
     }
 
     /// Returns whether to relay the request now, and takes a repeated send for it if one is due.
     fn takes_relay(&self) -> bool {
-        let may_run = self.runs == 0 || self.may_run_again();
+        let may_run = !self.ledger.may_have_run() || self.may_run_again();
         may_run
             && relay::is_needed(self.shared, self.req)
-            && (!self.offered || self.shared.take_repeat(&self.req.service))
+            && (!self.ledger.is_offered() || self.shared.take_repeat(&self.req.service))
     }
 
     /// Chooses the target of the next attempt.
@@ -154,7 +153,7 @@
     /// repeated sends is exhausted.
     async fn next_target(&self) -> Option<ChosenTarget> {
         let (shared, req) = (self.shared, self.req);
-        if self.total_attempts > MAX_REPEATED_ATTEMPTS {
+        if self.ledger.attempts() > MAX_REPEATED_ATTEMPTS {
             return None;
         }
         let choose = || {
@@ -162,12 +161,12 @@
             let target = shared.targets().choose(&req.service, &self.excluded, now)?;
             Some((target.key, target))
         };
-        permits::choose_permitted(shared, req, self.total_attempts > 0, choose).await
+        permits::choose_permitted(shared, req, self.ledger.attempts() > 0, choose).await
     }
 
     /// Sends the request to a target and reads the whole response.
     ///
-    /// The attempt is counted in `runs` unless the request has certainly not run.
+    /// The attempt counts as a run unless the request has certainly not run.
     async fn attempt(
         &mut self,
         target: &ChosenTarget,
@@ -182,7 +181,8 @@
             hops: &[],
             last_event: None,
         };
-        let may_run_twice = req.kind.is_retryable() && self.runs + 1 < req.max_attempts;
+        let attempt = self.ledger.begin(target.key);
+        let may_run_twice = self.may_run_again();
         let due = if may_run_twice {
             (Instant::now() + req.objective.mul_f64(ATTEMPT_TIMEOUT_OBJECTIVES))
                 .min(req.response_due())
@@ -199,10 +199,12 @@
             response = answer => response,
             () = content.refused(req) => Err(AttemptError::Cancelled),
         };
-        self.offered |= !matches!(&response, Err(AttemptError::NotSent(_)));
-        if !matches!(&response, Err(e) if e.has_not_run()) {
-            self.runs += 1;
-        }
+        let state = match &response {
+            Err(AttemptError::NotSent(_)) => AttemptState::NotSent,
+            Err(AttemptError::NotRun { .. }) => AttemptState::NotRun,
+            _ => AttemptState::MayHaveRun,
+        };
+        self.ledger.settle(attempt, state);
         match (&response, crash) {
             (Ok(_), _) => content.record_served(),
             (Err(AttemptError::Disconnected(_)), Some(crash)) => content.record_crash(req, crash),
@@ -244,12 +246,9 @@
         if let Some(response) = self.error_response.take() {
             return pass_on(response);
         }
-        let refusal = if self.runs == 0 {
-            not_run
-        } else {
-            may_have_run
-        };
-        let retry_after = (self.runs == 0).then_some(self.retry_after);
+        let has_run = self.ledger.may_have_run();
+        let refusal = if has_run { may_have_run } else { not_run };
+        let retry_after = (!has_run).then_some(self.retry_after);
         CompletedRequest {
             response: refusal_response(refusal, retry_after),
             outcome: refusal.name(),
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -18,6 +18,7 @@
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 use toucanshelf_core::ids::CrashId;
+use toucanshelf_routing::runs::{AttemptKey, AttemptState, RunLedger};
 use toucanshelf_runtime::in_flight::InFlightGuard;
 
 use crate::attempt::ReusableConnection;
@@ -140,6 +141,7 @@
     connection: ReusableConnection,
     splitter: EventSplitter,
     route: LiveRoute,
+    attempt: AttemptKey,
     /// Whether the response has neither a length nor chunks, so that it ends with its connection.
     ends_with_connection: bool,
     /// Whether an event has arrived.
@@ -186,17 +188,8 @@
     ///
     /// [`AvoidedEngines`] tells whether they may be chosen again.
     avoided: Vec<TargetKey>,
-    /// Number of attempts that count towards the limit of runs (`max_attempts`).
-    ///
-    /// An attempt counts if the request may have run, unless the first engine of the route had
-    /// ended when the attempt was given up.
-    runs: u32,
-    /// Number of all attempts, including those in which no engine ran the request.
-    total_attempts: u32,
-    /// Whether the request may have run on any engine, including failed ones.
-    may_have_run: bool,
-    /// Whether an engine has received the request.
-    offered: bool,
+    /// Attempts on all routes, and the limit of runs (`max_attempts`).
+    ledger: RunLedger<TargetKey>,
     /// Number of the last event that the caller has received.
     ///
     /// It may stem from an earlier response, if the caller states it in the request.
@@ -219,15 +212,13 @@
 impl StreamSession {
     fn new(shared: Arc<Shared>, req: CallerRequest) -> Self {
         let last_event = req.facts.last_event;
+        let ledger = RunLedger::new(req.max_attempts);
         Self {
             shared,
             req,
             excluded: Vec::new(),
             avoided: Vec::new(),
-            runs: 0,
-            total_attempts: 0,
-            may_have_run: false,
-            offered: false,
+            ledger,
             last_event,
             events: 0,
             first_event_ms: None,
@@ -321,11 +312,34 @@
         self.last_event.is_some_and(|last| id <= last)
     }
 
-    /// Logs that a stream failed on its route, and counts the run.
+    /// Returns the number of runs that count towards the limit.
+    fn runs(&self) -> u32 {
+        self.ledger.runs(|key| self.shared.targets().has_ended(key))
+    }
+
+    /// Returns whether the limit allows another run.
+    fn has_run_left(&self) -> bool {
+        let has_ended = |key| self.shared.targets().has_ended(key);
+        self.ledger.has_run_left(has_ended)
+    }
+
+    /// Records that an attempt whose first engine is `first` was given up.
     ///
-    /// The run counts towards the limit of runs unless the first engine of the route has ended.
+    /// It counts towards the limit of runs unless that engine has ended.
+    // An engine that is silent, or marked down for another reason, may still run the request.
+    fn settle_run(&mut self, attempt: AttemptKey, first: TargetKey) {
+        let state = if self.shared.targets().has_ended(first) {
+            AttemptState::TargetEnded
+        } else {
+            self.avoided.push(first);
+            AttemptState::MayHaveRun
+        };
+        self.ledger.settle(attempt, state);
+    }
+
+    /// Logs that a stream failed on its route, and settles the attempt.
     fn record_failure(&mut self, upstream: &Upstream, failure: &StreamFailure) {
-        self.count_run(&upstream.route);
+        self.settle_run(upstream.attempt, upstream.route.hops()[0].key);
         tracing::info!(
             event = "TS4305",
             request = self.req.id(),
@@ -333,7 +347,7 @@
             hops = upstream.route.hops().len(),
             last_event = self.last_event,
             silent_ms = upstream.route.time_since_activity().as_millis() as u64,
-            runs = self.runs,
+            runs = self.runs(),
             cause = %failure,
             "stream interrupted"
         );
@@ -341,10 +355,10 @@
 
     /// Returns whether the request may run again on another route.
     ///
-    /// Its kind, the limit of runs and the deadline decide.
+    /// Its kind, the limit of runs and the deadline decide. A stalled stream counts as a run.
     fn may_retry(&self) -> bool {
         self.req.kind.is_retryable()
-            && self.runs < self.req.max_attempts
+            && self.has_run_left()
             && Instant::now() < self.req.response_due()
     }
 
@@ -379,7 +393,8 @@
                     if matches!(failover, Failover::Ended) && self.takes_relay() {
                         drop(upstream);
                         let (shared, req) = (&self.shared, &self.req);
-                        relay::continue_stream(shared, req, self.last_event, self.runs, &tx).await;
+                        relay::continue_stream(shared, req, self.last_event, self.runs(), &tx)
+                            .await;
                         return self.finish("relayed", 200);
                     }
                     if matches!(failover, Failover::Ended) {
@@ -438,7 +453,12 @@
                 upstream.route.extend_wait();
                 Failover::Kept
             }
-            None => Failover::Ended,
+            None => {
+                if may_recover {
+                    self.record_failure(upstream, failure);
+                }
+                Failover::Ended
+            }
         }
     }
 
@@ -480,7 +500,7 @@
 
     /// Returns the error for the caller if the request's deadline has passed.
     fn deadline_refusal(&self) -> Refusal {
-        if self.may_have_run {
+        if self.ledger.may_have_run() {
             Refusal::Expired
         } else {
             Refusal::ExpiredUnrun
@@ -489,7 +509,7 @@
 
     /// Returns the error for the caller if no route can be used any more.
     fn unavailable_refusal(&self) -> Refusal {
-        if self.may_have_run {
+        if self.ledger.may_have_run() {
             Refusal::Lost
         } else {
             Refusal::NoTarget
@@ -497,10 +517,15 @@
     }
 
     /// Returns whether another ingress may continue the request, because this one is isolated.
+    ///
+    /// The budget of repeated sends must allow that if an engine has received the request.
     fn may_relay(&self) -> bool {
         let resumable = self.events == 0 || self.last_event.is_some();
-        let may_run = !self.may_have_run || self.may_retry();
-        may_run && resumable && relay::is_needed(&self.shared, &self.req)
+        let may_run = !self.ledger.may_have_run() || self.may_retry();
+        may_run
+            && resumable
+            && relay::is_needed(&self.shared, &self.req)
+            && (!self.ledger.is_offered() || self.shared.has_repeat(&self.req.service))
     }
 
     /// Returns whether a stream on `route` should continue at another ingress.
@@ -512,15 +537,16 @@
 
     /// Returns whether to relay the request now, and takes a repeated send for it if one is due.
     fn takes_relay(&self) -> bool {
-        self.may_relay() && (!self.offered || self.shared.take_repeat(&self.req.service))
+        self.may_relay()
+            && (!self.ledger.is_offered() || self.shared.take_repeat(&self.req.service))
     }
 
     /// Sends a request of which the caller has no event to another ingress, or refuses it.
     async fn relay_or_refuse(self, refusal: Refusal, under_way: InFlightGuard) -> ProxyResponse {
         if self.takes_relay() {
             let history = History {
-                may_have_run: self.may_have_run,
-                runs: self.runs,
+                may_have_run: self.ledger.may_have_run(),
+                runs: self.runs(),
                 counted: true,
             };
             return relay::run(self.shared, self.req, history, under_way).await;
@@ -530,7 +556,7 @@
 
     fn refuse(&self, refusal: Refusal) -> ProxyResponse {
         self.finish(refusal.name(), refusal.status().as_u16());
-        let retry_after = (!self.may_have_run).then_some(self.retry_after);
+        let retry_after = (!self.ledger.may_have_run()).then_some(self.retry_after);
         refusal_response(refusal, retry_after)
     }
 
@@ -547,8 +573,8 @@
             version = self.req.version,
             status,
             outcome,
-            runs = self.runs,
-            offers = self.total_attempts,
+            runs = self.runs(),
+            offers = self.ledger.attempts(),
             events = self.events,
             first = ?self.first_engine,
             crossings = self.zone_crossings,
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -1,10 +1,11 @@
 //! Selects a route for a stream and opens the stream on it.
 //!
 //! A route is a sequence of engines that together run all layers of a model. An attempt is one send
-//! of the request to the first engine of a route. It counts as a run if the request may have run
-//! there and that engine has not ended; the number of runs is limited.
+//! of the request to the first engine of a route. It counts as a run from its start, unless the request
+//! certainly has not run there or that engine has ended; the number of runs is limited.
 
 use tokio::time::Instant;
+use toucanshelf_routing::runs::{AttemptKey, AttemptState};
 
 use crate::attempt::{AttemptError, Destination, OpenResponse, send};
 use crate::content_guard::{ContentAttempt, begin_attempt, refused};
@@ -38,8 +39,8 @@
                 self.retry_after = retry_after.unwrap_or(RETRY_AFTER);
                 return Err(self.unavailable_refusal());
             };
-            self.total_attempts += 1;
-            match self.attempt(route, content).await {
+            let attempt = self.ledger.begin(route[0].key);
+            match self.attempt(route, attempt, content).await {
                 Ok(opened) => return Ok(opened),
                 Err(e) if e.has_not_run() => {}
                 Err(_) if self.may_retry() => {}
@@ -60,7 +61,7 @@
             Ok(attempt) => Ok(Some(attempt)),
             Err(retry_after) => {
                 self.retry_after = retry_after;
-                Err(if self.may_have_run {
+                Err(if self.ledger.may_have_run() {
                     Refusal::Lost
                 } else {
                     Refusal::Quarantined
@@ -74,14 +75,14 @@
     /// Returns `None` if no route exists, or if the limit of attempts or the service's budget of
     /// repeated sends is exhausted.
     async fn next_route(&self, avoided: AvoidedEngines) -> Option<Vec<RouteHop>> {
-        if self.total_attempts >= MAX_TOTAL_ATTEMPTS {
+        if self.ledger.attempts() >= MAX_TOTAL_ATTEMPTS {
             return None;
         }
         let choose = || {
             let route = self.find_route(avoided)?;
             Some((route[0].key, route))
         };
-        let is_repeat = self.total_attempts > 0;
+        let is_repeat = self.ledger.attempts() > 0;
         permits::choose_permitted(&self.shared, &self.req, is_repeat, choose).await
     }
 
@@ -89,6 +90,7 @@
     async fn attempt(
         &mut self,
         route: Vec<RouteHop>,
+        attempt: AttemptKey,
         mut content: Option<ContentAttempt>,
     ) -> Result<Opened, AttemptError> {
         let first = route[0];
@@ -97,6 +99,7 @@
             (targets.id(first.key), targets.crash_id(first.key))
         };
         let (Some(id), Some(crash)) = (id, crash) else {
+            self.ledger.settle(attempt, AttemptState::NotSent);
             return Err(AttemptError::NotSent("the engine has deregistered".into()));
         };
         let hops: Vec<_> = route.iter().map(|hop| (hop.address, hop.layers)).collect();
@@ -120,7 +123,7 @@
                 if let (AttemptError::Disconnected(_), Some(content)) = (&e, &mut content) {
                     content.record_crash(&self.req, crash);
                 }
-                self.record_attempt_error(&live_route, &e);
+                self.record_attempt_error(&live_route, attempt, &e);
                 return Err(e);
             }
         };
@@ -128,8 +131,7 @@
             let read_result = open
                 .read_to_end(&self.shared, self.req.response_due())
                 .await;
-            self.runs += 1;
-            self.may_have_run = true;
+            self.ledger.settle(attempt, AttemptState::MayHaveRun);
             let response = read_result?;
             if let Some(content) = &mut content {
                 content.record_served();
@@ -145,6 +147,7 @@
             connection,
             splitter: EventSplitter::new(),
             route: live_route,
+            attempt,
             ends_with_connection,
             has_event: false,
             crash,
@@ -191,15 +194,12 @@
     }
 
     /// Returns whether the stream on `route` may move to another route now.
-    ///
-    /// The run on `route` counts towards the limit of runs unless its first engine has ended.
     pub(super) fn can_fail_over(&self, route: &LiveRoute) -> bool {
         if self.relay_is_due(route) {
             return true;
         }
         self.may_retry()
-            && self.runs + self.runs_on(route) < self.req.max_attempts
-            && self.total_attempts < MAX_TOTAL_ATTEMPTS
+            && self.ledger.attempts() < MAX_TOTAL_ATTEMPTS
             && self.find_route(AvoidedEngines::Excluded).is_some()
             && self.shared.has_repeat(&self.req.service)
     }
@@ -223,16 +223,22 @@
         route.filter(|route| !route.is_empty())
     }
 
-    /// Updates the engines' health and the run count after a failed attempt.
-    fn record_attempt_error(&mut self, route: &LiveRoute, error: &AttemptError) {
+    /// Updates the engines' health and the ledger of runs after a failed attempt.
+    fn record_attempt_error(
+        &mut self,
+        route: &LiveRoute,
+        attempt: AttemptKey,
+        error: &AttemptError,
+    ) {
         let first = route.hops()[0];
         let now = self.shared.now();
-        self.offered |= !matches!(error, AttemptError::NotSent(_));
         match error {
             AttemptError::NotSent(_) => {
+                self.ledger.settle(attempt, AttemptState::NotSent);
                 mark_down_and_report(&self.shared, self.req.id(), first, "connection failed");
             }
             AttemptError::NotRun { status, at_fault } => {
+                self.ledger.settle(attempt, AttemptState::NotRun);
                 let address = at_fault.unwrap_or(first.address);
                 let mut targets = self.shared.targets();
                 let hop = route.hops().iter().find(|hop| hop.address == address);
@@ -250,30 +256,8 @@
             | AttemptError::Lost(_)
             | AttemptError::TimedOut
             | AttemptError::Cancelled => {
-                self.count_run(route);
+                self.settle_run(attempt, first.key);
             }
         }
     }
-
-    /// Records that the request may have run in an attempt on `route`.
-    ///
-    /// The attempt counts towards the limit of runs unless the first engine of `route` has ended.
-    // An engine that is silent, or marked down for another reason, may still run the request.
-    pub(super) fn count_run(&mut self, route: &LiveRoute) {
-        self.may_have_run = true;
-        self.offered = true;
-        let runs = self.runs_on(route);
-        self.runs += runs;
-        if runs > 0 {
-            self.avoided.push(route.hops()[0].key);
-        }
-    }
-
-    /// Returns the number of runs that an attempt on a route counts as.
-    ///
-    /// It is 1, or 0 if the first engine of the route has ended.
-    fn runs_on(&self, route: &LiveRoute) -> u32 {
-        let first = route.hops()[0].key;
-        u32::from(!self.shared.targets().has_ended(first))
-    }
 }
--- a/crates/toucanshelf-routing/src/lib.rs
+++ b/crates/toucanshelf-routing/src/lib.rs
@@ -4,7 +4,7 @@
 //! chooses a [`route::Route`] over them that runs every layer once, in order.
 //! [`delivery::Delivery`] checks each token frame, an engine's message with one token of an answer,
 //! before it is delivered. [`admission::Admission`] divides capacity between organisations.
-//! [`retry`] limits retries and [`quarantine`] limits the number of targets that one request can
+//! [`retry`] limits retries, [`runs`] counts the runs of a request, and [`quarantine`] limits the number of targets that one request can
 //! crash.
 //!
 //! ```
@@ -40,4 +40,5 @@
 pub mod quarantine;
 pub mod retry;
 pub mod route;
+pub mod runs;
 pub mod startup;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -36,6 +36,7 @@
 mod registry;
 mod relay;
 mod routes;
+mod runs;
 mod soak;
 mod state_patches;
 mod support;
