Tell a relay how often a request has run

Callers saw: requests run on more engines than their route allows (BUDGET), and 503, which promises "not run", for requests that an engine had begun to run. Cause: a relay counted the runs of a request from zero, and so did the next relay after it failed: one request of two runs could run once at its own ingress and twice at each of three relays. A relay that found no target refused with 503 what had run before. Change: a header between ingresses carries the runs that count. The relay's ledger starts with them, and nothing is sent once no run is left. A relay may use all runs that are left; how many it used isn't known if it fails with the request, so the request then goes to no further one. Weighed: keeping one run back for a second relay (a relay could then not move a stalled stream); reporting the runs in trailers (an aborted response has none).

--- a/crates/toucanshelf-ingress/src/front.rs
+++ b/crates/toucanshelf-ingress/src/front.rs
@@ -64,6 +64,7 @@
         Err(refusal) => return reject(&shared, id.as_deref(), refusal),
     };
     req.relayed = metadata.is_some();
+    req.earlier_runs = metadata.and_then(|metadata| metadata.earlier_runs);
     if relay::is_needed(&shared, &req) {
         // The relay counts the request.
         return relay::run(shared, req, History::default(), under_way).await;
@@ -134,6 +135,7 @@
         started,
         deadline: started + deadline,
         relayed: false,
+        earlier_runs: None,
         facts,
     })
 }
--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -42,7 +42,7 @@
         shared,
         req,
         excluded: Vec::new(),
-        ledger: RunLedger::new(req.max_attempts),
+        ledger: RunLedger::new(req.max_attempts).with_earlier_runs(req.earlier_runs),
         error_response: None,
         retry_after: RETRY_AFTER,
     };
@@ -90,14 +90,16 @@
             }
             if self.takes_relay() {
                 let history = History {
-                    may_have_run: self.ledger.may_have_run(),
-                    runs: self.runs(),
+                    earlier_runs: self.ledger.may_have_run().then(|| self.runs()),
                     counted: true,
                 };
                 let response = relay::run_plain(self.shared, self.req, history).await;
                 let outcome = "relayed";
                 return CompletedRequest { response, outcome };
             }
+            if !self.ledger.has_run_left(|_| false) {
+                return self.final_response(Refusal::NoTarget, Refusal::Lost);
+            }
             let content = match begin_attempt(self.shared, self.req).await {
                 Ok(content) => content,
                 Err(retry_after) => {
--- a/crates/toucanshelf-ingress/src/relay/headers.rs
+++ b/crates/toucanshelf-ingress/src/relay/headers.rs
@@ -10,6 +10,10 @@
 const MIN_DEPLOYMENT: HeaderName = HeaderName::from_static("toucanshelf-min-deployment");
 /// Header that tells the relay that another ingress has counted the request for its budget.
 const COUNTED: HeaderName = HeaderName::from_static("toucanshelf-counted");
+/// Header with the number of runs that count towards the limit of the request's route.
+///
+/// It is present if a target may have run the request, also if no run counts.
+const EARLIER_RUNS: HeaderName = HeaderName::from_static("toucanshelf-earlier-runs");
 /// Response header of a relay that has not offered the request to any target.
 ///
 /// Without it, the refusal of a relay is final: another relay would offer the request anew, beyond
@@ -23,6 +27,8 @@
     pub min_deployment: Option<u64>,
     /// Whether an ingress has counted the request for its budget of repeated sends.
     pub counted: bool,
+    /// Number of counted runs before; `None` if no target can have run the request.
+    pub earlier_runs: Option<u32>,
 }
 
 impl RelayMetadata {
@@ -31,9 +37,12 @@
         let min_deployment = headers.remove(MIN_DEPLOYMENT);
         let min_deployment = min_deployment.and_then(|value| value.to_str().ok()?.parse().ok());
         let counted = headers.remove(COUNTED).is_some();
+        let earlier_runs = headers.remove(EARLIER_RUNS);
+        let earlier_runs = earlier_runs.and_then(|value| value.to_str().ok()?.parse().ok());
         Self {
             min_deployment,
             counted,
+            earlier_runs,
         }
     }
 
@@ -41,12 +50,16 @@
     pub(super) fn set(self, headers: &mut HeaderMap) {
         headers.remove(MIN_DEPLOYMENT);
         headers.remove(COUNTED);
+        headers.remove(EARLIER_RUNS);
         if let Some(version) = self.min_deployment {
             headers.insert(MIN_DEPLOYMENT, HeaderValue::from(version));
         }
         if self.counted {
             headers.insert(COUNTED, HeaderValue::from_static("1"));
         }
+        if let Some(runs) = self.earlier_runs {
+            headers.insert(EARLIER_RUNS, HeaderValue::from(runs));
+        }
     }
 }
 
--- a/crates/toucanshelf-ingress/src/relay/mod.rs
+++ b/crates/toucanshelf-ingress/src/relay/mod.rs
@@ -1,9 +1,9 @@
 //! Sends requests to other ingresses while this one reaches no target.
 //!
 //! A relay is another ingress, which handles the request as if it came from the caller and never
-//! passes it on to a further one. Its response is passed on to the caller. If a relay fails, a
-//! request that may run again goes to another one, and a stream continues there after its last
-//! event.
+//! passes it on to a further one. Its response is passed on to the caller. The relay is told how often
+//! the request has run, and may use all runs that are left. If it fails after it has received the
+//! request, these count as used, and the request goes to no other one.
 
 mod headers;
 mod table;
@@ -18,7 +18,6 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 use toucanshelf_core::deployment::RequestKind;
 use toucanshelf_runtime::in_flight::InFlightGuard;
 
@@ -52,10 +51,8 @@
 struct RelaySession {
     shared: Arc<Shared>,
     tried: Vec<SocketAddr>,
-    /// Whether a target may have run the request.
-    may_have_run: bool,
-    /// Number of runs that were counted before the request was relayed.
-    runs: u32,
+    /// Number of runs that count towards the limit; `None` if no target can have run the request.
+    earlier_runs: Option<u32>,
     /// Whether an ingress has counted the request for its budget of repeated sends.
     counted: bool,
     /// Number of the last event that the caller has; `None` before the first event.
@@ -70,17 +67,16 @@
 /// What has happened to a request before it is relayed.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct History {
-    /// Whether a target may have run the request.
-    pub may_have_run: bool,
-    /// Number of runs that count towards the limit of the route.
-    pub runs: u32,
+    /// Number of runs that count towards the limit; `None` if no target can have run the request.
+    pub earlier_runs: Option<u32>,
     /// Whether this ingress has counted the request for its budget of repeated sends.
     pub counted: bool,
 }
 
 /// Sends a request to another ingress and returns its response.
 ///
-/// A repeated send must be taken from the budget before, if a target has received the request.
+/// A repeated send must be taken from the budget before, if a target has received the request. A run
+/// must be left.
 pub(crate) async fn run(
     shared: Arc<Shared>,
     req: CallerRequest,
@@ -125,20 +121,21 @@
     shared: &Arc<Shared>,
     req: &CallerRequest,
     last_event: Option<u64>,
-    runs: u32,
+    earlier_runs: u32,
     tx: &mpsc::Sender<io::Result<Bytes>>,
 ) {
     let history = History {
-        may_have_run: true,
-        runs,
+        earlier_runs: Some(earlier_runs),
         counted: true,
     };
     let mut session = RelaySession::new(shared, history);
     session.last_event = last_event;
-    let opened = session.reopen(req).await;
-    match opened {
-        Some(upstream) => session.forward_events(req, upstream, tx).await,
-        None => session.abort(req, tx).await,
+    match session.open(req).await {
+        Some(relayed) if relayed.response.status().is_success() => {
+            let (_, upstream) = relayed.into_stream();
+            session.forward_events(req, upstream, tx).await;
+        }
+        _ => session.abort(req, tx).await,
     }
 }
 
@@ -147,8 +144,7 @@
         Self {
             shared: Arc::clone(shared),
             tried: Vec::new(),
-            may_have_run: history.may_have_run,
-            runs: history.runs,
+            earlier_runs: history.earlier_runs,
             counted: history.counted,
             last_event: None,
         }
@@ -168,28 +164,22 @@
                         load,
                     };
                     if !is_marked_unable(relayed.response.headers()) {
-                        self.counted = true;
                         return Some(relayed);
                     }
                 }
                 Err(e) if e.has_not_run() => {}
                 Err(_) => {
-                    self.may_have_run = true;
-                    self.counted = true;
-                    if !self.may_repeat(req) {
-                        return None;
-                    }
+                    self.record_loss(req);
+                    return None;
                 }
             }
         }
         None
     }
 
-    /// Returns whether the request may be sent again, and takes that from the service's budget.
-    fn may_repeat(&self, req: &CallerRequest) -> bool {
-        req.kind.is_retryable()
-            && Instant::now() < req.response_due()
-            && self.shared.take_repeat(&req.service)
+    /// Records that a relay failed after it had received the request.
+    fn record_loss(&mut self, req: &CallerRequest) {
+        self.earlier_runs = Some(req.max_attempts);
     }
 
     async fn send(
@@ -207,7 +197,7 @@
             request = req.id(),
             %address,
             last_event = self.last_event,
-            runs = self.runs,
+            runs = self.earlier_runs,
             age_ms = req.age_ms(),
             outcome,
             "request relayed"
@@ -248,58 +238,44 @@
         let metadata = RelayMetadata {
             min_deployment: Some(req.version),
             counted: self.counted,
+            earlier_runs: self.earlier_runs,
         };
         metadata.set(headers);
         Ok(request)
     }
 
-    /// Reads a response to its end; if that fails, the request goes to another relay.
-    async fn read_to_end(&mut self, req: &CallerRequest, first: RelayedResponse) -> ProxyResponse {
-        let mut next = Some(first);
-        while let Some(relayed) = next {
-            match relayed.read_to_end(&self.shared, req).await {
-                Ok(response) => {
-                    let outcome = if response.status().is_success() {
-                        "served"
-                    } else {
-                        "failed"
-                    };
-                    self.finish(req, outcome);
-                    return response;
-                }
-                Err(_) => self.may_have_run = true,
-            }
-            next = if self.may_repeat(req) {
-                self.open(req).await
-            } else {
-                None
-            };
-        }
-        self.refuse(req)
-    }
-
-    /// Opens the rest of a stream at another relay.
-    async fn reopen(&mut self, req: &CallerRequest) -> Option<RelayedStream> {
-        let relayed = self.open(req).await?;
-        let success = relayed.response.status().is_success();
-        success.then(|| relayed.into_stream().1)
+    /// Reads a response to its end.
+    async fn read_to_end(
+        &mut self,
+        req: &CallerRequest,
+        relayed: RelayedResponse,
+    ) -> ProxyResponse {
+        let Ok(response) = relayed.read_to_end(&self.shared, req).await else {
+            self.record_loss(req);
+            return self.refuse(req);
+        };
+        let outcome = if response.status().is_success() {
+            "served"
+        } else {
+            "failed"
+        };
+        self.finish(req, outcome);
+        response
     }
 
-    /// Sends events to the caller until the stream ends or can't be continued.
+    /// Sends events to the caller until the stream ends or breaks off.
     async fn forward_events(
         &mut self,
         req: &CallerRequest,
         mut upstream: RelayedStream,
         tx: &mpsc::Sender<io::Result<Bytes>>,
     ) {
-        let mut sent = self.last_event.is_some();
         loop {
             while let Some(event) = upstream.splitter.next_event() {
                 if event.id.is_some() && event.id <= self.last_event {
                     continue;
                 }
                 self.last_event = event.id.or(self.last_event);
-                sent = true;
                 if tx.send(Ok(event.bytes)).await.is_err() {
                     return self.finish(req, "caller-left");
                 }
@@ -320,19 +296,8 @@
                     return self.finish(req, "served");
                 }
             };
-            if !broken {
-                continue;
-            }
-            self.may_have_run = true;
-            let resumable = !sent || self.last_event.is_some();
-            let next = if resumable && self.may_repeat(req) {
-                self.reopen(req).await
-            } else {
-                None
-            };
-            match next {
-                Some(next) => upstream = next,
-                None => return self.abort(req, tx).await,
+            if broken {
+                return self.abort(req, tx).await;
             }
         }
     }
@@ -347,7 +312,7 @@
 
     /// Returns the response for a request that no relay has served.
     fn refuse(&self, req: &CallerRequest) -> ProxyResponse {
-        if self.may_have_run {
+        if self.earlier_runs.is_some() {
             self.finish(req, Refusal::Lost.name());
             return refusal_response(Refusal::Lost, None);
         }
--- a/crates/toucanshelf-ingress/src/request.rs
+++ b/crates/toucanshelf-ingress/src/request.rs
@@ -62,6 +62,10 @@
     pub deadline: Instant,
     /// Whether another ingress has sent the request, for its caller.
     pub relayed: bool,
+    /// Number of runs that another ingress has counted before it relayed the request.
+    ///
+    /// `None` if no target can have run it.
+    pub earlier_runs: Option<u32>,
 }
 
 impl CallerRequest {
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -212,7 +212,7 @@
 impl StreamSession {
     fn new(shared: Arc<Shared>, req: CallerRequest) -> Self {
         let last_event = req.facts.last_event;
-        let ledger = RunLedger::new(req.max_attempts);
+        let ledger = RunLedger::new(req.max_attempts).with_earlier_runs(req.earlier_runs);
         Self {
             shared,
             req,
@@ -545,8 +545,7 @@
     async fn relay_or_refuse(self, refusal: Refusal, under_way: InFlightGuard) -> ProxyResponse {
         if self.takes_relay() {
             let history = History {
-                may_have_run: self.ledger.may_have_run(),
-                runs: self.runs(),
+                earlier_runs: self.ledger.may_have_run().then(|| self.runs()),
                 counted: true,
             };
             return relay::run(self.shared, self.req, history, under_way).await;
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -32,6 +32,9 @@
             if self.may_relay() {
                 return Err(self.unavailable_refusal());
             }
+            if !self.has_run_left() {
+                return Err(self.unavailable_refusal());
+            }
             let content = self.begin_attempt().await?;
             let Some(route) = self.next_route(avoided).await else {
                 self.shared.isolation.record_no_target();
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -311,6 +311,33 @@
     assert_eq!(received.header("toucanshelf-counted"), "");
 }
 
+/// Guards against a false "not run", and a run beyond the limit, for a request that has run before.
+///
+/// The ingress from which the request comes has counted its runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn relay_told_of_earlier_runs() {
+    let cut_platform = CutPlatform::start().await;
+    let relay = cut_platform.platform.ingress.shared().relays.own_address();
+    let status_for = async |earlier_runs: &str| {
+        let request = http::Request::get("/read/")
+            .header("host", "a.example")
+            .header("x-toucanshelf-request-id", "r1")
+            .header("toucanshelf-earlier-runs", earlier_runs);
+        let request = request.body(String::new()).unwrap();
+        send(relay.unwrap(), request).await.status
+    };
+    assert_eq!(status_for("2").await, 502);
+    assert_eq!(cut_platform.runs(), 0, "the route allows two runs");
+    assert_eq!(status_for("1").await, 200);
+    let received = cut_platform.targets.iter();
+    let received = received.flat_map(Target::received_requests).next().unwrap();
+    assert_eq!(received.header("toucanshelf-earlier-runs"), "");
+    for target in &cut_platform.targets {
+        target.refuse_all();
+    }
+    assert_eq!(status_for("1").await, 502, "the request has run before");
+}
+
 /// An ingress that can be cut off from two engines, which hold all layers together.
 struct CutEngines {
     platform: Platform,
