Count runs at an engine that answers again after a refused connection

Callers saw: nothing by itself; their streams may run on more engines than the route allows. Cause: a refused connection marked the registered engine as ended until it registered anew, and runs at an ended engine aren't counted. A cut may refuse connections too ("refuse" on the platform): the engine then goes on, and after the cut none of its runs counted any more. Change: an answer of the engine takes the mark back, and with it the exemption of runs that were given up while it stood. The ledger asks at each decision, not once. While a refusing cut lasts, a run behind it still isn't counted; the rule excepts engines that are cut off.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -210,6 +210,10 @@
     status: StatusCode,
     metadata: &ResponseMetadata,
 ) {
+    // With status 421, another target answers at the address.
+    if status != StatusCode::MISDIRECTED_REQUEST {
+        shared.targets().record_alive(to.id);
+    }
     if metadata.leaving && shared.targets().record_leaving(to.id) {
         tracing::info!(
             event = "TS4316",
--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -110,7 +110,7 @@
     unwanted_until: u64,
     /// Whether the target has said in an answer that it leaves.
     leaving: bool,
-    /// Whether the target's process has ended, so that it refuses connections.
+    /// Whether the target has refused a connection and answered no request since.
     ended: bool,
     /// Limit that the target names in its answers, while it does.
     limit: Option<TargetLimit>,
--- a/crates/toucanshelf-ingress/src/targets/notices.rs
+++ b/crates/toucanshelf-ingress/src/targets/notices.rs
@@ -22,7 +22,7 @@
         }
     }
 
-    /// Records that nothing listens at the address of the target `id`: its process has ended.
+    /// Records that the target `id` refuses connections, so that its process seems to have ended.
     pub fn record_ended(&mut self, id: &str) {
         let key = self.by_id.get(id).copied();
         if let Some(target) = key.and_then(|key| self.arena.get_mut(key)) {
@@ -30,10 +30,19 @@
         }
     }
 
-    /// Returns whether the process of a target has certainly ended, and its requests with it.
+    /// Records that the target `id` has answered a request, so that its process has not ended.
+    // A cut may refuse connections as well, and an engine behind it goes on with its requests.
+    pub fn record_alive(&mut self, id: &str) {
+        let key = self.by_id.get(id).copied();
+        if let Some(target) = key.and_then(|key| self.arena.get_mut(key)) {
+            target.ended = false;
+        }
+    }
+
+    /// Returns whether the process of a target has ended, and its requests with it.
     ///
-    /// It then refuses connections, or another incarnation or target has replaced it. A target that is
-    /// only marked down may still run requests.
+    /// It has refused a connection and answered no request since, or another incarnation or target has
+    /// replaced it. A target that is only marked down may still run requests.
     pub fn has_ended(&self, key: TargetKey) -> bool {
         self.arena.get(key).is_none_or(|target| target.ended)
     }
