Probe targets that have not failed before those that have

Cause: two failed targets lead to a probe of two targets in each zone, chosen at random. If these are the two that have just crashed, the ingress takes itself for isolated, and refuses or relays everything for half a second or more. Evidence: both logged failures show TS4303 of the two crashed engines, then TS4320 with probed 2, then TS4323 no-target of the sound request, while an engine serves the request before it. Change: a probe takes targets without a recent failure first, others only where a zone has too few. The cause is older than the crashing content: any two crashes in a small zone do it.

--- a/crates/toucanshelf-ingress/src/isolation.rs
+++ b/crates/toucanshelf-ingress/src/isolation.rs
@@ -90,7 +90,8 @@
 async fn probe(shared: &Shared) {
     // If no target can be reached, requests need relays at once.
     shared.control.ask_relays();
-    let addresses = shared.targets().probe_addresses(PROBES_PER_ZONE);
+    let failed = shared.isolation.detector().failed_targets().clone();
+    let addresses = shared.targets().probe_addresses(PROBES_PER_ZONE, &failed);
     if addresses.is_empty() {
         return;
     }
--- a/crates/toucanshelf-ingress/src/targets/probes.rs
+++ b/crates/toucanshelf-ingress/src/targets/probes.rs
@@ -1,6 +1,6 @@
 //! Choice of targets to which a probe connects, and what a successful probe changes.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 
 use rand::seq::SliceRandom as _;
@@ -11,8 +11,13 @@
 impl Targets {
     /// Returns the addresses of up to `per_zone` ready targets in each zone, at random.
     ///
-    /// Targets that are marked down are included.
-    pub fn probe_addresses(&self, per_zone: usize) -> Vec<SocketAddr> {
+    /// Targets in `failed` are chosen only where a zone has too few others: a probe of targets that have
+    /// crashed says nothing about the network of this instance.
+    pub fn probe_addresses(
+        &self,
+        per_zone: usize,
+        failed: &BTreeSet<SocketAddr>,
+    ) -> Vec<SocketAddr> {
         let ready = self
             .arena
             .iter()
@@ -21,6 +26,7 @@
             .map(|(_, target)| (target.zone, target.record.address))
             .collect();
         ready.shuffle(&mut rand::rng());
+        ready.sort_by_key(|(_, address)| failed.contains(address));
         let mut chosen: HashMap<u16, usize> = HashMap::new();
         ready.retain(|(zone, _)| {
             let count = chosen.entry(*zone).or_default();
--- a/crates/toucanshelf-routing/src/isolation.rs
+++ b/crates/toucanshelf-routing/src/isolation.rs
@@ -46,6 +46,11 @@
         self.isolated
     }
 
+    /// Returns the targets that have failed since a connection was last opened.
+    pub fn failed_targets(&self) -> &BTreeSet<SocketAddr> {
+        &self.failed
+    }
+
     /// Records that a target doesn't accept a connection or has fallen silent.
     ///
     /// `now` is in milliseconds. Returns whether other targets should be probed.
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -176,6 +176,28 @@
     assert_eq!(call(ingress, "GET", "/read/").await.status, 200);
 }
 
+/// Guards against an ingress that takes itself for isolated because it probes what has just failed.
+///
+/// Two of three targets have failed. Each probe connects to two.
+#[tokio::test]
+async fn failed_targets_probed_last() {
+    let targets = [
+        Target::start([]).await,
+        Target::start([]).await,
+        Target::start([]).await,
+    ];
+    let document = DeploymentBuilder::new(1).route("read", "a.example", "/read/", "plain");
+    let registered = targets.each_ref().map(|target| ("plain", target));
+    let platform = Platform::start(&document.build(), &registered).await;
+    let shared = platform.ingress.shared();
+    let failed = BTreeSet::from([targets[0].address, targets[1].address]);
+    for _ in 0..64 {
+        let probed = shared.targets().probe_addresses(2, &failed);
+        assert!(probed.contains(&targets[2].address), "{probed:?}");
+        assert_eq!(probed.len(), 2);
+    }
+}
+
 /// Guards against a request that goes in circles between ingresses without targets.
 #[tokio::test(flavor = "multi_thread")]
 async fn both_ingresses_isolated() {
