Bound the receive buffer of connections to targets

Callers saw: nothing; endless::plain_body in KNOWN-RED failed once beside a build: a target sent more than the 16 MiB that an ingress buffers and 8 MiB in socket buffers. Cause: the system lets a receive buffer grow to 32 MiB (net.ipv4.tcp_rmem) if the target sends faster than the ingress reads, as on a busy machine. On the platform unread bytes count towards the memory of the process, so this is a fault of the ingress and the bound of the test stands. Change: each connection to a target asks for a receive buffer of 1 MiB, which the system may double.

--- a/crates/toucanshelf-ingress/src/pool.rs
+++ b/crates/toucanshelf-ingress/src/pool.rs
@@ -14,7 +14,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, timeout};
 
 /// Time within which a target must accept a TCP connection.
@@ -30,6 +30,12 @@
 /// Maximum number of idle connections per target.
 const MAX_IDLE_PER_TARGET: usize = 64;
 
+/// Receive buffer that is requested for a connection to a target, in bytes.
+///
+/// The system may double it. Without a request it grows to tens of megabytes for a target that sends
+/// faster than this process reads, and unread bytes count as memory of this process.
+const RECEIVE_BUFFER_BYTES: u32 = 1024 * 1024;
+
 /// Handle that sends requests on one HTTP/1 connection to a target.
 pub type Sender = SendRequest<Full<Bytes>>;
 
@@ -49,12 +55,22 @@
 }
 
 /// Connector that uses the network of the operating system.
+///
+/// It bounds the receive buffer of each connection.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct TcpConnector;
 
 impl Connector for TcpConnector {
     fn connect(&self, address: SocketAddr) -> BoxFuture<'static, io::Result<TcpStream>> {
-        TcpStream::connect(address).boxed()
+        async move {
+            let socket = match address {
+                SocketAddr::V4(_) => TcpSocket::new_v4()?,
+                SocketAddr::V6(_) => TcpSocket::new_v6()?,
+            };
+            socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+            socket.connect(address).await
+        }
+        .boxed()
     }
 }
 
