Test a chunked stream that ends inside an event, and sound requests of a deadly caller

Change: unframed::chunked_stream_ended_inside_event, crashing_content::sound_requests_of_same_caller.

--- a/tests/testsuite/crashing_content.rs
+++ b/tests/testsuite/crashing_content.rs
@@ -92,6 +92,47 @@
     }
 }
 
+/// Guards against refusing sound requests of the caller whose other requests crash engines.
+///
+/// They share its key and the first part. A few of them may wait while the deadly part is tried.
+#[tokio::test]
+async fn sound_requests_of_same_caller() {
+    let document = DeploymentBuilder::new(1)
+        .model_service("model")
+        .route_of_kind("draft", "/draft/", "model", "streaming")
+        .organisation("acme", &["key-1"]);
+    let mut engines = Vec::new();
+    for _ in 0..14 {
+        let script = vec![TargetAction::Stream(&["id: 1\n\n"]); 64];
+        let engine = Target::start_crashing(script, |req| {
+            req.header("x-toucanshelf-prompt-prefix").contains(DEADLY)
+        });
+        engines.push(engine.await);
+    }
+    engines.push(Target::start([]).await);
+    let mut placed = vec![("z", 0, 2); 14];
+    placed.push(("z", 2, 4));
+    let platform = with_engines_on(&document, &engines.iter().collect::<Vec<_>>(), &placed).await;
+    let call = async |n: usize, prefix: &str| {
+        let id = format!("r{n}");
+        let headers = [
+            ("api-key", "key-1"),
+            ("x-toucanshelf-request-id", &*id),
+            ("x-toucanshelf-prompt-prefix", prefix),
+        ];
+        platform.call("POST", "/draft/", &headers).await.status
+    };
+    let mut served = 0;
+    for n in 0..40 {
+        let deadly = format!("aa:40,{DEADLY}:7,d{n:x}:3");
+        assert_ne!(call(n, &deadly).await, 200);
+        let sound = format!("aa:40,f{n:x}:9");
+        served += usize::from(call(100 + n, &sound).await == 200);
+    }
+    assert!(served >= 20, "{served} of 40 sound requests were served");
+    assert!(deadly_requests(&engines) <= 5 + MAX_LATE_REQUESTS);
+}
+
 /// Guards against an ingress that lets through what crashed engines at other ingresses.
 ///
 /// The second ingress starts after the crashes, as it does after a restart.
--- a/tests/testsuite/unframed.rs
+++ b/tests/testsuite/unframed.rs
@@ -39,6 +39,23 @@
     assert_eq!(stream_after(answer).await, (expected.into(), 1));
 }
 
+/// Guards against passing on such a stream because its chunks end as they should.
+#[tokio::test]
+async fn chunked_stream_ended_inside_event() {
+    let first = Target::start([TargetAction::Stream(&["id: 1\n\nid: 2\nda"])]).await;
+    let second = Target::start([TargetAction::Stream(&["id: 2\ndata: y\n\n"])]).await;
+    let later = Target::start([]).await;
+    let addresses = [first.address, second.address, later.address];
+    let placed = [("z", 0, 2), ("y", 0, 2), ("z", 2, 4)];
+    let document = DeploymentBuilder::new(1).model_service("model");
+    let document = document.route_of_kind("draft", "/draft/", "model", "streaming");
+    let platform = with_engines_at(&document, &addresses, &placed).await;
+    let response = platform.call("POST", "/draft/", &[ID]).await;
+    assert!(response.is_complete);
+    assert_eq!(response.body, "id: 1\n\nid: 2\ndata: y\n\n");
+    assert_eq!(second.received_requests()[0].header("last-event-id"), "1");
+}
+
 /// Guards against taking an engine that ends before its first event for an empty stream.
 #[tokio::test]
 async fn stream_ended_before_first_event() {
