Use an engine again as soon as it goes on after a silence

Callers saw: 503 for up to 2.5 s, after repeated silences up to 10 s, though the engine that had been silent for a second sent events again. Cause: an engine that sends neither events nor a report is marked down for a fixed time. Nothing took the mark back, since only plain answers did, and an engine gives none. Evidence: silent_engines::engine_heard_again: 503 right after a complete stream of that engine, before. Change: events on a stream that stayed at the engine take back a mark that was set for its silence, and its count of failures; TS4309 says so. Causes of marks are typed and have a module of their own. Marks for failed connections stay, since an open connection may outlive the path.

--- a/crates/toucanshelf-ingress/src/live_route.rs
+++ b/crates/toucanshelf-ingress/src/live_route.rs
@@ -22,7 +22,7 @@
 
 use crate::request::{CallerRequest, InFlight};
 use crate::shared::Shared;
-use crate::targets::{RouteHop, TargetKey};
+use crate::targets::{DownCause, RouteHop, TargetKey};
 
 /// Time without a first event after which the first engine's report is fetched.
 ///
@@ -136,6 +136,8 @@
     failures: watch::Receiver<u64>,
     /// Engines that a repaired route of this request must not contain.
     excluded: Vec<TargetKey>,
+    /// Whether the first engine was found to have failed while the stream stayed on the route.
+    first_suspected: bool,
     /// Number of reroute calls made on this route so far.
     reroutes: u32,
     /// Call in progress to the first engine of the route, if any.
@@ -161,6 +163,7 @@
             paused_until: now,
             failures: shared.failures(),
             excluded: Vec::new(),
+            first_suspected: false,
             reroutes: 0,
             pending: None,
         }
@@ -182,6 +185,18 @@
     pub fn record_activity(&mut self) {
         self.last_activity = Instant::now();
         self.check_due = self.last_activity + EVENT_GAP_CHECK_DELAY;
+        if std::mem::take(&mut self.first_suspected) {
+            self.record_first_alive();
+        }
+    }
+
+    /// Makes the first engine usable again if it was marked down for its silence.
+    fn record_first_alive(&self) {
+        let first = self.hops[0];
+        let now = self.shared.now();
+        if self.shared.targets().record_data(first.key, now) {
+            tracing::info!(event = "TS4309", request = %self.request, address = %first.address, "silent engine goes on");
+        }
     }
 
     /// Suspends checks and repairs of the route for 150 ms (`RECHECK_INTERVAL`).
@@ -266,12 +281,8 @@
     fn handle_report(&mut self, report: Option<&EngineReport>) -> Option<StreamFailure> {
         let first = self.hops[0];
         let Some(report) = report else {
-            mark_down_and_report(
-                &self.shared,
-                &self.request,
-                first,
-                "the engine sent no report",
-            );
+            mark_down_and_report(&self.shared, &self.request, first, DownCause::NoReport);
+            self.first_suspected = true;
             return Some(StreamFailure::FirstEngineFailed);
         };
         let stalled = report.stalled.iter();
@@ -279,7 +290,7 @@
         let stalled_on: Vec<_> = own.map(|stalled| stalled.address).collect();
         for hop in &self.hops[1..] {
             if stalled_on.contains(&hop.address) {
-                mark_down_and_report(&self.shared, &self.request, *hop, "the request stalls here");
+                mark_down_and_report(&self.shared, &self.request, *hop, DownCause::Stalled);
             }
         }
         if stalled_on.contains(&first.address) {
@@ -300,6 +311,7 @@
         let now = self.shared.now();
         let first = self.hops[0];
         if self.shared.targets().has_failed(first.key, now) {
+            self.first_suspected = true;
             return Some(StreamFailure::FirstEngineFailed);
         }
         if self.reroutes >= MAX_REROUTES {
@@ -377,13 +389,13 @@
 /// An engine that is marked down receives no requests for a while. The control instances and the
 /// other streams are told that it may have failed. Nothing happens if it was marked already or has
 /// deregistered.
-pub fn mark_down_and_report(shared: &Shared, request: &str, hop: RouteHop, cause: &str) {
+pub fn mark_down_and_report(shared: &Shared, request: &str, hop: RouteHop, cause: DownCause) {
     let now = shared.now();
-    if !shared.targets().mark_down(hop.key, now) {
+    if !shared.targets().mark_down(hop.key, now, cause) {
         return;
     }
     let address = hop.address;
-    tracing::warn!(event = "TS4303", request, %address, cause, "target marked down");
+    tracing::warn!(event = "TS4303", request, %address, %cause, "target marked down");
     shared.pool.close_idle(address);
     shared.isolation.record_failure(address, now);
     if !shared.isolation.is_isolated() {
--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -18,7 +18,7 @@
 use crate::request::{CallerRequest, InFlight};
 use crate::response::{ProxyResponse, Refusal, full_body, refusal_response};
 use crate::shared::Shared;
-use crate::targets::{ChosenTarget, TargetKey};
+use crate::targets::{ChosenTarget, DownCause, TargetKey};
 
 /// Timeout of an attempt, as a multiple of the latency objective for the request.
 ///
@@ -229,7 +229,7 @@
             Err(AttemptError::NotRun { .. }) => targets.record_refusal(target.key, now),
             Err(AttemptError::Cancelled) => {}
             Err(AttemptError::NotSent(cause)) => {
-                if targets.mark_down(target.key, now) {
+                if targets.mark_down(target.key, now, DownCause::ConnectionFailed) {
                     tracing::warn!(event = "TS4303", target_id = %target.id, address = %target.address, %cause, "target marked down");
                 }
             }
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -13,7 +13,7 @@
 use crate::live_route::{LiveRoute, StreamFailure, mark_down_and_report};
 use crate::permits;
 use crate::response::{Refusal, full_body};
-use crate::targets::RouteHop;
+use crate::targets::{DownCause, RouteHop};
 
 use super::{AvoidedEngines, Opened, RETRY_AFTER, StreamSession, Upstream};
 
@@ -238,7 +238,12 @@
         match error {
             AttemptError::NotSent(_) => {
                 self.ledger.settle(attempt, AttemptState::NotSent);
-                mark_down_and_report(&self.shared, self.req.id(), first, "connection failed");
+                mark_down_and_report(
+                    &self.shared,
+                    self.req.id(),
+                    first,
+                    DownCause::ConnectionFailed,
+                );
             }
             AttemptError::NotRun { status, at_fault } => {
                 self.ledger.settle(attempt, AttemptState::NotRun);
@@ -249,7 +254,7 @@
                 if *status == http::StatusCode::MISDIRECTED_REQUEST {
                     targets.record_missing_layers(key, now);
                 } else if targets.has_unrecovered_failure(key) {
-                    targets.mark_down(key, now);
+                    targets.mark_down(key, now, DownCause::Refused);
                 } else {
                     targets.record_refusal(key, now);
                 }
--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -10,6 +10,7 @@
 //! restart, after which the target registers as a new incarnation, ends this early.
 
 mod limits;
+mod marks;
 mod notices;
 mod probes;
 mod stages;
@@ -28,16 +29,9 @@
 
 pub use limits::LimitChange;
 use limits::TargetLimit;
+pub use marks::DownCause;
 use stages::stage;
 
-/// Time for which a target is marked down after its first failure, in milliseconds.
-///
-/// Each further failure doubles the time, up to [`MAX_DOWN_MS`].
-// An engine that restarts or loses its state registers as a new incarnation before this time ends,
-// and is then usable at once.
-const MIN_DOWN_MS: u64 = 2_500;
-/// Maximum time for which a failed target is marked down, in milliseconds.
-const MAX_DOWN_MS: u64 = 10_000;
 /// Time for which a target is on probation after refusing a request, in milliseconds.
 const REFUSAL_AVOIDANCE_MS: u64 = 250;
 /// Time for which an engine that lacks its registered layers is excluded, in milliseconds.
@@ -96,6 +90,8 @@
     failures: u32,
     /// Time until which the target is marked down, in milliseconds since the ingress started.
     down_until: u64,
+    /// Why the target was last marked down.
+    down_cause: Option<DownCause>,
     /// Time at which the target was last marked down, in milliseconds since the ingress started.
     marked_down_at: u64,
     /// End of the probation after a refusal, in milliseconds since the ingress started.
@@ -128,6 +124,7 @@
             reserved_token_layers: 0.0,
             failures: 0,
             down_until: 0,
+            down_cause: None,
             marked_down_at: 0,
             refused_until: 0,
             missing_layers_until: 0,
@@ -482,15 +479,6 @@
         zones.windows(2).filter(|pair| pair[0] != pair[1]).count()
     }
 
-    /// Returns whether a target was marked down and hasn't recovered since.
-    ///
-    /// A target recovers when it serves a plain request or restarts.
-    pub fn has_unrecovered_failure(&self, key: TargetKey) -> bool {
-        self.arena
-            .get(key)
-            .is_some_and(|target| target.failures > 0)
-    }
-
     /// Returns whether a target is marked down now, has restarted or isn't in the table any more.
     ///
     /// A target that has deregistered stays in the table until its last request has ended.
@@ -541,23 +529,6 @@
         }
     }
 
-    /// Marks a target as down, so that it receives no requests for a while.
-    ///
-    /// Returns `false` if it was marked already or has deregistered.
-    pub fn mark_down(&mut self, key: TargetKey, now: u64) -> bool {
-        let Some(target) = self.arena.get_mut(key) else {
-            return false;
-        };
-        if now < target.down_until {
-            return false;
-        }
-        let time = MIN_DOWN_MS << target.failures.min(4);
-        target.failures += 1;
-        target.marked_down_at = now;
-        target.down_until = now + time.min(MAX_DOWN_MS);
-        true
-    }
-
     /// Puts a target on probation for `REFUSAL_AVOIDANCE_MS` after it refused a request.
     pub fn record_refusal(&mut self, key: TargetKey, now: u64) {
         if let Some(target) = self.arena.get_mut(key) {
--- a/tests/testsuite/ingress.rs
+++ b/tests/testsuite/ingress.rs
@@ -443,7 +443,9 @@
 
 #[tokio::test]
 async fn held_up_stream_is_kept() {
-    let first = Target::start([TargetAction::Pause(&["id: 1\n\n", "id: 2\n\n"])]).await;
+    let events = &["id: 1\n\n", "id: 2\n\n"];
+    let pause = Duration::from_millis(2_200);
+    let first = Target::start([TargetAction::Pause(pause, events)]).await;
     let second = Target::start([TargetAction::NotRun(None), TargetAction::NotRun(None)]).await;
     let later = Target::start([]).await;
     let placed = [("z", 0, 2), ("y", 0, 2), ("z", 2, 4)];
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -37,6 +37,7 @@
 mod relay;
 mod routes;
 mod runs;
+mod silent_engines;
 mod soak;
 mod state_patches;
 mod support;
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -209,10 +209,8 @@
     Break(&'static [&'static str]),
     /// Sends these chunks of a stream, then nothing more, and keeps the connection open.
     Hang(&'static [&'static str]),
-    /// Sends these chunks of a stream, each after a pause of 2.2 s.
-    ///
-    /// Then ends the stream properly.
-    Pause(&'static [&'static str]),
+    /// Sends these chunks of a stream, each after a pause, then ends it properly.
+    Pause(Duration, &'static [&'static str]),
     /// Sends a response with the identifier of another request.
     AnswerOtherRequest,
 }
@@ -417,10 +415,10 @@
         TargetAction::Hang(chunks) => {
             respond(200, &headers, stream_body(chunks, StreamEnd::Stalled))
         }
-        TargetAction::Pause(chunks) => respond(
+        TargetAction::Pause(pause, chunks) => respond(
             200,
             &headers,
-            stream_body(chunks, StreamEnd::RegularWithPauses),
+            paused_stream_body(chunks, StreamEnd::Regular, pause),
         ),
         TargetAction::AnswerOtherRequest => {
             headers.insert("x-toucanshelf-request-id", "another".parse().unwrap());
@@ -453,8 +451,6 @@
 enum StreamEnd {
     /// The stream ends properly.
     Regular,
-    /// The stream ends properly, after a pause of 2.2 s before every chunk.
-    RegularWithPauses,
     /// The connection is aborted.
     Aborted,
     /// Nothing more is sent, and the connection stays open.
@@ -463,18 +459,22 @@
 
 /// Returns a body that sends `chunks` and ends as `end` says.
 fn stream_body(chunks: &'static [&'static str], end: StreamEnd) -> TargetBody {
+    // The short pause lets sent chunks leave the process before the connection is aborted.
+    paused_stream_body(chunks, end, Duration::from_millis(5))
+}
+
+/// Returns a body that sends `chunks`, each after `pause`, and ends as `end` says.
+fn paused_stream_body(
+    chunks: &'static [&'static str],
+    end: StreamEnd,
+    pause: Duration,
+) -> TargetBody {
     let frames = chunks
         .iter()
         .map(|chunk| Ok(Frame::data(Bytes::from_static(chunk.as_bytes()))));
     let abort = (end == StreamEnd::Aborted)
         .then(|| Err(std::io::Error::other("the target aborts the stream")));
     let chunks: Vec<_> = frames.chain(abort).collect();
-    // The short pause lets sent chunks leave the process before the connection is aborted.
-    let pause = Duration::from_millis(if end == StreamEnd::RegularWithPauses {
-        2_200
-    } else {
-        5
-    });
     let chunks = futures_util::stream::iter(chunks).then(move |chunk| async move {
         tokio::time::sleep(pause).await;
         chunk
