Let relayed streams continue, within the limit, where their sender decides

Callers saw: since relays are told of earlier runs, a relayed stream that broke off was cut, though its route allowed another run: the sender didn't know how often the relay had run it. Cause: two ingresses could both decide on further runs of one request. Change: one decides. The response of a relay names the counted runs up to its head; after that the relay starts no further run but ends the stream, and the sender continues it at another relay within the limit and the budget. Without that header (older ingresses), or without a response, all runs count as used. Measured: relay::relayed_stream_breaks_once and relayed_stream_breaks_again are new and pass.

--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -65,7 +65,11 @@
         ms = latency.as_millis() as u64,
         "request ended"
     );
-    completed.response
+    let mut response = completed.response;
+    if req.relayed {
+        relay::set_runs(response.headers_mut(), session.runs());
+    }
+    response
 }
 
 /// A plain request and the state of its attempts.
--- a/crates/toucanshelf-ingress/src/relay/headers.rs
+++ b/crates/toucanshelf-ingress/src/relay/headers.rs
@@ -20,6 +20,9 @@
 /// the budget of repeated sends.
 const UNABLE: HeaderName = HeaderName::from_static("toucanshelf-relay-unable");
 
+/// Response header with the number of runs that count after those of a relay.
+const RUNS: HeaderName = HeaderName::from_static("toucanshelf-relay-runs");
+
 /// What another ingress says about a request that it relays.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RelayMetadata {
@@ -73,3 +76,14 @@
 pub(super) fn is_marked_unable(headers: &HeaderMap) -> bool {
     headers.contains_key(UNABLE)
 }
+
+/// Names the runs that count, in the response of this relay.
+pub(crate) fn set_runs(headers: &mut HeaderMap, runs: u32) {
+    headers.insert(RUNS, HeaderValue::from(runs));
+}
+
+/// Takes the runs that a relay has named with [`set_runs`] out of its response.
+pub(super) fn take_runs(headers: &mut HeaderMap) -> Option<u32> {
+    let runs = headers.remove(RUNS)?;
+    runs.to_str().ok()?.parse().ok()
+}
--- a/crates/toucanshelf-ingress/src/relay/mod.rs
+++ b/crates/toucanshelf-ingress/src/relay/mod.rs
@@ -1,9 +1,11 @@
 //! Sends requests to other ingresses while this one reaches no target.
 //!
 //! A relay is another ingress, which handles the request as if it came from the caller and never
-//! passes it on to a further one. Its response is passed on to the caller. The relay is told how often
-//! the request has run, and may use all runs that are left. If it fails after it has received the
-//! request, these count as used, and the request goes to no other one.
+//! passes it on to a further one. Its response is passed on to the caller.
+//!
+//! The relay is told how often the request has run, and its response names the runs after its own. If
+//! the response breaks off, a request that may run again goes to another relay, and a stream continues
+//! there after its last event. A relay that ends without a response may have used all runs that were left.
 
 mod headers;
 mod table;
@@ -18,6 +20,7 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use toucanshelf_core::deployment::RequestKind;
 use toucanshelf_runtime::in_flight::InFlightGuard;
 
@@ -29,10 +32,10 @@
     ProxyResponse, Refusal, channel_body, full_body, refusal_response, strip_connection_headers,
 };
 use crate::shared::Shared;
-use headers::is_marked_unable;
+use headers::{is_marked_unable, take_runs};
 use table::RelayLoad;
 
-pub(crate) use headers::{RelayMetadata, mark_unable};
+pub(crate) use headers::{RelayMetadata, mark_unable, set_runs};
 pub use table::Relays;
 
 /// Maximum number of relays to which one request is sent.
@@ -130,12 +133,9 @@
     };
     let mut session = RelaySession::new(shared, history);
     session.last_event = last_event;
-    match session.open(req).await {
-        Some(relayed) if relayed.response.status().is_success() => {
-            let (_, upstream) = relayed.into_stream();
-            session.forward_events(req, upstream, tx).await;
-        }
-        _ => session.abort(req, tx).await,
+    match session.reopen(req).await {
+        Some(upstream) => session.forward_events(req, upstream, tx).await,
+        None => session.abort(req, tx).await,
     }
 }
 
@@ -157,19 +157,22 @@
             self.tried.push(address);
             let load = RelayLoad::new(&self.shared, address);
             match self.send(req, address).await {
-                Ok((sender, response)) => {
+                Ok((sender, mut response)) => {
+                    let runs = take_runs(response.headers_mut());
                     let relayed = RelayedResponse {
                         response,
                         sender,
                         load,
                     };
                     if !is_marked_unable(relayed.response.headers()) {
+                        self.earlier_runs = Some(runs.unwrap_or(req.max_attempts));
+                        self.counted = true;
                         return Some(relayed);
                     }
                 }
                 Err(e) if e.has_not_run() => {}
                 Err(_) => {
-                    self.record_loss(req);
+                    self.earlier_runs = Some(req.max_attempts);
                     return None;
                 }
             }
@@ -177,9 +180,12 @@
         None
     }
 
-    /// Records that a relay failed after it had received the request.
-    fn record_loss(&mut self, req: &CallerRequest) {
-        self.earlier_runs = Some(req.max_attempts);
+    /// Returns whether the request may run again, and takes a repeated send for that.
+    fn may_repeat(&self, req: &CallerRequest) -> bool {
+        req.kind.is_retryable()
+            && self.earlier_runs.unwrap_or(0) < req.max_attempts
+            && Instant::now() < req.response_due()
+            && self.shared.take_repeat(&req.service)
     }
 
     async fn send(
@@ -244,38 +250,50 @@
         Ok(request)
     }
 
-    /// Reads a response to its end.
-    async fn read_to_end(
-        &mut self,
-        req: &CallerRequest,
-        relayed: RelayedResponse,
-    ) -> ProxyResponse {
-        let Ok(response) = relayed.read_to_end(&self.shared, req).await else {
-            self.record_loss(req);
-            return self.refuse(req);
-        };
-        let outcome = if response.status().is_success() {
-            "served"
-        } else {
-            "failed"
-        };
-        self.finish(req, outcome);
-        response
+    /// Reads a response to its end; if that fails, the request goes to another relay.
+    async fn read_to_end(&mut self, req: &CallerRequest, first: RelayedResponse) -> ProxyResponse {
+        let mut next = Some(first);
+        while let Some(relayed) = next {
+            if let Ok(response) = relayed.read_to_end(&self.shared, req).await {
+                let outcome = if response.status().is_success() {
+                    "served"
+                } else {
+                    "failed"
+                };
+                self.finish(req, outcome);
+                return response;
+            }
+            next = if self.may_repeat(req) {
+                self.open(req).await
+            } else {
+                None
+            };
+        }
+        self.refuse(req)
     }
 
-    /// Sends events to the caller until the stream ends or breaks off.
+    /// Opens the rest of a stream at another relay.
+    async fn reopen(&mut self, req: &CallerRequest) -> Option<RelayedStream> {
+        let relayed = self.open(req).await?;
+        let success = relayed.response.status().is_success();
+        success.then(|| relayed.into_stream().1)
+    }
+
+    /// Sends events to the caller until the stream ends or can't be continued.
     async fn forward_events(
         &mut self,
         req: &CallerRequest,
         mut upstream: RelayedStream,
         tx: &mpsc::Sender<io::Result<Bytes>>,
     ) {
+        let mut sent = self.last_event.is_some();
         loop {
             while let Some(event) = upstream.splitter.next_event() {
                 if event.id.is_some() && event.id <= self.last_event {
                     continue;
                 }
                 self.last_event = event.id.or(self.last_event);
+                sent = true;
                 if tx.send(Ok(event.bytes)).await.is_err() {
                     return self.finish(req, "caller-left");
                 }
@@ -296,8 +314,18 @@
                     return self.finish(req, "served");
                 }
             };
-            if broken {
-                return self.abort(req, tx).await;
+            if !broken {
+                continue;
+            }
+            let resumable = !sent || self.last_event.is_some();
+            let next = if resumable && self.may_repeat(req) {
+                self.reopen(req).await
+            } else {
+                None
+            };
+            match next {
+                Some(next) => upstream = next,
+                None => return self.abort(req, tx).await,
             }
         }
     }
--- a/crates/toucanshelf-ingress/src/relay/table.rs
+++ b/crates/toucanshelf-ingress/src/relay/table.rs
@@ -40,7 +40,7 @@
     }
 
     /// Chooses the less loaded of two random relays that are not in `tried`.
-    pub(super) fn choose(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
+    pub fn choose(&self, tried: &[SocketAddr]) -> Option<SocketAddr> {
         let addresses = self.addresses.lock().expect("no holder panics");
         let untried = addresses.iter().filter(|address| !tried.contains(address));
         let two = untried.copied().sample(&mut rand::rng(), 2);
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -55,6 +55,9 @@
             StreamItem::Event(event) => {
                 let (tx, body) = channel_body();
                 session.record_first_event();
+                if session.req.relayed {
+                    relay::set_runs(&mut head.headers, session.runs());
+                }
                 tokio::spawn(async move {
                     session.forward_events(upstream, event, tx).await;
                     drop(under_way);
@@ -418,6 +421,9 @@
         failure: &StreamFailure,
         caller: Option<&mpsc::Sender<io::Result<Bytes>>>,
     ) -> Failover {
+        if self.req.relayed && caller.is_some() {
+            return self.return_to_sender(upstream, failure);
+        }
         let may_recover = failure.may_recover();
         if !may_recover {
             self.record_failure(upstream, failure);
@@ -462,6 +468,18 @@
         }
     }
 
+    /// Ends a relayed stream, which then continues where the ingress that sent it decides.
+    ///
+    /// That ingress knows only the runs up to the response head, so this one may not start further ones.
+    fn return_to_sender(&mut self, upstream: &mut Upstream, failure: &StreamFailure) -> Failover {
+        if failure.may_recover() && !self.can_fail_over(&upstream.route) {
+            upstream.route.extend_wait();
+            return Failover::Kept;
+        }
+        self.record_failure(upstream, failure);
+        Failover::Ended
+    }
+
     /// Opens the rest of the stream on another route.
     ///
     /// Returns `None` if that fails or the caller disconnects first.
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -530,3 +530,65 @@
         response.status
     );
 }
+
+/// Sends a stream to an isolated ingress, beside two others that reach the engine.
+///
+/// Returns the response and the number of runs.
+async fn relayed_stream(script: &[TargetAction]) -> (CallerResponse, usize) {
+    let engines = CutEngines::start(script.iter().cloned()).await;
+    let ingress = &engines.platform.ingress;
+    CutEngines::wait_for_route(ingress).await;
+    let control = &engines.platform.control;
+    let others = [
+        start_ingress("i2", control).await,
+        start_ingress("i3", control).await,
+    ];
+    for other in &others {
+        CutEngines::wait_for_route(other).await;
+    }
+    engines.isolate(Cut::Hanging).await;
+    let relays_known = async {
+        let first = loop {
+            if let Some(first) = ingress.shared().relays.choose(&[]) {
+                break first;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        };
+        while ingress.shared().relays.choose(&[first]).is_none() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(WAIT_TIMEOUT, relays_known)
+        .await
+        .unwrap();
+    let response = call(ingress, "POST", "/draft/").await;
+    (response, engines.engine.received_requests().len())
+}
+
+/// Guards against a relayed stream that is cut although another run is allowed.
+#[tokio::test(flavor = "multi_thread")]
+async fn relayed_stream_breaks_once() {
+    let script = [
+        TargetAction::Break(&["id: 1\n\n"]),
+        TargetAction::Stream(&["id: 2\n\n"]),
+    ];
+    let (response, runs) = relayed_stream(&script).await;
+    assert!(response.is_complete);
+    assert_eq!((&*response.body, runs), ("id: 1\n\nid: 2\n\n", 2));
+    assert!(!response.headers.contains_key("toucanshelf-relay-runs"));
+}
+
+/// Guards against runs beyond the limit when stream after stream breaks off at relays.
+#[tokio::test(flavor = "multi_thread")]
+async fn relayed_stream_breaks_again() {
+    let broken = |events: &'static [&'static str]| TargetAction::Break(events);
+    let script = [
+        broken(&["id: 1\n\n"]),
+        broken(&["id: 2\n\n"]),
+        broken(&["id: 3\n\n"]),
+        broken(&["id: 4\n\n"]),
+    ];
+    let (response, runs) = relayed_stream(&script).await;
+    assert!(!response.is_complete);
+    assert_eq!(runs, 2, "the route allows two runs");
+}
