Choose relays that have just refused last

Cause: of two relays the one with fewer of the own requests in flight is chosen. One without room refuses at once, so it always has the fewest and attracts the rest.

--- a/crates/toucanshelf-ingress/src/relay/mod.rs
+++ b/crates/toucanshelf-ingress/src/relay/mod.rs
@@ -16,7 +16,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
 use tokio::sync::mpsc;
@@ -159,6 +159,9 @@
             match self.send(req, address).await {
                 Ok((sender, mut response)) => {
                     let runs = take_runs(response.headers_mut());
+                    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+                        self.shared.relays.record_refusal(address);
+                    }
                     let relayed = RelayedResponse {
                         response,
                         sender,
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpStream;
 use toucanshelf_ingress::Ingress;
 use toucanshelf_ingress::pool::{Connector, TcpConnector};
+use toucanshelf_ingress::relay::Relays;
 use toucanshelf_routing::budget::RepeatBudget;
 
 use crate::platform_support::{
@@ -565,6 +566,20 @@
     (response, engines.engine.received_requests().len())
 }
 
+/// Guards against a relay that attracts most requests because it refuses them at once.
+#[tokio::test]
+async fn refusing_relay_chosen_last() {
+    let relays = Relays::default();
+    let addresses = [1, 2, 3].map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    relays.update(addresses.to_vec());
+    relays.record_refusal(addresses[0]);
+    relays.record_refusal(addresses[1]);
+    for _ in 0..32 {
+        assert_eq!(relays.choose(&[]), Some(addresses[2]));
+    }
+    assert!(relays.choose(&[addresses[2]]).is_some(), "the last resort");
+}
+
 /// Guards against a relayed stream that is cut although another run is allowed.
 #[tokio::test(flavor = "multi_thread")]
 async fn relayed_stream_breaks_once() {
