Ask for relays before they are needed

Callers saw: 503 at an isolated ingress for two seconds, although other ingresses served. Cause: an ingress asked control for relays only when it probed its targets. If its links to control were cut by then, it knew none until they were back.

--- a/crates/toucanshelf-ingress/src/isolation.rs
+++ b/crates/toucanshelf-ingress/src/isolation.rs
@@ -10,12 +10,17 @@
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::watch;
+use tokio::time::timeout;
 use toucanshelf_routing::isolation::{IsolationDetector, Transition};
 
 use crate::shared::Shared;
 
 /// Shortest interval between probes, and the interval while no target can be reached.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which the ingress asks for other ingresses that could relay its requests.
+///
+/// When it loses its targets, it may have lost control as well.
+const RELAY_LIST_INTERVAL: Duration = Duration::from_secs(10);
 /// Number of targets in each zone to which a probe connects.
 const PROBES_PER_ZONE: usize = 2;
 
@@ -74,9 +79,19 @@
 }
 
 /// Probes targets whenever several have failed, and repeatedly while none can be reached.
+///
+/// Meanwhile it keeps the list of relays up to date.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let mut suspected = shared.isolation.suspected.subscribe();
-    while suspected.changed().await.is_ok() {
+    loop {
+        match timeout(RELAY_LIST_INTERVAL, suspected.changed()).await {
+            Ok(Ok(())) => {}
+            Ok(Err(_)) => return,
+            Err(_) => {
+                shared.control.ask_relays();
+                continue;
+            }
+        }
         probe(&shared).await;
         tokio::time::sleep(PROBE_INTERVAL).await;
         while shared.isolation.is_isolated() {
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -566,6 +566,21 @@
     (response, engines.engine.received_requests().len())
 }
 
+/// Guards against an ingress that knows no other one when it loses its targets and control at once.
+#[tokio::test(flavor = "multi_thread")]
+async fn relays_known_in_advance() {
+    let cut_platform = CutPlatform::start().await;
+    let _other = cut_platform.start_other_ingress("i2").await;
+    let shared = cut_platform.platform.ingress.shared();
+    let known = async {
+        while shared.relays.choose(&[]).is_none() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let known = tokio::time::timeout(WAIT_TIMEOUT, known).await;
+    assert!(known.is_ok(), "no target has failed, and no probe was made");
+}
+
 /// Guards against a relay that attracts most requests because it refuses them at once.
 #[tokio::test]
 async fn refusing_relay_chosen_last() {
