Name the headers of relays more clearly

Cause: two comments of the new headers, and one line over the width, would stop a reader. Change: comments only.

--- a/crates/toucanshelf-ingress/src/relay/headers.rs
+++ b/crates/toucanshelf-ingress/src/relay/headers.rs
@@ -20,7 +20,7 @@
 /// the budget of repeated sends.
 const UNABLE: HeaderName = HeaderName::from_static("toucanshelf-relay-unable");
 
-/// Response header with the number of runs that count after those of a relay.
+/// Response header of a relay with the number of counted runs, its own included.
 const RUNS: HeaderName = HeaderName::from_static("toucanshelf-relay-runs");
 
 /// What another ingress says about a request that it relays.
@@ -77,7 +77,7 @@
     headers.contains_key(UNABLE)
 }
 
-/// Names the runs that count, in the response of this relay.
+/// Names the counted runs in the response to a relayed request.
 pub(crate) fn set_runs(headers: &mut HeaderMap, runs: u32) {
     headers.insert(RUNS, HeaderValue::from(runs));
 }
--- a/crates/toucanshelf-routing/src/lib.rs
+++ b/crates/toucanshelf-routing/src/lib.rs
@@ -4,8 +4,8 @@
 //! chooses a [`route::Route`] over them that runs every layer once, in order.
 //! [`delivery::Delivery`] checks each token frame, an engine's message with one token of an answer,
 //! before it is delivered. [`admission::Admission`] divides capacity between organisations.
-//! [`retry`] limits retries, [`runs`] counts the runs of a request, and [`quarantine`] limits the number of targets that one request can
-//! crash.
+//! [`retry`] limits retries, [`runs`] counts the runs of a request, and [`quarantine`] limits the
+//! number of targets that one request can crash.
 //!
 //! ```
 //! use toucanshelf_core::layers::LayerRange;
