Publish the suspension of a replica before its calls fail

An operator could read from the metrics that a replica isn't suspended after it had refused a deployment for that reason. Cause: a replica whose store failed answered the pending calls first and published its status then. Change: the status is published first.

--- a/crates/toucanshelf-control/src/driver/suspension.rs
+++ b/crates/toucanshelf-control/src/driver/suspension.rs
@@ -39,13 +39,14 @@
     ) -> Result<Option<Box<dyn LogStore>>, StoreError> {
         tracing::error!(event = "TS2106", %cause, "store of the replica failed; replica suspended");
         let suspended_at = Instant::now();
-        self.fail_pending();
         self.leader_contact_ms = 0;
+        // Who is told that a call failed must find the replica suspended.
         self.status.send_modify(|status| {
             status.leader = None;
             status.current = false;
             status.suspended = true;
         });
+        self.fail_pending();
         let mut delay = MIN_REOPEN_DELAY;
         loop {
             if !self.wait_suspended(inputs, delay) {
