--- a/tests/testsuite/crashing_content.rs
+++ b/tests/testsuite/crashing_content.rs
@@ -6,7 +6,7 @@
 use toucanshelf_core::ids::{CrashId, PromptPart};
 use toucanshelf_ingress::Ingress;
 
-use crate::ingress::{with_engines, with_engines_on};
+use crate::ingress::{model_document, with_engines_on};
 use crate::platform_support::{
     CallerResponse, DeploymentBuilder, Platform, ReceivedRequest, Target, TargetAction,
     call_ingress, start_ingress,
@@ -23,6 +23,14 @@
 ///
 /// A further engine holds the later layers of every route.
 async fn with_crashing_engines(count: usize) -> (Platform, Vec<Target>) {
+    with_crashing_engines_on(&model_document(), count).await
+}
+
+/// Does the same on a deployment like [`model_document`].
+async fn with_crashing_engines_on(
+    document: &DeploymentBuilder,
+    count: usize,
+) -> (Platform, Vec<Target>) {
     let mut engines = Vec::new();
     for _ in 0..count {
         let script = vec![TargetAction::Stream(&["id: 1\n\n"]); 64];
@@ -34,7 +42,7 @@
     engines.push(Target::start([]).await);
     let mut placed = vec![("z", 0, 2); count];
     placed.push(("z", 2, 4));
-    let platform = with_engines(&engines.iter().collect::<Vec<_>>(), &placed).await;
+    let platform = with_engines_on(document, &engines.iter().collect::<Vec<_>>(), &placed).await;
     (platform, engines)
 }
 
@@ -97,22 +105,8 @@
 /// They share its key and the first part. A few of them may wait while the deadly part is tried.
 #[tokio::test]
 async fn sound_requests_of_same_caller() {
-    let document = DeploymentBuilder::new(1)
-        .model_service("model")
-        .route_of_kind("draft", "/draft/", "model", "streaming")
-        .organisation("acme", &["key-1"]);
-    let mut engines = Vec::new();
-    for _ in 0..14 {
-        let script = vec![TargetAction::Stream(&["id: 1\n\n"]); 64];
-        let engine = Target::start_crashing(script, |req| {
-            req.header("x-toucanshelf-prompt-prefix").contains(DEADLY)
-        });
-        engines.push(engine.await);
-    }
-    engines.push(Target::start([]).await);
-    let mut placed = vec![("z", 0, 2); 14];
-    placed.push(("z", 2, 4));
-    let platform = with_engines_on(&document, &engines.iter().collect::<Vec<_>>(), &placed).await;
+    let document = model_document().organisation("acme", &["key-1"]);
+    let (platform, engines) = with_crashing_engines_on(&document, 14).await;
     let call = async |n: usize, prefix: &str| {
         let id = format!("r{n}");
         let headers = [
--- a/tests/testsuite/ingress.rs
+++ b/tests/testsuite/ingress.rs
@@ -167,15 +167,18 @@
     assert!(target.received_requests().is_empty());
 }
 
+/// Returns a deployment with the model's service `model` and a streaming route `/draft/` to it.
+pub fn model_document() -> DeploymentBuilder {
+    let document = DeploymentBuilder::new(1).model_service("model");
+    document.route_of_kind("draft", "/draft/", "model", "streaming")
+}
+
 /// Starts a platform and registers `targets` as engines of a model.
 ///
 /// `placed` gives the zone of each engine and the range of its layers. The ranges must cover the
 /// model's layers, because the function waits until a route exists.
 pub async fn with_engines(targets: &[&Target], placed: &[(&str, u32, u32)]) -> Platform {
-    let document = DeploymentBuilder::new(1)
-        .model_service("model")
-        .route_of_kind("draft", "/draft/", "model", "streaming");
-    with_engines_on(&document, targets, placed).await
+    with_engines_on(&model_document(), targets, placed).await
 }
 
 /// Starts a platform with the deployment `document` and registers `targets` as engines.
@@ -328,40 +331,65 @@
     );
 }
 
+/// A platform whose first engine sends no reports, beside two that break off each stream.
+struct SilentEngine {
+    platform: Platform,
+    silent: Target,
+    others: [Target; 2],
+    _later: Target,
+}
+
+impl SilentEngine {
+    /// Starts the engines; the first one answers as `script` says.
+    async fn start(script: impl IntoIterator<Item = TargetAction>) -> Self {
+        let silent = Target::start(script).await;
+        silent.hide_reports();
+        let breaking = || {
+            [
+                TargetAction::Break(&["id: 2\n\n"]),
+                TargetAction::Break(&[]),
+            ]
+        };
+        let others = [
+            Target::start(breaking()).await,
+            Target::start(breaking()).await,
+        ];
+        let later = Target::start([]).await;
+        let engines = [&silent, &others[0], &others[1], &later];
+        let placed = [("z", 0, 2), ("y", 0, 2), ("x", 0, 2), ("z", 2, 4)];
+        let platform = with_engines(&engines, &placed).await;
+        Self {
+            platform,
+            silent,
+            others,
+            _later: later,
+        }
+    }
+
+    /// Returns the number of requests that the engines which break off have received.
+    fn other_runs(&self) -> usize {
+        let others = self.others.iter();
+        others.map(|other| other.received_requests().len()).sum()
+    }
+}
+
 /// Guards against more runs than the route allows when a silent engine is taken for failed.
 ///
 /// The first engine sends neither events nor reports and is marked down, but it still runs the
 /// request. The second one breaks off, so that the limit of two runs is reached.
 #[tokio::test]
 async fn silent_engine_counts_as_run() {
-    let hang = || [TargetAction::Hang(&["id: 1\n\n"])];
-    let silent = Target::start(hang()).await;
-    silent.hide_reports();
-    let breaking = || {
-        [
-            TargetAction::Break(&["id: 2\n\n"]),
-            TargetAction::Break(&[]),
-        ]
-    };
-    let others = [
-        Target::start(breaking()).await,
-        Target::start(breaking()).await,
-    ];
-    let later = Target::start([]).await;
-    let engines = [&silent, &others[0], &others[1], &later];
-    let placed = [("z", 0, 2), ("y", 0, 2), ("x", 0, 2), ("z", 2, 4)];
-    let platform = with_engines(&engines, &placed).await;
-    let response = platform.call("POST", "/draft/", &[ID]).await;
+    let engines = SilentEngine::start([TargetAction::Hang(&["id: 1\n\n"])]).await;
+    let response = engines.platform.call("POST", "/draft/", &[ID]).await;
     assert!(!response.is_complete);
-    let received = |target: &Target| target.received_requests().len();
     assert_eq!(
-        received(&silent),
+        engines.silent.received_requests().len(),
         1,
         "the silent engine runs the request first"
     );
-    let runs = received(&others[0]) + received(&others[1]);
     assert_eq!(
-        runs, 1,
+        engines.other_runs(),
+        1,
         "the route allows two runs, and the silent engine hasn't ended"
     );
 }
@@ -414,29 +442,15 @@
         TargetAction::Stream(&["id: 1\n\n"]),
         TargetAction::Hang(&["id: 1\n\n"]),
     ];
-    let silent = Target::start(script).await;
-    silent.hide_reports();
-    let breaking = || {
-        [
-            TargetAction::Break(&["id: 2\n\n"]),
-            TargetAction::Break(&[]),
-        ]
-    };
-    let others = [
-        Target::start(breaking()).await,
-        Target::start(breaking()).await,
-    ];
-    let later = Target::start([]).await;
-    let engines = [&silent, &others[0], &others[1], &later];
-    let placed = [("z", 0, 2), ("y", 0, 2), ("x", 0, 2), ("z", 2, 4)];
-    let platform = with_engines(&engines, &placed).await;
+    let engines = SilentEngine::start(script).await;
+    let platform = &engines.platform;
     platform.ingress.shared().targets().record_ended("e0");
     assert_eq!(platform.call("POST", "/draft/", &[ID]).await.status, 200);
     assert!(!platform.call("POST", "/draft/", &[ID]).await.is_complete);
-    assert_eq!(silent.received_requests().len(), 2);
-    let runs: usize = others.iter().map(|t| t.received_requests().len()).sum();
+    assert_eq!(engines.silent.received_requests().len(), 2);
     assert_eq!(
-        runs, 1,
+        engines.other_runs(),
+        1,
         "the route allows two runs, and no engine has ended"
     );
 }
