--- /dev/null
+++ b/review/stand-in/cases/blamed_part.rs
@@ -0,0 +1,168 @@
+//! LOST: sound requests are refused for a part of their prompt that crashed nothing.
+//!
+//! The first part of a prompt crashes each engine that begins to write an answer on it. The second
+//! part is shared by sound requests, as are the caller and the route. Sound requests come all the
+//! time. Three requests with the bad part come at once at one ingress, and then one each second at
+//! any ingress.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use super::{engine_address, stream_request};
+use crate::engine::{Engine, EngineConfig, Reaction};
+use crate::system::{Record, System, ZONES, config};
+
+const INGRESSES: usize = 3;
+const ENGINES: u8 = 16;
+const CONTACT: Duration = Duration::from_millis(3_000);
+/// Pause between two sound requests.
+const SOUND_GAP: Duration = Duration::from_millis(400);
+const WORK: Duration = Duration::from_millis(80);
+/// Time after which a crashed engine is back.
+const BACK: Duration = Duration::from_millis(2_500);
+/// Time over which sound requests are counted, before and after.
+const COUNTED: Duration = Duration::from_secs(14);
+/// Number of bad requests that come at once, at one ingress.
+const AT_ONCE: usize = 3;
+const BAD_PART: &str = "bad0";
+const SHARED_PART: &str = "91bd3f06";
+const PATH: &str = "/lohu930/note";
+
+fn service(name: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","health_path":"/health","max_conns":908,"protocol":"h1","tls":false,"engine":{{"slots":192,"kv_capacity":100000,"kv_token_bytes":590000,"link_mbps":400000.0,"stride":4,"models":[{{"name":"m0","pace":1.0,"load_s":2.0,"warm_s":1.0}}],"step_ms":1.02,"per_seq_ms":0.00459,"context_per_k":0.00615,"read_per_s":164000.0,"pairs_per_m":0.199,"chunk":512,"report_lag_ms":200.0,"loads_per_s":0.0,"loads_at_once":6,"delays":[],"usual":{{"prompt":775,"answer":220}},"layers":1,"layer_mb":1750.0,"act_bytes":29500,"pipe_mbps":16000.0,"kinds":[{{"name":"l4","size_mb":21600.0,"pace":16.0,"read_factor":8.2}}]}}}}"#
+    )
+}
+
+pub fn run(record: &Record, trouble: bool) -> bool {
+    let system = Arc::new(System::start(record, 3, INGRESSES as u8));
+    let route = r#"{"name":"r-1","host":"ficu95.example","path_prefix":"/lohu930/","kind":"streaming","timeout_ms":20000,"slo_ms":500,"priority":1,"service":"telar-llm","max_attempts":2,"public":false,"sticky":true,"resumable":true,"gap_slo_ms":250}"#;
+    system.put_config(&config(1, &[route.to_string()], &[service("telar-llm")]));
+    system.wait_ready();
+    let arrivals = Arc::new(Mutex::new(Vec::new()));
+    let engines: Arc<Mutex<Vec<Arc<Engine>>>> = Arc::default();
+    let addresses: Vec<_> = (1..=ENGINES).map(engine_address).collect();
+    let start_engine = {
+        let (controls, arrivals, record) = (system.controls(), Arc::clone(&arrivals), record.clone());
+        let addresses = addresses.clone();
+        move |number: usize, run: usize| {
+            let config = EngineConfig {
+                id: format!("i-{number}-{run}"),
+                service: "telar-llm".into(),
+                zone: ZONES[number % 3].into(),
+                kind: Some("l4"),
+                address: addresses[number],
+                work: WORK,
+            };
+            let react = move |message: &crate::net::Message| {
+                let is_bad = message.header("x-toucanshelf-prompt-prefix").starts_with(BAD_PART);
+                if trouble && is_bad { Reaction::Crash } else { Reaction::Work }
+            };
+            Engine::start(config, controls.clone(), &record, &arrivals, Duration::ZERO, react)
+        }
+    };
+    for number in 0..addresses.len() {
+        engines.lock().unwrap().push(start_engine(number, 0).expect("the address is free"));
+    }
+    let restarted = Arc::clone(&engines);
+    std::thread::spawn(move || {
+        let mut runs = vec![0; addresses.len()];
+        let mut dead_since: Vec<Option<Instant>> = vec![None; addresses.len()];
+        loop {
+            std::thread::sleep(Duration::from_millis(50));
+            for number in 0..addresses.len() {
+                if !restarted.lock().unwrap()[number].is_dead() {
+                    continue;
+                }
+                let since = *dead_since[number].get_or_insert_with(Instant::now);
+                if since.elapsed() >= BACK
+                    && let Ok(engine) = start_engine(number, runs[number] + 1)
+                {
+                    runs[number] += 1;
+                    dead_since[number] = None;
+                    restarted.lock().unwrap()[number] = engine;
+                }
+            }
+        }
+    });
+    // The engines load their layers.
+    std::thread::sleep(Duration::from_secs(7));
+
+    // Sound requests, one after the other at all ingresses.
+    let sent: Arc<Mutex<Vec<(String, Instant)>>> = Arc::default();
+    let stop = Arc::new(AtomicBool::new(false));
+    let sound = {
+        let (record, system, sent, stop) = (record.clone(), Arc::clone(&system), Arc::clone(&sent), Arc::clone(&stop));
+        std::thread::spawn(move || {
+            let mut number = 0;
+            while !stop.load(Ordering::SeqCst) {
+                let id = format!("sound-{number}");
+                let front = system.front(number % INGRESSES);
+                sent.lock().unwrap().push((id.clone(), Instant::now()));
+                let record = record.clone();
+                std::thread::spawn(move || {
+                    let prefix = format!("5c1e07a2:800,{SHARED_PART}:410,e4{number:06x}:250");
+                    stream_request(&record, front, &id, PATH, &prefix);
+                });
+                number += 1;
+                std::thread::sleep(SOUND_GAP);
+            }
+        })
+    };
+    std::thread::sleep(COUNTED);
+    let before_end = Instant::now();
+    // The bad requests start between two sound ones.
+    let last = sent.lock().unwrap().last().map(|(_, at)| *at).expect("sound requests were sent");
+    std::thread::sleep((last + Duration::from_millis(630)).saturating_duration_since(Instant::now()));
+    let bad = |number: usize| {
+        let (record, front) = (record.clone(), system.front(number % INGRESSES));
+        std::thread::spawn(move || {
+            let prefix = format!("{BAD_PART}:800,{SHARED_PART}:410,f1{number:06x}:250");
+            stream_request(&record, front, &format!("bad-{number}"), PATH, &prefix);
+        })
+    };
+    for number in 0..AT_ONCE {
+        bad(number * INGRESSES);
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    let mut number = AT_ONCE * INGRESSES;
+    // All crashes happen before this time, unless a later bad request still reaches an engine.
+    let mut counted_from = Instant::now() + 2 * CONTACT;
+    while Instant::now() < counted_from + COUNTED {
+        bad(number);
+        number += 1;
+        std::thread::sleep(Duration::from_secs(1));
+    }
+    let counted_until = Instant::now();
+    stop.store(true, Ordering::SeqCst);
+    let _ = sound.join();
+    std::thread::sleep(Duration::from_secs(1));
+
+    let arrivals = arrivals.lock().unwrap();
+    // The rule counts from the fifth crash, or from the last if there are fewer.
+    let mut crashed_at: Vec<_> = arrivals.iter().filter(|a| a.request.starts_with("bad-")).map(|a| a.at + WORK).collect();
+    crashed_at.sort();
+    if let Some(at) = crashed_at.get(4).or(crashed_at.last()) {
+        counted_from = counted_from.max(*at + 2 * CONTACT);
+    }
+    let begun_ids: BTreeSet<_> = arrivals.iter().map(|a| a.request.clone()).collect();
+    let share = |from: Option<Instant>, to: Instant| {
+        let sent = sent.lock().unwrap();
+        let ids: Vec<_> = sent.iter().filter(|(_, at)| from.is_none_or(|from| *at >= from) && *at < to).collect();
+        let begun = ids.iter().filter(|(id, _)| begun_ids.contains(id)).count();
+        (begun, ids.len())
+    };
+    let before = share(None, before_end);
+    let after = share(Some(counted_from), counted_until);
+    let crashes = arrivals.iter().filter(|a| a.request.starts_with("bad-")).count();
+    record.note(format!(
+        "bad requests that reached engines: {crashes}; sound requests that began at the first attempt: {} of {} before, {} of {} later than twice contact_ms after the fifth crash",
+        before.0, before.1, after.0, after.1
+    ));
+    if before.1 < 20 || after.1 < 20 || crashes == 0 {
+        crate::system::cannot_run("too few requests");
+    }
+    2 * after.0 * before.1 < before.0 * after.1
+}
