--- a/review/stand-in/cases/rolled.rs
+++ b/review/stand-in/cases/rolled.rs
@@ -1,13 +1,13 @@
 //! BUDGET: after all machines have been restarted in turn, a request that crashes engines is sent again.
 //!
 //! Copies of the request come at one ingress until they are refused. Then all machines get SIGTERM
-//! and start again, one after the other, zone by zone. More than `contact_ms` after the last start,
-//! copies come at another ingress.
+//! and start again, one after the other: an ingress, the control instances, the other ingresses. More
+//! than `contact_ms` after the last start, copies come at another ingress.
 
 use std::time::{Duration, Instant};
 
 use super::{Fleet, request};
-use crate::system::{Record, System, ZONES, config, plain_route, plain_service};
+use crate::system::{Record, System, config, plain_route, plain_service};
 
 const CONTACT: Duration = Duration::from_millis(3_000);
 /// Time for which a started machine is left alone: `catch_up_s`.
@@ -38,16 +38,12 @@
     if first < 3 {
         crate::system::cannot_run("fewer than three engines were crashed");
     }
-    // Zone by zone, the control instance first.
-    for zone in 0..ZONES.len() {
+    // One ingress first, then the control instances, then the other ingresses.
+    let order = ["ingress-0", "control-0", "control-1", "control-2", "ingress-1", "ingress-2"];
+    for name in order {
         if trouble {
-            system.terminate(&format!("control-{zone}"));
-            system.start_control(zone, false);
-        }
-        std::thread::sleep(CATCH_UP);
-        if trouble {
-            system.terminate(&format!("ingress-{zone}"));
-            system.start_ingress(zone);
+            system.terminate(name);
+            system.restart(name);
         }
         std::thread::sleep(CATCH_UP);
     }
--- a/review/stand-in/cases/trials.rs
+++ b/review/stand-in/cases/trials.rs
@@ -1,18 +1,18 @@
 //! BUDGET: a request that crashes engines reaches one engine from each ingress.
 //!
-//! Three copies crash three engines. More than `contact_ms` later, further copies come at six
-//! ingresses, 5 ms apart.
+//! Three copies crash three engines. More than `contact_ms` later, further copies come at nine
+//! ingresses, 3 ms apart.
 
 use std::time::{Duration, Instant};
 
 use super::{Fleet, request};
 use crate::system::{Record, System, config, plain_route, plain_service};
 
-const INGRESSES: usize = 6;
+const INGRESSES: usize = 9;
 const ENGINES: u8 = 12;
 const CONTACT: Duration = Duration::from_millis(3_000);
 /// Pause between two copies.
-const SPACING: Duration = Duration::from_millis(5);
+const SPACING: Duration = Duration::from_millis(3);
 /// Time for which an engine works on a request, or until the request crashes it.
 const WORK: Duration = Duration::from_millis(150);
 /// Time after which a crashed engine is back.
--- a/review/stand-in/system.rs
+++ b/review/stand-in/system.rs
@@ -174,6 +174,15 @@
         }
     }
 
+    /// Starts a process again that has ended.
+    pub fn restart(&self, name: &str) {
+        match name.split_once('-') {
+            Some(("control", i)) => self.start_control(i.parse().expect("a number"), false),
+            Some((_, i)) => self.start_ingress(i.parse().expect("a number")),
+            None => cannot_run("there is no such process"),
+        }
+    }
+
     /// Stops a process with SIGTERM, and with SIGKILL after `grace_s`, 8 s.
     pub fn terminate(&self, name: &str) {
         let mut children = CHILDREN.lock().unwrap();
