Add a review case: crashes after the first event are no findings

Cause: found by reading Upstream::record_served, which settles an attempt's outcome with the first event. Conclusion: kept as a case; nothing is fixed here.

--- a/review/stand-in/cases/blamed_part.rs
+++ b/review/stand-in/cases/blamed_part.rs
@@ -10,9 +10,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use super::{engine_address, stream_request};
-use crate::engine::{Engine, EngineConfig, Reaction};
-use crate::system::{Record, System, ZONES, config};
+use super::{Fleet, small_model_route, small_model_service, stream_request};
+use crate::engine::Reaction;
+use crate::net::Message;
+use crate::system::{Record, System, config};
 
 const INGRESSES: usize = 3;
 const ENGINES: u8 = 16;
@@ -30,63 +31,17 @@
 const SHARED_PART: &str = "91bd3f06";
 const PATH: &str = "/lohu930/note";
 
-fn service(name: &str) -> String {
-    format!(
-        r#"{{"name":"{name}","health_path":"/health","max_conns":908,"protocol":"h1","tls":false,"engine":{{"slots":192,"kv_capacity":100000,"kv_token_bytes":590000,"link_mbps":400000.0,"stride":4,"models":[{{"name":"m0","pace":1.0,"load_s":2.0,"warm_s":1.0}}],"step_ms":1.02,"per_seq_ms":0.00459,"context_per_k":0.00615,"read_per_s":164000.0,"pairs_per_m":0.199,"chunk":512,"report_lag_ms":200.0,"loads_per_s":0.0,"loads_at_once":6,"delays":[],"usual":{{"prompt":775,"answer":220}},"layers":1,"layer_mb":1750.0,"act_bytes":29500,"pipe_mbps":16000.0,"kinds":[{{"name":"l4","size_mb":21600.0,"pace":16.0,"read_factor":8.2}}]}}}}"#
-    )
-}
-
 pub fn run(record: &Record, trouble: bool) -> bool {
     let system = Arc::new(System::start(record, 3, INGRESSES as u8));
-    let route = r#"{"name":"r-1","host":"ficu95.example","path_prefix":"/lohu930/","kind":"streaming","timeout_ms":20000,"slo_ms":500,"priority":1,"service":"telar-llm","max_attempts":2,"public":false,"sticky":true,"resumable":true,"gap_slo_ms":250}"#;
-    system.put_config(&config(1, &[route.to_string()], &[service("telar-llm")]));
+    system.put_config(&config(1, &[small_model_route()], &[small_model_service()]));
     system.wait_ready();
-    let arrivals = Arc::new(Mutex::new(Vec::new()));
-    let engines: Arc<Mutex<Vec<Arc<Engine>>>> = Arc::default();
-    let addresses: Vec<_> = (1..=ENGINES).map(engine_address).collect();
-    let start_engine = {
-        let (controls, arrivals, record) = (system.controls(), Arc::clone(&arrivals), record.clone());
-        let addresses = addresses.clone();
-        move |number: usize, run: usize| {
-            let config = EngineConfig {
-                id: format!("i-{number}-{run}"),
-                service: "telar-llm".into(),
-                zone: ZONES[number % 3].into(),
-                kind: Some("l4"),
-                address: addresses[number],
-                work: WORK,
-            };
-            let react = move |message: &crate::net::Message| {
-                let is_bad = message.header("x-toucanshelf-prompt-prefix").starts_with(BAD_PART);
-                if trouble && is_bad { Reaction::Crash } else { Reaction::Work }
-            };
-            Engine::start(config, controls.clone(), &record, &arrivals, Duration::ZERO, react)
-        }
+    let react = move |message: &Message| {
+        let is_bad = message.header("x-toucanshelf-prompt-prefix").starts_with(BAD_PART);
+        if trouble && is_bad { Reaction::Crash } else { Reaction::Work }
     };
-    for number in 0..addresses.len() {
-        engines.lock().unwrap().push(start_engine(number, 0).expect("the address is free"));
-    }
-    let restarted = Arc::clone(&engines);
-    std::thread::spawn(move || {
-        let mut runs = vec![0; addresses.len()];
-        let mut dead_since: Vec<Option<Instant>> = vec![None; addresses.len()];
-        loop {
-            std::thread::sleep(Duration::from_millis(50));
-            for number in 0..addresses.len() {
-                if !restarted.lock().unwrap()[number].is_dead() {
-                    continue;
-                }
-                let since = *dead_since[number].get_or_insert_with(Instant::now);
-                if since.elapsed() >= BACK
-                    && let Ok(engine) = start_engine(number, runs[number] + 1)
-                {
-                    runs[number] += 1;
-                    dead_since[number] = None;
-                    restarted.lock().unwrap()[number] = engine;
-                }
-            }
-        }
-    });
+    let kind = ("telar-llm", Some("l4"));
+    let fleet = Fleet::start_of(record, system.controls(), kind, ENGINES, WORK, BACK, react);
+    let arrivals = fleet.arrivals;
     // The engines load their layers.
     std::thread::sleep(Duration::from_secs(7));
 
--- a/review/stand-in/cases/mod.rs
+++ b/review/stand-in/cases/mod.rs
@@ -1,10 +1,10 @@
 //! The cases, one in each file. Each returns whether its rule was broken.
 
 pub mod blamed_part;
+pub mod late_crash;
 pub mod other_writer;
 pub mod reused_address;
 pub mod rolled;
-pub mod trials;
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex};
@@ -80,6 +80,22 @@
         work: Duration,
         back: Duration,
         bad_path: Option<&'static str>,
+    ) -> Self {
+        let react = move |message: &Message| {
+            if bad_path == Some(message.path()) { Reaction::Crash } else { Reaction::Work }
+        };
+        Self::start_of(record, controls, ("pedidos", None), count, work, back, react)
+    }
+
+    /// Starts `count` engines of a service, with the kind of their accelerators if it runs a model.
+    pub fn start_of(
+        record: &Record,
+        controls: Vec<SocketAddr>,
+        (service, kind): (&'static str, Option<&'static str>),
+        count: u8,
+        work: Duration,
+        back: Duration,
+        react: impl Copy + Fn(&Message) -> Reaction + Send + Sync + 'static,
     ) -> Self {
         let arrivals: Arc<Mutex<Vec<Arrival>>> = Arc::default();
         let addresses: Vec<_> = (1..=count).map(engine_address).collect();
@@ -88,15 +104,12 @@
             move |number: usize, run: usize| {
                 let config = EngineConfig {
                     id: format!("i-{number}-{run}"),
-                    service: "pedidos".into(),
+                    service: service.into(),
                     zone: ZONES[number % 3].into(),
-                    kind: None,
+                    kind,
                     address: addresses[number],
                     work,
                 };
-                let react = move |message: &Message| {
-                    if bad_path == Some(message.path()) { Reaction::Crash } else { Reaction::Work }
-                };
                 Engine::start(config, controls.clone(), &record, &arrivals, Duration::ZERO, react)
             }
         };
@@ -129,3 +142,13 @@
         counted.filter(|a| from.is_none_or(|from| a.at > from)).count()
     }
 }
+
+/// Service `telar-llm` with a model of one layer, which each of its engines holds.
+pub fn small_model_service() -> String {
+    String::from(r#"{"name":"telar-llm","health_path":"/health","max_conns":908,"protocol":"h1","tls":false,"engine":{"slots":192,"kv_capacity":100000,"kv_token_bytes":590000,"link_mbps":400000.0,"stride":4,"models":[{"name":"m0","pace":1.0,"load_s":2.0,"warm_s":1.0}],"step_ms":1.02,"per_seq_ms":0.00459,"context_per_k":0.00615,"read_per_s":164000.0,"pairs_per_m":0.199,"chunk":512,"report_lag_ms":200.0,"loads_per_s":0.0,"loads_at_once":6,"delays":[],"usual":{"prompt":775,"answer":220},"layers":1,"layer_mb":1750.0,"act_bytes":29500,"pipe_mbps":16000.0,"kinds":[{"name":"l4","size_mb":21600.0,"pace":16.0,"read_factor":8.2}]}}"#)
+}
+
+/// Resumable streaming route to [`small_model_service`].
+pub fn small_model_route() -> String {
+    String::from(r#"{"name":"r-1","host":"ficu95.example","path_prefix":"/lohu930/","kind":"streaming","timeout_ms":20000,"slo_ms":500,"priority":1,"service":"telar-llm","max_attempts":2,"public":false,"sticky":true,"resumable":true,"gap_slo_ms":250}"#)
+}
--- a/review/stand-in/engine.rs
+++ b/review/stand-in/engine.rs
@@ -35,6 +35,8 @@
     Work,
     /// Does the work, then crashes without an answer.
     Crash,
+    /// Does the work, writes the first event of the answer and crashes.
+    CrashWriting,
 }
 
 /// Number of events of each stream, and the pause between two.
@@ -293,7 +295,8 @@
         let arrival = Arrival { engine: id.clone(), request: request.clone(), at: Instant::now() };
         self.arrivals.lock().unwrap().push(arrival);
         std::thread::sleep(self.config.work);
-        if (self.react)(message) == Reaction::Crash {
+        let reaction = (self.react)(message);
+        if reaction == Reaction::Crash {
             self.die(&format!("request {request} crashes it"));
             return Ok(());
         }
@@ -306,26 +309,32 @@
             return respond(stream, "200 OK", &headers, "done");
         }
         let after = message.header("last-event-id").parse().unwrap_or(0);
-        self.write_events(stream, &headers, after)
+        if reaction == Reaction::CrashWriting {
+            self.write_head(stream, &headers)?;
+            self.write_event(stream, after + 1)?;
+            self.die(&format!("request {request} crashes it after event {}", after + 1));
+            return Ok(());
+        }
+        self.write_head(stream, &headers)?;
+        for number in after + 1..=EVENTS {
+            self.write_event(stream, number)?;
+        }
+        stream.write_all(b"0\r\n\r\n")
     }
 
-    /// Writes a stream of events in chunks, and goes on after the event `after`.
-    fn write_events(
-        &self,
-        stream: &mut TcpStream,
-        headers: &[(&str, &str)],
-        after: u32,
-    ) -> std::io::Result<()> {
+    fn write_head(&self, stream: &mut TcpStream, headers: &[(&str, &str)]) -> std::io::Result<()> {
         let mut head = String::from("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n");
         for (name, value) in headers {
             head += &format!("{name}: {value}\r\n");
         }
-        stream.write_all(format!("{head}Transfer-Encoding: chunked\r\n\r\n").as_bytes())?;
-        for number in after + 1..=EVENTS {
-            let event = format!("id: {number}\ndata: piece {number}\n\n");
-            stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
-            std::thread::sleep(EVENT_GAP);
-        }
-        stream.write_all(b"0\r\n\r\n")
+        stream.write_all(format!("{head}Transfer-Encoding: chunked\r\n\r\n").as_bytes())
+    }
+
+    /// Writes an event in a chunk, and pauses.
+    fn write_event(&self, stream: &mut TcpStream, number: u32) -> std::io::Result<()> {
+        let event = format!("id: {number}\ndata: piece {number}\n\n");
+        stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
+        std::thread::sleep(EVENT_GAP);
+        Ok(())
     }
 }
--- a/review/stand-in/main.rs
+++ b/review/stand-in/main.rs
@@ -32,7 +32,7 @@
     let result = std::panic::catch_unwind(move || match &*case {
         "blamed-part" => cases::blamed_part::run(&own, trouble),
         "rolled" => cases::rolled::run(&own, trouble),
-        "trials" => cases::trials::run(&own, trouble),
+        "late-crash" => cases::late_crash::run(&own, trouble),
         "reused-address" => cases::reused_address::run(&own, trouble),
         "other-writer" => cases::other_writer::run(&own, trouble),
         _ => system::cannot_run("there is no such case"),
