Log that an ingress is linked to no control instance

Change: TS4108 with the time without a link, the version in use and the addresses that are tried, again whenever that time has doubled; TS4109 once linked again; gauge toucanshelf_control_unlinked_seconds. No logic is changed yet.

--- a/crates/toucanshelf-ingress/src/control.rs
+++ b/crates/toucanshelf-ingress/src/control.rs
@@ -85,6 +85,11 @@
         self.links().open.len()
     }
 
+    /// Returns the addresses of control instances to which links are kept open or tried.
+    pub fn known(&self) -> Vec<SocketAddr> {
+        self.links().known.clone()
+    }
+
     /// Reports the target at `address` to all connected control instances as suspected.
     pub fn report_suspected(&self, address: SocketAddr) {
         for link in self.links().open.values() {
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod content_guard;
 pub mod control;
 pub mod deployments;
+pub mod discovery;
 pub mod events;
 pub mod front;
 pub mod isolation;
@@ -159,6 +160,7 @@
             None => None,
         };
         control::start(&shared, &key);
+        tokio::spawn(discovery::run(Arc::clone(&shared)));
         tokio::spawn(isolation::run(Arc::clone(&shared)));
         start_probes(&shared, ready, metrics);
         tracing::info!(event = "TS4001", %address, "ingress listens");
--- a/crates/toucanshelf-ingress/src/metrics.rs
+++ b/crates/toucanshelf-ingress/src/metrics.rs
@@ -22,6 +22,8 @@
     pub latency: Histogram,
     /// Number of open connections to control instances.
     pub control_links: IntGauge,
+    /// Time for which no control instance has been linked, in seconds; 0 while one is.
+    pub unlinked_seconds: IntGauge,
     /// 1 while no target can be reached, otherwise 0.
     pub isolated: IntGauge,
     /// Version of the active deployment, the configuration that control distributes.
@@ -63,17 +65,22 @@
         let latency = Histogram::with_opts(latency).expect("valid options");
         let gauge = |name: &str, help: &str| IntGauge::new(name, help).expect("valid options");
         let control_links = gauge("toucanshelf_control_links", "Open links to control");
+        let unlinked_seconds = gauge(
+            "toucanshelf_control_unlinked_seconds",
+            "Time without a link to control",
+        );
         let deployment_version = gauge(
             "toucanshelf_deployment_version",
             "Version of the deployment in force",
         );
         let isolated = gauge("toucanshelf_isolated", "1 while no target can be reached");
-        let collectors: [Box<dyn prometheus::core::Collector>; 7] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(repeated_sends.clone()),
             Box::new(latency.clone()),
             Box::new(control_links.clone()),
+            Box::new(unlinked_seconds.clone()),
             Box::new(deployment_version.clone()),
             Box::new(isolated.clone()),
         ];
@@ -87,6 +94,7 @@
             repeated_sends,
             latency,
             control_links,
+            unlinked_seconds,
             isolated,
             deployment_version,
         }
