--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -14,17 +14,21 @@
 /// It is far longer than every documented time limit.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(40);
 /// Shared key of all links in these tests.
-const LINK_KEY: &str = "link key of the process tests";
+pub const LINK_KEY: &str = "link key of the process tests";
 /// Token of the operator, and of the targets where the gate settings need one.
-const OPERATOR_TOKEN: &str = "operator";
+pub const OPERATOR_TOKEN: &str = "operator";
 
 /// Names of the programs that read a settings file, and paths of their binaries.
-const PROGRAMS: [(&str, &str); 4] = [
+const PROGRAMS: [(&str, &str); 5] = [
     ("toucanshelf-gate", env!("CARGO_BIN_EXE_toucanshelf-gate")),
     (
         "toucanshelf-control",
         env!("CARGO_BIN_EXE_toucanshelf-control"),
     ),
+    (
+        "toucanshelf-ingress",
+        env!("CARGO_BIN_EXE_toucanshelf-ingress"),
+    ),
     ("standin-engine", env!("CARGO_BIN_EXE_standin-engine")),
     ("standin-service", env!("CARGO_BIN_EXE_standin-service")),
 ];
@@ -35,20 +39,26 @@
 }
 
 /// Starts a program with a settings file.
-fn start(name: &str, settings: &Path) -> Process {
+pub fn start(name: &str, settings: &Path) -> Process {
     Process::start(Path::new(program(name)), settings).unwrap()
 }
 
 /// A temporary folder that holds settings, tickets and the data of control instances.
-struct TestFolder(TempDir);
+pub struct TestFolder(TempDir);
 
 impl TestFolder {
-    fn new() -> Self {
+    /// Creates an empty folder.
+    pub fn new() -> Self {
         Self(tempfile::tempdir().unwrap())
     }
 
+    /// Returns the path of an entry of the folder.
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.0.path().join(name)
+    }
+
     /// Writes a file and returns its path.
-    fn write(&self, name: &str, text: &str) -> PathBuf {
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
         let path = self.0.path().join(name);
         std::fs::write(&path, text).unwrap();
         path
@@ -338,7 +348,7 @@
 }
 
 /// Polls `condition` until it holds, and panics when `WAIT_TIMEOUT` has passed.
-fn wait_until(mut condition: impl FnMut() -> bool) {
+pub fn wait_until(mut condition: impl FnMut() -> bool) {
     let timeout_at = Instant::now() + WAIT_TIMEOUT;
     while !condition() {
         assert!(
@@ -352,7 +362,7 @@
 /// Returns the statuses of the control instances.
 ///
 /// The list is empty if `toucanctl` prints no valid JSON.
-fn control_statuses(controls: &[SocketAddr]) -> Vec<serde_json::Value> {
+pub fn control_statuses(controls: &[SocketAddr]) -> Vec<serde_json::Value> {
     let output = run_toucanctl(controls, &["status", "--json"]);
     serde_json::from_slice(&output.stdout).unwrap_or_default()
 }
--- /dev/null
+++ b/tests/testsuite/replaced_control.rs
@@ -0,0 +1,167 @@
+//! Tests of real processes: ingresses and the replacement of the control instances that they know.
+
+use std::io::{Read as _, Write as _};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+
+use toucanshelf_core::digest::Digest;
+use toucanshelf_soak::process::Process;
+
+use crate::platform_support::DeploymentBuilder;
+use crate::processes::{LINK_KEY, OPERATOR_TOKEN, TestFolder, control_statuses, start, wait_until};
+
+/// Number of control instances that run at a time, and of the seeds.
+const CONTROLS: usize = 3;
+/// Number of addresses, of which each control instance and each successor has one.
+const ADDRESSES: u8 = 6;
+
+/// A platform of real processes, whose control instances have addresses of their own.
+struct ProcessPlatform {
+    folder: TestFolder,
+    /// IP addresses of the control instances.
+    ips: Vec<IpAddr>,
+    link_port: u16,
+    api_port: u16,
+}
+
+impl ProcessPlatform {
+    /// Chooses addresses; `host` is the first of [`ADDRESSES`] last bytes that no other test uses.
+    fn new(host: u8) -> Self {
+        let ip = |n| Ipv4Addr::new(127, 253, (std::process::id() % 250) as u8, host + n);
+        let ips: Vec<IpAddr> = (0..ADDRESSES).map(|n| ip(n).into()).collect();
+        // Both listeners stay open until both ports are known, so that these differ.
+        let listeners = [0, 1].map(|_| TcpListener::bind((ips[0], 0)).unwrap());
+        let [link_port, api_port] = listeners
+            .each_ref()
+            .map(|listener| listener.local_addr().unwrap().port());
+        Self {
+            folder: TestFolder::new(),
+            ips,
+            link_port,
+            api_port,
+        }
+    }
+
+    /// Returns the addresses of the first control instances, as a list in TOML.
+    fn seeds(&self) -> String {
+        let seeds = self.ips[..CONTROLS].iter();
+        let seeds: Vec<_> = seeds
+            .map(|ip| format!("'{}'", SocketAddr::new(*ip, self.api_port)))
+            .collect();
+        seeds.join(", ")
+    }
+
+    /// Starts control instance `n`; the first ones create the replicated log.
+    fn start_control(&self, n: usize) -> Process {
+        let ip = self.ips[n];
+        let (link_port, api_port) = (self.link_port, self.api_port);
+        let text = format!(
+            "name = '{ip}'\nzone = 'z'\nlisten = '{ip}:0'\nlink-listen = '{ip}:{link_port}'\n\
+             link-key = '{LINK_KEY}'\ndata-folder = '{}'\noperator-token-digests = ['{}']\n\
+             [deployment]\nlisten = '{ip}:{api_port}'\nseeds = [{}]\nbootstrap = {}\n",
+            self.folder.path(&format!("data-{n}")).display(),
+            Digest::of(OPERATOR_TOKEN.as_bytes()),
+            self.seeds(),
+            n < CONTROLS,
+        );
+        let path = self.folder.write(&format!("control-{n}.toml"), &text);
+        start("toucanshelf-control", &path)
+    }
+
+    /// Starts an ingress with the first control instances as seeds.
+    fn start_ingress(&self, name: &str) -> Process {
+        let text = format!(
+            "name = '{name}'\nzone = 'z'\nlisten = '127.0.0.1:0'\nready-listen = '127.0.0.1:0'\n\
+             metrics-listen = '127.0.0.1:0'\nlink-key = '{LINK_KEY}'\nseeds = [{}]\n\
+             link-port = {}\n",
+            self.seeds(),
+            self.link_port,
+        );
+        let path = self.folder.write(&format!("{name}.toml"), &text);
+        start("toucanshelf-ingress", &path)
+    }
+
+    /// Submits a deployment at control instance `n` until it is acknowledged.
+    fn deploy(&self, n: usize, document: &str) {
+        let address = SocketAddr::new(self.ips[n], self.api_port);
+        wait_until(|| status(address, "PUT", "/api/config", document) == Some(200));
+    }
+}
+
+/// Sends a request for the host `a.example` and returns the status of the response, if one comes.
+fn status(address: SocketAddr, method: &str, path: &str, body: &str) -> Option<u16> {
+    let mut stream = TcpStream::connect(address).ok()?;
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nhost: a.example\r\nconnection: close\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    text.split(' ').nth(1)?.parse().ok()
+}
+
+/// Waits until the control instances, and no others, are the voters of the replicated log.
+fn wait_until_voting(controls: &[Process]) {
+    let addresses: Vec<_> = controls
+        .iter()
+        .map(|process| process.address("http"))
+        .collect();
+    wait_until(|| {
+        let statuses = control_statuses(&addresses);
+        let mut replicas: Vec<_> = statuses
+            .iter()
+            .filter_map(|status| status["replica"].as_u64())
+            .collect();
+        replicas.sort_unstable();
+        let vote = |status: &serde_json::Value| {
+            let voters = status["voters"].as_array().into_iter().flatten();
+            let mut voters: Vec<_> = voters.filter_map(serde_json::Value::as_u64).collect();
+            voters.sort_unstable();
+            voters == replicas
+        };
+        replicas.len() == CONTROLS && statuses.iter().all(vote)
+    });
+}
+
+/// Replaces all control instances, one after the other; each successor starts first.
+fn replace_all(platform: &ProcessPlatform, controls: &mut [Process]) {
+    for n in 0..CONTROLS {
+        let successor = platform.start_control(CONTROLS + n);
+        let mut predecessor = std::mem::replace(&mut controls[n], successor);
+        let joined = [controls[n].address("http")];
+        wait_until(|| {
+            control_statuses(&joined)
+                .iter()
+                .any(|s| s["current"] == true)
+        });
+        predecessor.signal("-TERM").unwrap();
+        predecessor.wait().unwrap();
+        wait_until_voting(controls);
+    }
+}
+
+/// Guards against an ingress that keeps an old deployment for good.
+///
+/// It is out of reach while all control instances that it knows are replaced.
+#[test]
+fn ingress_out_of_reach_while_all_replaced() {
+    let platform = ProcessPlatform::new(10);
+    let mut controls: Vec<_> = (0..CONTROLS).map(|n| platform.start_control(n)).collect();
+    let ingress = platform.start_ingress("i1");
+    wait_until_voting(&controls);
+    let first = DeploymentBuilder::new(1).route("first", "a.example", "/first/", "plain");
+    platform.deploy(0, &first.build());
+    let caller = |path| status(ingress.address("address"), "GET", path, "");
+    // The service has no targets, so that a request on a known route gets 503.
+    wait_until(|| caller("/first/") == Some(503));
+    assert_eq!(caller("/added/"), Some(404));
+
+    ingress.signal("-STOP").unwrap();
+    replace_all(&platform, &mut controls);
+    ingress.signal("-CONT").unwrap();
+
+    let second = DeploymentBuilder::new(2).route("added", "a.example", "/added/", "plain");
+    platform.deploy(CONTROLS, &second.build());
+    wait_until(|| caller("/added/") == Some(503) && caller("/first/") == Some(404));
+}
