Let control instances call the ingresses that have lost them

Cause: callers got 404 for added routes, or were served by old ones, long after a change was acknowledged. An ingress learned addresses of control instances only from its settings and over open links. If all of them were replaced while it was out of reach, it tried dead addresses for good, and nobody called it. Change: an ingress accepts links (link-listen) and tells control the address. An ingress without a link also asks other ingresses, which control has named to it. Both frames go only to programs that have said that they know them. An address that is missing at one side is known at the other one.

--- a/crates/toucanshelf-control/src/directory/ingresses.rs
+++ b/crates/toucanshelf-control/src/directory/ingresses.rs
@@ -4,7 +4,7 @@
 //! are targets at which requests fail or stall. A push is one transfer of registrations, numbered
 //! so that each ingress can acknowledge it. A session is an open link with its acknowledgements.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -35,6 +35,8 @@
 const COUNTS_INTERVAL_TICKS: u32 = 5;
 /// Maximum number of ingresses that are named to one that reaches no target.
 const MAX_LISTED_RELAYS: usize = 16;
+/// Maximum number of ingresses that are named to another one, which asks them if it loses control.
+const MAX_LISTED_INGRESSES: usize = 16;
 
 /// An open link to an ingress instance, and what the instance has acknowledged.
 #[derive(Debug)]
@@ -55,6 +57,8 @@
     deployment_in_force: Option<u64>,
     /// Address for requests of other ingresses, while the instance reaches targets.
     relay: Option<SocketAddr>,
+    /// Address at which the instance accepts links, if it has told one.
+    link: Option<SocketAddr>,
     name: Box<str>,
     /// Notified when the link is to close, because registrations could not be queued on it.
     overflow: Arc<Notify>,
@@ -129,6 +133,7 @@
                 watches_counts: false,
                 deployment_in_force: None,
                 relay: None,
+                link: None,
                 name: link.peer.name.clone(),
                 overflow: Arc::clone(&overflow),
             },
@@ -192,6 +197,27 @@
         }
     }
 
+    fn record_link(&self, id: u32, link: SocketAddr) {
+        if let Some(session) = self.sessions().open.get_mut(&id) {
+            session.link = Some(link);
+        }
+    }
+
+    /// Returns the addresses at which the linked ingresses accept links.
+    pub(crate) fn link_addresses(&self) -> BTreeSet<SocketAddr> {
+        let sessions = self.sessions();
+        let open = sessions.open.values();
+        open.filter_map(|session| session.link).collect()
+    }
+
+    /// Returns some other ingresses that accept links, if the one with session `id` does.
+    fn link_sample_for(&self, id: u32) -> Option<Vec<SocketAddr>> {
+        let own = self.sessions().open.get(&id)?.link?;
+        let others = self.link_addresses().into_iter();
+        let others = others.filter(|address| *address != own);
+        Some(others.sample(&mut rand::rng(), MAX_LISTED_INGRESSES))
+    }
+
     /// Returns some ingresses to which the ingress with session `id` may send its requests.
     fn relays_for(&self, id: u32) -> Vec<SocketAddr> {
         let sessions = self.sessions();
@@ -375,6 +401,7 @@
         sends_patches: true,
         lists_relays: true,
         accepts_subscriptions: true,
+        calls_ingresses: true,
     }
 }
 
@@ -416,6 +443,12 @@
                     let addresses = directory.ingresses.relays_for(id);
                     // A full queue drops the answer; the ingress asks again, and others as well.
                     let _ = link.tx.try_send(Frame::Relays { addresses });
+                    send_ingress_addresses(directory, id, &link.tx);
+                }
+                Frame::IngressAddress { link: address } => {
+                    directory.ingresses.record_link(id, address);
+                    directory.record_ingress_addresses([address]);
+                    send_ingress_addresses(directory, id, &link.tx);
                 }
                 Frame::DeploymentInForce { version } => {
                     directory.ingresses.record_in_force(id, version);
@@ -475,6 +508,14 @@
     registrations.is_ok() && members.is_ok() && head.is_ok()
 }
 
+/// Names some other ingresses to one that accepts links itself.
+fn send_ingress_addresses(directory: &Directory, id: u32, tx: &mpsc::Sender<Frame>) {
+    if let Some(links) = directory.ingresses.link_sample_for(id) {
+        // A full queue drops the list, and the ingress asks again.
+        let _ = tx.try_send(Frame::IngressAddresses { links });
+    }
+}
+
 /// Sends all findings about content that crashes targets to an ingress.
 ///
 /// Returns `false` if the link's outgoing queue is full.
--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -10,6 +10,8 @@
 
 pub mod calls;
 mod deployments;
+pub mod ingress_addresses;
+mod ingress_calls;
 pub mod ingresses;
 pub mod orders;
 pub mod reconciler;
@@ -36,6 +38,7 @@
 
 use crate::Shared;
 use crate::settings::DeploymentSettings;
+use ingress_addresses::IngressAddresses;
 use ingresses::Ingresses;
 
 /// Time for which an ingress's suspicion of a target is kept, in milliseconds.
@@ -59,6 +62,8 @@
     ///
     /// In milliseconds since this instance started.
     suspicions: Mutex<BTreeMap<SocketAddr, u64>>,
+    /// Ingresses that are or were linked to this or another instance.
+    ingress_addresses: Mutex<IngressAddresses>,
     /// Findings of the ingresses about content that crashes targets.
     crash_ledgers: Mutex<CrashLedgers>,
     /// Permits for targets that have named a limit, by the target's id.
@@ -81,6 +86,7 @@
             registry: Mutex::default(),
             published: Mutex::default(),
             suspicions: Mutex::default(),
+            ingress_addresses: Mutex::default(),
             crash_ledgers: Mutex::default(),
             permits: Mutex::default(),
             decoded_deployment: Mutex::default(),
@@ -153,6 +159,21 @@
         suspicions.get(&address).copied()
     }
 
+    /// Locks and returns the addresses of the known ingresses.
+    pub(crate) fn ingress_addresses(&self) -> MutexGuard<'_, IngressAddresses> {
+        let addresses = self.ingress_addresses.lock();
+        addresses.expect("no lock holder panics")
+    }
+
+    /// Records the addresses at which ingresses accept links.
+    pub(crate) fn record_ingress_addresses(&self, links: impl IntoIterator<Item = SocketAddr>) {
+        let now = self.now();
+        let mut addresses = self.ingress_addresses();
+        for link in links {
+            addresses.record(link, now);
+        }
+    }
+
     fn crash_ledgers(&self) -> MutexGuard<'_, CrashLedgers> {
         self.crash_ledgers.lock().expect("no lock holder panics")
     }
@@ -259,6 +280,7 @@
     tokio::spawn(reconciler::run(Arc::clone(shared)));
     tokio::spawn(ingresses::announce(Arc::clone(shared)));
     tokio::spawn(ingresses::forward_findings(Arc::clone(shared)));
+    tokio::spawn(ingress_calls::run(Arc::clone(shared)));
     tracing::info!(event = "TS2503", %address, "platform API started");
     Ok(Some(address))
 }
--- a/crates/toucanshelf-control/src/peers.rs
+++ b/crates/toucanshelf-control/src/peers.rs
@@ -69,6 +69,16 @@
         }
     }
 
+    /// Returns the identity that this instance sends on new links.
+    pub(crate) fn hello(&self) -> &Hello {
+        &self.hello
+    }
+
+    /// Returns the key that authenticates links.
+    pub(crate) fn key(&self) -> &SharedKey {
+        &self.key
+    }
+
     /// Starts tasks that keep links open to the control instances in the settings.
     pub(crate) fn start(&self, shared: &Arc<Shared>) {
         for address in shared.settings.known_links() {
@@ -100,6 +110,12 @@
             .collect()
     }
 
+    /// Returns the link addresses of the control instances that run now, including this one.
+    pub(crate) fn linked(&self) -> Vec<SocketAddr> {
+        let links = self.links.lock().expect("no lock holder panics");
+        links.keys().copied().chain([self.own_address]).collect()
+    }
+
     /// Sends a frame to each linked control instance.
     ///
     /// The frame is dropped for an instance whose outgoing queue is full.
@@ -230,7 +246,16 @@
                     let _ = reply.send(result);
                 }
             }
-            Frame::Standing { log, reads_patches } => {
+            Frame::Standing {
+                log,
+                reads_patches,
+                calls_ingresses,
+            } => {
+                if calls_ingresses && let Some(directory) = &shared.directory {
+                    let links = directory.ingress_addresses().all();
+                    // A full queue drops the list; other instances send theirs as well.
+                    let _ = link.tx.try_send(Frame::IngressAddresses { links });
+                }
                 if let Some(replica) = replica.filter(|_| reads_patches) {
                     let mut readers = peers.patch_readers.lock().expect("no lock holder panics");
                     readers.insert(replica);
@@ -274,8 +299,11 @@
 /// Handles the frames on a link that another control instance has opened.
 pub(crate) async fn serve(shared: Arc<Shared>, mut link: Link) {
     let log = shared.driver.log();
-    let reads_patches = true;
-    let standing = Frame::Standing { log, reads_patches };
+    let standing = Frame::Standing {
+        log,
+        reads_patches: true,
+        calls_ingresses: true,
+    };
     if link.tx.send(standing).await.is_err() {
         return;
     }
@@ -293,6 +321,7 @@
                     sends_patches: false,
                     lists_relays: false,
                     accepts_subscriptions: false,
+                    calls_ingresses: false,
                 };
                 if link.tx.try_send(frame).is_err() {
                     return;
@@ -303,6 +332,11 @@
                     directory.apply_forwarded(records);
                 }
             }
+            Frame::IngressAddresses { links } => {
+                if let Some(directory) = &shared.directory {
+                    directory.record_ingress_addresses(links);
+                }
+            }
             Frame::Submit { id, body, .. } => {
                 let (shared, tx) = (Arc::clone(&shared), link.tx.clone());
                 tokio::spawn(async move {
--- a/crates/toucanshelf-ingress/src/control.rs
+++ b/crates/toucanshelf-ingress/src/control.rs
@@ -60,6 +60,10 @@
     known: Vec<SocketAddr>,
     /// Control instance that sends the findings of other ingresses, if one was chosen.
     findings_from: Option<SocketAddr>,
+    /// Address at which this ingress accepts links, if it does.
+    own_address: Option<SocketAddr>,
+    /// Other ingresses that accept links.
+    other_ingresses: Vec<SocketAddr>,
     /// Latest findings of this ingress itself.
     own_findings: VecDeque<Finding>,
 }
@@ -90,6 +94,26 @@
         self.links().known.clone()
     }
 
+    /// Returns the addresses of the control instances that are linked now.
+    pub fn linked(&self) -> Vec<SocketAddr> {
+        self.links().open.keys().copied().collect()
+    }
+
+    /// Returns the address at which this ingress accepts links, if it does.
+    pub(crate) fn own_address(&self) -> Option<SocketAddr> {
+        self.links().own_address
+    }
+
+    /// Sets the address at which this ingress accepts links.
+    pub(crate) fn set_own_address(&self, address: SocketAddr) {
+        self.links().own_address = Some(address);
+    }
+
+    /// Returns other ingresses that accept links, as a control instance has last listed them.
+    pub(crate) fn other_ingresses(&self) -> Vec<SocketAddr> {
+        self.links().other_ingresses.clone()
+    }
+
     /// Reports the target at `address` to all connected control instances as suspected.
     pub fn report_suspected(&self, address: SocketAddr) {
         for link in self.links().open.values() {
@@ -282,7 +306,7 @@
 }
 
 /// For each new address, starts a task that keeps a link to it open.
-fn connect_new(shared: &Arc<Shared>, key: &SharedKey, addresses: Vec<SocketAddr>) {
+pub(crate) fn connect_new(shared: &Arc<Shared>, key: &SharedKey, addresses: Vec<SocketAddr>) {
     for address in addresses {
         let mut links = shared.control.links();
         if links.known.contains(&address) {
@@ -349,6 +373,7 @@
             sends_patches,
             lists_relays,
             accepts_subscriptions,
+            calls_ingresses,
         } => {
             let own = ingress_zones.iter();
             let own = own.filter(|zone| **zone == shared.settings.zone).count();
@@ -356,6 +381,10 @@
             if accepts_subscriptions {
                 shared.control.subscribe(address);
             }
+            if let Some(link) = shared.control.own_address().filter(|_| calls_ingresses) {
+                // A full queue drops the address, and the next list of members sends it again.
+                let _ = tx.try_send(Frame::IngressAddress { link });
+            }
             shared.control.record_issuer(address, issues_permits);
             let is_new = shared.control.record_source(address, sends_patches);
             if let Some(version) = shared.version().filter(|_| is_new && sends_patches) {
@@ -382,6 +411,10 @@
             connect_new(shared, key, links);
             true
         }
+        Frame::IngressAddresses { links } => {
+            shared.control.links().other_ingresses = links;
+            true
+        }
         Frame::Relays { addresses } => {
             shared.relays.update(addresses);
             true
--- a/crates/toucanshelf-ingress/src/discovery.rs
+++ b/crates/toucanshelf-ingress/src/discovery.rs
@@ -1,12 +1,24 @@
-//! Notices that this ingress is linked to no control instance.
+//! Finds the control instances again when none is linked.
 //!
-//! Such an ingress serves with the deployment that it has, and hears of no newer one.
+//! Links are kept to the instances in the settings and to those that linked ones announce. While this
+//! ingress is out of reach, all of them may be replaced. It then serves with the deployment that it has
+//! until it learns which instances run: a control instance calls it, or another ingress that it asks
+//! answers.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use futures_util::future::join_all;
+use rand::seq::IteratorRandom as _;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, MissedTickBehavior, timeout};
+use toucanshelf_link::frame::Frame;
+use toucanshelf_link::handshake::{Hello, PeerRole, SharedKey};
+use toucanshelf_link::link::{self, Link};
 
+use crate::control::connect_new;
 use crate::shared::Shared;
 
 /// Interval at which the links are checked.
@@ -15,6 +27,15 @@
 ///
 /// The next line follows when that time has doubled.
 const FIRST_REPORT_AFTER: Duration = Duration::from_secs(2);
+/// Time limit for the message on a link that another process has opened.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time limit for asking another ingress.
+// A packet that a cut has swallowed is sent again only after a second, so that a new try is faster.
+const ASK_TIMEOUT: Duration = Duration::from_millis(700);
+/// Number of other ingresses that are asked at a time.
+const ASKED_INGRESSES: usize = 3;
+/// Number of accepted links that wait to be served.
+const MAX_WAITING_LINKS: usize = 16;
 
 /// Time for which no control instance has been linked, and what was logged of it.
 #[derive(Debug)]
@@ -24,8 +45,11 @@
 }
 
 /// Watches the links to the control instances until the process ends.
-pub(crate) async fn run(shared: Arc<Shared>) {
+///
+/// While there is none, other ingresses are asked for control instances.
+pub(crate) async fn run(shared: Arc<Shared>, key: SharedKey) {
     let mut checks = tokio::time::interval(CHECK_INTERVAL);
+    checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut unlinked: Option<Unlinked> = None;
     loop {
         checks.tick().await;
@@ -40,6 +64,7 @@
             next_report: FIRST_REPORT_AFTER,
         });
         record_unlinked(&shared, unlinked);
+        ask_other_ingresses(&shared, &key).await;
     }
 }
 
@@ -73,3 +98,101 @@
         );
     }
 }
+
+/// Accepts links of control instances and other ingresses on `listener` until the process ends.
+///
+/// # Errors
+///
+/// Fails if the listener has no local address.
+pub(crate) fn accept_links(
+    shared: &Arc<Shared>,
+    listener: TcpListener,
+    key: &SharedKey,
+) -> Result<(), Box<str>> {
+    let address = listener.local_addr().map_err(|e| e.to_string())?;
+    shared.control.set_own_address(address);
+    let hello = Hello::for_ingress(shared.settings.name.clone(), shared.settings.zone.clone());
+    let (tx, mut rx) = mpsc::channel(MAX_WAITING_LINKS);
+    tokio::spawn(link::serve(listener, hello, key.clone(), tx));
+    let (shared, key) = (Arc::clone(shared), key.clone());
+    tokio::spawn(async move {
+        while let Some(link) = rx.recv().await {
+            tokio::spawn(serve(Arc::clone(&shared), key.clone(), link));
+        }
+    });
+    Ok(())
+}
+
+/// Reads from a control instance which ones run, or tells it to another ingress.
+async fn serve(shared: Arc<Shared>, key: SharedKey, mut link: Link) {
+    match link.peer.role {
+        PeerRole::Control => {
+            let read = timeout(MESSAGE_TIMEOUT, read_control_instances(&mut link));
+            if let Ok(Some(links)) = read.await {
+                record_control_instances(&shared, &key, &link, links);
+            }
+        }
+        PeerRole::Ingress => {
+            let links = shared.control.linked();
+            // A link that has closed already takes no frame, and the other ingress asks again.
+            let _ = link.tx.try_send(Frame::ControlInstances { links });
+            // The other ingress closes the link once it has read the frame.
+            let closed = async { while link.rx.recv().await.is_some() {} };
+            let _ = timeout(MESSAGE_TIMEOUT, closed).await;
+        }
+        PeerRole::Gate => {}
+    }
+}
+
+/// Asks some of the other ingresses for control instances that run.
+async fn ask_other_ingresses(shared: &Arc<Shared>, key: &SharedKey) {
+    let others = shared.control.other_ingresses().into_iter();
+    let asked = others.sample(&mut rand::rng(), ASKED_INGRESSES);
+    let hello = Hello::for_ingress(shared.settings.name.clone(), shared.settings.zone.clone());
+    let ask = async |address| {
+        let mut link = link::connect(address, &hello, key).await?;
+        if let Some(links) = read_control_instances(&mut link).await {
+            record_control_instances(shared, key, &link, links);
+        }
+        Ok::<(), link::LinkError>(())
+    };
+    let asks = asked.into_iter().map(async |address| {
+        let cause = match timeout(ASK_TIMEOUT, ask(address)).await {
+            Ok(Ok(())) => return,
+            Ok(Err(e)) => e.to_string(),
+            Err(_) => "timeout".to_owned(),
+        };
+        tracing::debug!(event = "TS4111", %address, cause, "ingress not reached");
+    });
+    join_all(asks).await;
+}
+
+/// Returns the control instances that the other end of a link names, unless it closes the link.
+async fn read_control_instances(link: &mut Link) -> Option<Vec<SocketAddr>> {
+    loop {
+        if let Frame::ControlInstances { links } = link.rx.recv().await? {
+            return Some(links);
+        }
+    }
+}
+
+/// Opens links to control instances that another process has named.
+fn record_control_instances(
+    shared: &Arc<Shared>,
+    key: &SharedKey,
+    link: &Link,
+    links: Vec<SocketAddr>,
+) {
+    let known = shared.control.known();
+    if links.iter().all(|address| known.contains(address)) {
+        return;
+    }
+    tracing::info!(
+        event = "TS4110",
+        peer = %link.peer.name,
+        ?links,
+        unlinked = shared.control.open() == 0,
+        "control instances learned"
+    );
+    connect_new(shared, key, links);
+}
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -144,6 +144,10 @@
             Some(address) => Some(listen(address).await?),
             None => None,
         };
+        let links = match settings.link_listen {
+            Some(address) => Some(listen(address).await?),
+            None => None,
+        };
         let address = front.local_addr().map_err(|e| e.to_string())?;
         let shared = Arc::new(Shared::new(settings, dialect, connector));
         let context = Arc::clone(&shared);
@@ -159,8 +163,11 @@
             }
             None => None,
         };
+        if let Some(listener) = links {
+            discovery::accept_links(&shared, listener, &key)?;
+        }
         control::start(&shared, &key);
-        tokio::spawn(discovery::run(Arc::clone(&shared)));
+        tokio::spawn(discovery::run(Arc::clone(&shared), key));
         tokio::spawn(isolation::run(Arc::clone(&shared)));
         start_probes(&shared, ready, metrics);
         tracing::info!(event = "TS4001", %address, "ingress listens");
@@ -177,6 +184,11 @@
         self.address
     }
 
+    /// Returns the address on which the ingress accepts links, if it does.
+    pub fn link_address(&self) -> Option<SocketAddr> {
+        self.shared.control.own_address()
+    }
+
     /// Returns the state shared by all request handlers of the ingress.
     pub fn shared(&self) -> &Arc<Shared> {
         &self.shared
--- a/crates/toucanshelf-ingress/src/settings.rs
+++ b/crates/toucanshelf-ingress/src/settings.rs
@@ -28,6 +28,11 @@
     /// Without it, this ingress serves no requests of others, but still sends its own to them.
     #[serde(default)]
     pub relay_listen: Option<SocketAddr>,
+    /// Address on which links of control instances and other ingresses are accepted.
+    ///
+    /// Through it, this ingress learns which control instances run if it has lost all it knows.
+    #[serde(default)]
+    pub link_listen: Option<SocketAddr>,
     /// Secret key shared by all processes of the system to authenticate their connections.
     pub link_key: Box<str>,
     /// Addresses of the control instances to which the ingress connects first.
--- a/crates/toucanshelf-link/src/frame.rs
+++ b/crates/toucanshelf-link/src/frame.rs
@@ -132,6 +132,9 @@
         /// Whether the sender can read [`CommandBody::DeployPatch`], which older programs can't.
         #[serde(default)]
         reads_patches: bool,
+        /// Whether the sender accepts [`Frame::IngressAddresses`], which older programs don't know.
+        #[serde(default)]
+        calls_ingresses: bool,
     },
     /// Control to control: announces the address at which the sender accepts links.
     Introduce {
@@ -165,6 +168,24 @@
         /// Older programs don't know them.
         #[serde(default)]
         accepts_subscriptions: bool,
+        /// Whether the sender accepts [`Frame::IngressAddress`], which older programs don't know.
+        #[serde(default)]
+        calls_ingresses: bool,
+    },
+    /// Ingress to control: announces the address at which the sender accepts links.
+    IngressAddress {
+        /// Address at which the sender accepts links.
+        link: SocketAddr,
+    },
+    /// Control to control or ingress: lists ingresses that are or were linked to the sender.
+    IngressAddresses {
+        /// Addresses at which the ingresses accept links.
+        links: Vec<SocketAddr>,
+    },
+    /// Control or ingress to an ingress, on a link to it: names control instances that run now.
+    ControlInstances {
+        /// Addresses at which the control instances accept links.
+        links: Vec<SocketAddr>,
     },
     /// Ingress to control: asks for [`Frame::MemberCounts`] in place of [`Frame::Members`].
     WatchCounts,
--- /dev/null
+++ b/tests/testsuite/control_discovery.rs
@@ -0,0 +1,125 @@
+//! Tests of the ways in which an ingress finds control instances that it doesn't know.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use toucanshelf_control::directory::ingress_addresses::IngressAddresses;
+use toucanshelf_ingress::Ingress;
+use toucanshelf_link::frame::Frame;
+use toucanshelf_link::handshake::{Hello, SharedKey};
+use toucanshelf_link::link::{Link, connect, serve};
+
+use crate::platform_support::{
+    LINK_KEY, WAIT_TIMEOUT, start_control, start_ingress, start_linked_ingress,
+};
+
+/// Time for which the address of an ingress is kept, in milliseconds.
+const RETENTION_MS: u64 = 10 * 60 * 1_000;
+
+fn control_hello() -> Hello {
+    Hello::for_control(
+        "control",
+        "z",
+        toucanshelf_coordination::replica::ReplicaId::new(1, 1),
+    )
+}
+
+/// A control instance that ends after it has told an ingress about others.
+struct EndingControl {
+    links: mpsc::Receiver<Link>,
+    port: u16,
+}
+
+impl EndingControl {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let port = listener.local_addr().unwrap().port();
+        let (tx, links) = mpsc::channel(4);
+        let key = SharedKey::new(LINK_KEY).unwrap();
+        tokio::spawn(serve(listener, control_hello(), key, tx));
+        Self { links, port }
+    }
+
+    /// Names other ingresses to the one that links itself, and ends.
+    async fn name_ingresses(mut self, ingresses: Vec<SocketAddr>) {
+        let mut link = self.links.recv().await.unwrap();
+        let members = Frame::Members {
+            links: Vec::new(),
+            ingress_zones: Vec::new(),
+            accepts_findings: false,
+            issues_permits: false,
+            sends_patches: false,
+            lists_relays: false,
+            accepts_subscriptions: false,
+            calls_ingresses: true,
+        };
+        link.tx.send(members).await.unwrap();
+        while !matches!(link.rx.recv().await, Some(Frame::IngressAddress { .. })) {}
+        let frame = Frame::IngressAddresses { links: ingresses };
+        // What is queued is written before the link closes.
+        link.tx.send(frame).await.unwrap();
+    }
+}
+
+/// Waits until the ingress is linked to the control instance at `address`.
+async fn wait_until_linked(ingress: &Ingress, address: SocketAddr) {
+    let control = &ingress.shared().control;
+    let linked = async {
+        while !control.linked().contains(&address) {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(WAIT_TIMEOUT, linked).await.unwrap();
+}
+
+/// Guards against an ingress that takes no notice of a control instance that calls it.
+#[tokio::test]
+async fn called_by_control() {
+    let (control, _folder) = start_control().await;
+    let ingress = start_linked_ingress("i1", &["127.9.9.9"], control.link_address().port()).await;
+    let key = SharedKey::new(LINK_KEY).unwrap();
+    let address = ingress.link_address().unwrap();
+    let link = connect(address, &control_hello(), &key).await.unwrap();
+    let links = vec![control.link_address()];
+    link.tx
+        .send(Frame::ControlInstances { links })
+        .await
+        .unwrap();
+    wait_until_linked(&ingress, control.link_address()).await;
+}
+
+/// Guards against an ingress that stays alone although another one knows control instances.
+///
+/// The control instances that run have never heard of it, so that none calls it.
+#[tokio::test]
+async fn other_ingress_asked() {
+    let (control, _folder) = start_control().await;
+    let other = start_ingress("i1", &control).await;
+    wait_until_linked(&other, control.link_address()).await;
+    let ending = EndingControl::start().await;
+    let ingress = start_linked_ingress("i2", &["127.0.0.1"], ending.port).await;
+    ending
+        .name_ingresses(vec![other.link_address().unwrap()])
+        .await;
+    wait_until_linked(&ingress, control.link_address()).await;
+}
+
+/// Guards against addresses that are forgotten while their ingress is out of reach, or never.
+#[test]
+fn addresses_outlast_links() {
+    let [first, second] = ["10.0.0.1:7", "10.0.0.2:7"].map(|address| address.parse().unwrap());
+    let mut addresses = IngressAddresses::default();
+    addresses.record(first, 0);
+    addresses.record(second, 0);
+    let linked = BTreeSet::from([second]);
+    assert_eq!(addresses.unlinked(&linked, RETENTION_MS), [first]);
+    assert_eq!(addresses.all(), [first, second]);
+    assert_eq!(addresses.unlinked(&linked, RETENTION_MS + 1), []);
+    assert_eq!(
+        addresses.unlinked(&BTreeSet::new(), RETENTION_MS + 2),
+        [second]
+    );
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod charts;
 mod claims;
 mod control;
+mod control_discovery;
 mod crash_ledger;
 mod crashing_content;
 mod delivery;
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -722,7 +722,8 @@
     let seeds: Vec<_> = seeds.iter().map(|ip| format!("'{ip}:1'")).collect();
     let settings = format!(
         "name = '{name}'\nzone = 'z'\nlisten = '127.0.0.1:0'\nready-listen = '127.0.0.1:0'\n\
-         metrics-listen = '127.0.0.1:0'\nrelay-listen = '127.0.0.1:0'\nlink-key = '{LINK_KEY}'\nseeds = [{}]\n\
+         metrics-listen = '127.0.0.1:0'\nrelay-listen = '127.0.0.1:0'\n\
+         link-listen = '127.0.0.1:0'\nlink-key = '{LINK_KEY}'\nseeds = [{}]\n\
          link-port = {link_port}\nrepeat-slack = 100.0\n",
         seeds.join(", ")
     );
--- a/tests/testsuite/replaced_control.rs
+++ b/tests/testsuite/replaced_control.rs
@@ -71,7 +71,7 @@
     fn start_ingress(&self, name: &str) -> Process {
         let text = format!(
             "name = '{name}'\nzone = 'z'\nlisten = '127.0.0.1:0'\nready-listen = '127.0.0.1:0'\n\
-             metrics-listen = '127.0.0.1:0'\nlink-key = '{LINK_KEY}'\nseeds = [{}]\n\
+             metrics-listen = '127.0.0.1:0'\nlink-listen = '127.0.0.1:0'\nlink-key = '{LINK_KEY}'\nseeds = [{}]\n\
              link-port = {}\n",
             self.seeds(),
             self.link_port,
