Answer 503 instead of 404 and 401 while no control instance is linked

Cause: an ingress that hears of no changes answered 404 for routes that had been added, and 401 for new keys. Callers don't come back after these, though another ingress would have served them. Change: without a link, a request that the deployment at hand doesn't allow gets 503 with Retry-After 0.1 s (outcome `outdated`); it has not run. What the deployment allows is served as before. Measured: control_discovery::unknown_route_without_control failed before, with 404 in place of 503, and passes now. A request on a route that was moved or removed meanwhile is still handled by the old version.

--- a/crates/toucanshelf-ingress/src/front.rs
+++ b/crates/toucanshelf-ingress/src/front.rs
@@ -26,6 +26,10 @@
 /// `Retry-After` time sent to callers before the ingress has its configuration.
 const UNCONFIGURED_RETRY_AFTER: Duration = Duration::from_secs(2);
 
+/// `Retry-After` time sent to callers whom only a newer configuration may allow.
+// Another ingress can answer at once.
+const OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(100);
+
 /// Forwards a caller's request to a target and returns the response to the caller.
 ///
 /// If this ingress reaches no target, another one receives the request.
@@ -92,7 +96,11 @@
         outcome = refusal.name(),
         "request rejected"
     );
-    let retry_after = (refusal == Refusal::NotConfigured).then_some(UNCONFIGURED_RETRY_AFTER);
+    let retry_after = match refusal {
+        Refusal::NotConfigured => Some(UNCONFIGURED_RETRY_AFTER),
+        Refusal::Outdated => Some(OUTDATED_RETRY_AFTER),
+        _ => None,
+    };
     refusal_response(refusal, retry_after)
 }
 
@@ -110,6 +118,8 @@
     let host = host(&parts);
     let found = table.find(&host, parts.uri.path(), facts.key.as_deref());
     let found = found.map_err(|denial| match denial {
+        // A newer deployment, which this ingress can't hear of, may allow the request.
+        _ if shared.control.open() == 0 => Refusal::Outdated,
         MatchError::NoRoute => Refusal::NoRoute,
         MatchError::UnknownKey => Refusal::UnknownKey,
     })?;
--- a/crates/toucanshelf-ingress/src/response.rs
+++ b/crates/toucanshelf-ingress/src/response.rs
@@ -36,6 +36,10 @@
 pub enum Refusal {
     /// The ingress has not received a deployment (configuration) yet.
     NotConfigured,
+    /// The deployment doesn't allow the request, but this ingress may miss a newer one.
+    ///
+    /// No control instance is linked, which would announce it.
+    Outdated,
     /// No route of the deployment matches the request's host and path.
     NoRoute,
     /// The caller's API key is missing or belongs to no organisation.
@@ -60,9 +64,11 @@
     /// Returns the HTTP status of the error response.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NotConfigured | Self::NoTarget | Self::Quarantined | Self::ExpiredUnrun => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotConfigured
+            | Self::Outdated
+            | Self::NoTarget
+            | Self::Quarantined
+            | Self::ExpiredUnrun => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
@@ -76,6 +82,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::NotConfigured => "not-configured",
+            Self::Outdated => "outdated",
             Self::NoRoute => "no-route",
             Self::UnknownKey => "unknown-key",
             Self::BodyTooLarge => "body-too-large",
--- a/tests/testsuite/control_discovery.rs
+++ b/tests/testsuite/control_discovery.rs
@@ -17,8 +17,8 @@
 use toucanshelf_runtime::settings::SettingsFile;
 
 use crate::platform_support::{
-    LINK_KEY, WAIT_TIMEOUT, ingress_settings_text, start_control, start_ingress,
-    start_linked_ingress,
+    DeploymentBuilder, LINK_KEY, WAIT_TIMEOUT, call_ingress, ingress_settings_text, start_control,
+    start_ingress, start_linked_ingress,
 };
 use crate::processes::TestFolder;
 
@@ -155,3 +155,44 @@
         [second]
     );
 }
+
+/// Returns the status of a request, and whether the response says when to come back.
+async fn call(ingress: &Ingress, path: &str) -> (u16, bool) {
+    let response = call_ingress(ingress, "GET", path, &[]).await;
+    (
+        response.status,
+        response.headers.contains_key("retry-after"),
+    )
+}
+
+/// Guards against a 404 for a route that was added while the ingress hears of no changes.
+///
+/// Callers don't come back after a 404, although another ingress would serve them.
+#[tokio::test]
+async fn unknown_route_without_control() {
+    let mut control = EndingControl::start().await;
+    let ingress = start_linked_ingress("i1", &["127.0.0.1"], control.port).await;
+    let link = control.accept().await;
+    let document = DeploymentBuilder::new(1).route("r", "a.example", "/r/", "plain");
+    let document = document.build().into_bytes().into();
+    let frame = Frame::Deployment {
+        version: 1,
+        document,
+    };
+    link.tx.send(frame).await.unwrap();
+    let mut installed = ingress.shared().deployments.installed();
+    let version = installed.wait_for(Option::is_some);
+    tokio::time::timeout(WAIT_TIMEOUT, version)
+        .await
+        .unwrap()
+        .unwrap();
+    assert_eq!(call(&ingress, "/added/").await, (404, false));
+    drop((control, link));
+    let unlinked = async {
+        while ingress.shared().control.open() > 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    tokio::time::timeout(WAIT_TIMEOUT, unlinked).await.unwrap();
+    assert_eq!(call(&ingress, "/added/").await, (503, true));
+}
