Count a link to a control instance without a leader as none

An ingress that is linked only to a control instance which was cut off itself hears of no new deployment, yet it neither searched for others nor logged that, and answered 404 for added routes. Change: control instances tell their ingresses whether they hear a leader; only such a link counts. An ingress is called after a second without a link. Addresses travel with the time since the last link. New: no_call_within_second, addresses_age_while_told. Programs of the previous build don't tell, and count as hearing a leader.

--- a/crates/toucanshelf-control/src/directory/ingress_calls.rs
+++ b/crates/toucanshelf-control/src/directory/ingress_calls.rs
@@ -23,7 +23,7 @@
 // A packet that a cut has swallowed is sent again only after a second, so that a new call is faster.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 /// Maximum number of calls in one round; the ingresses are then drawn at random.
-const MAX_CALLS: usize = 64;
+const MAX_CALLS: usize = 256;
 
 /// Calls all ingresses that are not linked, until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>) {
@@ -34,12 +34,12 @@
     loop {
         sleep(CALL_INTERVAL).await;
         let linked = directory.ingresses.link_addresses();
-        let unlinked = {
+        let lost = {
             let mut addresses = directory.ingress_addresses();
-            addresses.unlinked(&linked, directory.now())
+            addresses.lost(&linked, directory.now())
         };
-        told.retain(|address| unlinked.contains(address));
-        let called = unlinked.into_iter().sample(&mut rand::rng(), MAX_CALLS);
+        told.retain(|address| lost.contains(address));
+        let called = lost.into_iter().sample(&mut rand::rng(), MAX_CALLS);
         let calls = called.into_iter().map(|address| call(&shared, address));
         for address in join_all(calls).await.into_iter().flatten() {
             // An ingress that was told and still isn't linked is called again, without a line.
--- a/crates/toucanshelf-control/src/directory/ingresses.rs
+++ b/crates/toucanshelf-control/src/directory/ingresses.rs
@@ -210,12 +210,12 @@
         open.filter_map(|session| session.link).collect()
     }
 
-    /// Returns some other ingresses that accept links, if the one with session `id` does.
-    fn link_sample_for(&self, id: u32) -> Option<Vec<SocketAddr>> {
-        let own = self.sessions().open.get(&id)?.link?;
-        let others = self.link_addresses().into_iter();
-        let others = others.filter(|address| *address != own);
-        Some(others.sample(&mut rand::rng(), MAX_LISTED_INGRESSES))
+    /// Returns some ingresses that accept links, other than the one with session `id`.
+    fn link_sample_for(&self, id: u32) -> Vec<SocketAddr> {
+        let sessions = self.sessions();
+        let others = sessions.open.iter().filter(|(other, _)| **other != id);
+        let links = others.filter_map(|(_, session)| session.link);
+        links.sample(&mut rand::rng(), MAX_LISTED_INGRESSES)
     }
 
     /// Returns some ingresses to which the ingress with session `id` may send its requests.
@@ -359,6 +359,7 @@
 struct CountsAnnouncement {
     links: Vec<SocketAddr>,
     ingresses: BTreeMap<Box<str>, u32>,
+    hears_leader: bool,
     /// Number of ticks since the announcement was sent.
     age_ticks: u32,
 }
@@ -376,16 +377,20 @@
     }
     last.age_ticks += 1;
     let (links, counts) = (shared.peers.members(), ingresses.counts());
-    let changed = (&last.links, &last.ingresses) != (&links, &counts);
+    let hears_leader = shared.driver.status().current;
+    let changed =
+        (&last.links, &last.ingresses) != (&links, &counts) || last.hears_leader != hears_leader;
     if changed || last.age_ticks >= COUNTS_INTERVAL_TICKS {
         let frame = Frame::MemberCounts {
             links: links.clone(),
             ingresses: counts.clone(),
+            hears_leader,
         };
         ingresses.broadcast_to(&frame, |session| session.watches_counts);
         *last = CountsAnnouncement {
             links,
             ingresses: counts,
+            hears_leader,
             age_ticks: 0,
         };
     }
@@ -402,6 +407,7 @@
         lists_relays: true,
         accepts_subscriptions: true,
         calls_ingresses: true,
+        hears_leader: shared.driver.status().current,
     }
 }
 
@@ -443,11 +449,10 @@
                     let addresses = directory.ingresses.relays_for(id);
                     // A full queue drops the answer; the ingress asks again, and others as well.
                     let _ = link.tx.try_send(Frame::Relays { addresses });
-                    send_ingress_addresses(directory, id, &link.tx);
                 }
                 Frame::IngressAddress { link: address } => {
                     directory.ingresses.record_link(id, address);
-                    directory.record_ingress_addresses([address]);
+                    directory.record_ingress_addresses([(address, 0)]);
                     send_ingress_addresses(directory, id, &link.tx);
                 }
                 Frame::DeploymentInForce { version } => {
@@ -508,12 +513,12 @@
     registrations.is_ok() && members.is_ok() && head.is_ok()
 }
 
-/// Names some other ingresses to one that accepts links itself.
+/// Names some other ingresses to one that has announced its address.
 fn send_ingress_addresses(directory: &Directory, id: u32, tx: &mpsc::Sender<Frame>) {
-    if let Some(links) = directory.ingresses.link_sample_for(id) {
-        // A full queue drops the list, and the ingress asks again.
-        let _ = tx.try_send(Frame::IngressAddresses { links });
-    }
+    let others = directory.ingresses.link_sample_for(id);
+    let last_linked_ms = others.into_iter().map(|address| (address, 0)).collect();
+    // A full queue drops the list, and the ingress announces its address again.
+    let _ = tx.try_send(Frame::IngressAddresses { last_linked_ms });
 }
 
 /// Sends all findings about content that crashes targets to an ingress.
--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -165,12 +165,17 @@
         addresses.expect("no lock holder panics")
     }
 
-    /// Records the addresses at which ingresses accept links.
-    pub(crate) fn record_ingress_addresses(&self, links: impl IntoIterator<Item = SocketAddr>) {
+    /// Records the addresses at which ingresses accept links, with the time since their last link.
+    ///
+    /// The time is in milliseconds.
+    pub(crate) fn record_ingress_addresses(
+        &self,
+        links: impl IntoIterator<Item = (SocketAddr, u64)>,
+    ) {
         let now = self.now();
         let mut addresses = self.ingress_addresses();
-        for link in links {
-            addresses.record(link, now);
+        for (address, last_linked_ms) in links {
+            addresses.record(address, last_linked_ms, now);
         }
     }
 
--- a/crates/toucanshelf-control/src/peers.rs
+++ b/crates/toucanshelf-control/src/peers.rs
@@ -252,9 +252,9 @@
                 calls_ingresses,
             } => {
                 if calls_ingresses && let Some(directory) = &shared.directory {
-                    let links = directory.ingress_addresses().all();
+                    let last_linked_ms = directory.ingress_addresses().ages(directory.now());
                     // A full queue drops the list; other instances send theirs as well.
-                    let _ = link.tx.try_send(Frame::IngressAddresses { links });
+                    let _ = link.tx.try_send(Frame::IngressAddresses { last_linked_ms });
                 }
                 if let Some(replica) = replica.filter(|_| reads_patches) {
                     let mut readers = peers.patch_readers.lock().expect("no lock holder panics");
@@ -322,6 +322,7 @@
                     lists_relays: false,
                     accepts_subscriptions: false,
                     calls_ingresses: false,
+                    hears_leader: shared.driver.status().current,
                 };
                 if link.tx.try_send(frame).is_err() {
                     return;
@@ -332,9 +333,9 @@
                     directory.apply_forwarded(records);
                 }
             }
-            Frame::IngressAddresses { links } => {
+            Frame::IngressAddresses { last_linked_ms } => {
                 if let Some(directory) = &shared.directory {
-                    directory.record_ingress_addresses(links);
+                    directory.record_ingress_addresses(last_linked_ms);
                 }
             }
             Frame::Submit { id, body, .. } => {
--- a/crates/toucanshelf-ingress/src/control.rs
+++ b/crates/toucanshelf-ingress/src/control.rs
@@ -50,6 +50,10 @@
     is_near: bool,
     /// Whether the control instance accepts [`Frame::WantFindings`].
     accepts_subscriptions: bool,
+    /// Whether the control instance accepts [`Frame::IngressAddress`].
+    calls_ingresses: bool,
+    /// Whether the control instance hears a leader.
+    hears_leader: bool,
 }
 
 #[derive(Debug, Default)]
@@ -89,14 +93,62 @@
         self.links().open.len()
     }
 
+    /// Whether a control instance is linked that hears of new deployments.
+    pub fn is_current(&self) -> bool {
+        self.links().open.values().any(|link| link.hears_leader)
+    }
+
+    fn record_leader(&self, address: SocketAddr, hears_leader: bool) {
+        if let Some(link) = self.links().open.get_mut(&address) {
+            link.hears_leader = hears_leader;
+        }
+    }
+
+    /// Marks a link as one to an instance that calls ingresses, and tells it where this one is.
+    fn add_caller(&self, address: SocketAddr) {
+        let mut links = self.links();
+        let own_address = links.own_address;
+        if let Some(open) = links.open.get_mut(&address) {
+            open.calls_ingresses = true;
+            if let Some(link) = own_address {
+                // A full queue drops the address, which is announced again.
+                let _ = open.tx.try_send(Frame::IngressAddress { link });
+            }
+        }
+    }
+
+    /// Tells the control instances where this ingress accepts links.
+    ///
+    /// Each answers with some other ingresses.
+    pub(crate) fn announce_own_address(&self) {
+        let links = self.links();
+        let Some(link) = links.own_address else {
+            return;
+        };
+        let callers = links.open.values().filter(|link| link.calls_ingresses);
+        for caller in callers {
+            // A full queue drops the address, which is announced again.
+            let _ = caller.tx.try_send(Frame::IngressAddress { link });
+        }
+    }
+
+    /// Keeps the addresses of other ingresses; an empty list replaces none.
+    fn record_ingresses(&self, last_linked_ms: BTreeMap<SocketAddr, u64>) {
+        if !last_linked_ms.is_empty() {
+            self.links().other_ingresses = last_linked_ms.into_keys().collect();
+        }
+    }
+
     /// Returns the addresses of control instances to which links are kept open or tried.
     pub fn known(&self) -> Vec<SocketAddr> {
         self.links().known.clone()
     }
 
-    /// Returns the addresses of the control instances that are linked now.
-    pub fn linked(&self) -> Vec<SocketAddr> {
-        self.links().open.keys().copied().collect()
+    /// Returns the addresses of the linked control instances that hear of new deployments.
+    pub fn current(&self) -> Vec<SocketAddr> {
+        let links = self.links();
+        let current = links.open.iter().filter(|(_, link)| link.hears_leader);
+        current.map(|(address, _)| *address).collect()
     }
 
     /// Returns the address at which this ingress accepts links, if it does.
@@ -336,6 +388,8 @@
         lists_relays: false,
         is_near: link.peer.zone == shared.settings.zone,
         accepts_subscriptions: false,
+        calls_ingresses: false,
+        hears_leader: true,
     };
     shared.control.links().open.insert(address, open);
     shared.metrics.control_links.inc();
@@ -369,6 +423,7 @@
             lists_relays,
             accepts_subscriptions,
             calls_ingresses,
+            hears_leader,
         } => {
             let own = ingress_zones.iter();
             let own = own.filter(|zone| **zone == shared.settings.zone).count();
@@ -376,9 +431,9 @@
             if accepts_subscriptions {
                 shared.control.subscribe(address);
             }
-            if let Some(link) = shared.control.own_address().filter(|_| calls_ingresses) {
-                // A full queue drops the address, and the next list of members sends it again.
-                let _ = tx.try_send(Frame::IngressAddress { link });
+            shared.control.record_leader(address, hears_leader);
+            if calls_ingresses {
+                shared.control.add_caller(address);
             }
             shared.control.record_issuer(address, issues_permits);
             let is_new = shared.control.record_source(address, sends_patches);
@@ -399,15 +454,20 @@
                 || !shared.control.add_finding_link(address)
                 || send_findings(shared, address, tx)
         }
-        Frame::MemberCounts { links, ingresses } => {
+        Frame::MemberCounts {
+            links,
+            ingresses,
+            hears_leader,
+        } => {
+            shared.control.record_leader(address, hears_leader);
             let own = ingresses.get(&shared.settings.zone).copied();
             shared.record_ingresses(ingresses.values().sum(), own.unwrap_or(0));
             shared.content.prune(shared.now());
             connect_new(shared, key, links);
             true
         }
-        Frame::IngressAddresses { links } => {
-            shared.control.links().other_ingresses = links;
+        Frame::IngressAddresses { last_linked_ms } => {
+            shared.control.record_ingresses(last_linked_ms);
             true
         }
         Frame::Relays { addresses } => {
--- a/crates/toucanshelf-ingress/src/discovery.rs
+++ b/crates/toucanshelf-ingress/src/discovery.rs
@@ -1,5 +1,7 @@
 //! Finds the control instances again when none is linked.
 //!
+//! A link to an instance that hears no leader counts as none: it brings no new deployment.
+//!
 //! Links are kept to the instances in the settings and to those that linked ones announce. While this
 //! ingress is out of reach, all of them may be replaced. It then serves with the deployment that it has
 //! until it learns which instances run: a control instance calls it, another ingress that it asks
@@ -62,7 +64,7 @@
             _ = checks.tick() => {}
             Some(()) = reloads.recv() => read_seeds(&shared, &key, &mut reader).await,
         }
-        if shared.control.open() > 0 {
+        if shared.control.is_current() {
             if let Some(ended) = unlinked.take() {
                 record_linked(&shared, &ended);
             }
@@ -159,7 +161,7 @@
             }
         }
         PeerRole::Ingress => {
-            let links = shared.control.linked();
+            let links = shared.control.current();
             // A link that has closed already takes no frame, and the other ingress asks again.
             let _ = link.tx.try_send(Frame::ControlInstances { links });
             // The other ingress closes the link once it has read the frame.
@@ -217,7 +219,7 @@
         event = "TS4110",
         peer = %link.peer.name,
         ?links,
-        unlinked = shared.control.open() == 0,
+        unlinked = !shared.control.is_current(),
         "control instances learned"
     );
     connect_new(shared, key, links);
--- a/crates/toucanshelf-ingress/src/front.rs
+++ b/crates/toucanshelf-ingress/src/front.rs
@@ -119,7 +119,7 @@
     let found = table.find(&host, parts.uri.path(), facts.key.as_deref());
     let found = found.map_err(|denial| match denial {
         // A newer deployment, which this ingress can't hear of, may allow the request.
-        _ if shared.control.open() == 0 => Refusal::Outdated,
+        _ if !shared.control.is_current() => Refusal::Outdated,
         MatchError::NoRoute => Refusal::NoRoute,
         MatchError::UnknownKey => Refusal::UnknownKey,
     })?;
--- a/crates/toucanshelf-ingress/src/isolation.rs
+++ b/crates/toucanshelf-ingress/src/isolation.rs
@@ -89,6 +89,7 @@
             Ok(Err(_)) => return,
             Err(_) => {
                 shared.control.ask_relays();
+                shared.control.announce_own_address();
                 continue;
             }
         }
--- a/crates/toucanshelf-ingress/src/response.rs
+++ b/crates/toucanshelf-ingress/src/response.rs
@@ -38,7 +38,7 @@
     NotConfigured,
     /// The deployment doesn't allow the request, but this ingress may miss a newer one.
     ///
-    /// No control instance is linked, which would announce it.
+    /// No control instance is linked that would announce it.
     Outdated,
     /// No route of the deployment matches the request's host and path.
     NoRoute,
--- a/crates/toucanshelf-link/src/frame.rs
+++ b/crates/toucanshelf-link/src/frame.rs
@@ -171,6 +171,11 @@
         /// Whether the sender accepts [`Frame::IngressAddress`], which older programs don't know.
         #[serde(default)]
         calls_ingresses: bool,
+        /// Whether the sender hears a leader, so that it learns of new deployments.
+        ///
+        /// Older programs don't tell, and count as hearing one.
+        #[serde(default = "hears_leader")]
+        hears_leader: bool,
     },
     /// Ingress to control: announces the address at which the sender accepts links.
     IngressAddress {
@@ -179,8 +184,9 @@
     },
     /// Control to control or ingress: lists ingresses that are or were linked to the sender.
     IngressAddresses {
-        /// Addresses at which the ingresses accept links.
-        links: Vec<SocketAddr>,
+        /// Time since the last link of each ingress in milliseconds, by the address at which it accepts
+        /// links.
+        last_linked_ms: BTreeMap<SocketAddr, u64>,
     },
     /// Control or ingress to an ingress, on a link to it: names control instances that run now.
     ControlInstances {
@@ -195,6 +201,9 @@
         links: Vec<SocketAddr>,
         /// Availability zones with the number of ingress instances there that are linked to the sender.
         ingresses: BTreeMap<Box<str>, u32>,
+        /// Whether the sender hears a leader; see [`Frame::Members`].
+        #[serde(default = "hears_leader")]
+        hears_leader: bool,
     },
 
     /// Control to ingress: announces the version of the current deployment.
@@ -298,6 +307,10 @@
     },
 }
 
+fn hears_leader() -> bool {
+    true
+}
+
 /// Reason why a submitted command has no reply from the state machine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize, thiserror::Error)]
 pub enum SubmitError {
--- a/tests/testsuite/control_discovery.rs
+++ b/tests/testsuite/control_discovery.rs
@@ -61,6 +61,7 @@
             lists_relays: false,
             accepts_subscriptions: false,
             calls_ingresses: true,
+            hears_leader: true,
         };
         link.tx.send(members).await.unwrap();
         link
@@ -70,7 +71,8 @@
     async fn name_ingresses(mut self, ingresses: Vec<SocketAddr>) {
         let mut link = self.accept().await;
         while !matches!(link.rx.recv().await, Some(Frame::IngressAddress { .. })) {}
-        let frame = Frame::IngressAddresses { links: ingresses };
+        let last_linked_ms = ingresses.into_iter().map(|address| (address, 0)).collect();
+        let frame = Frame::IngressAddresses { last_linked_ms };
         // What is queued is written before the link closes.
         link.tx.send(frame).await.unwrap();
     }
@@ -80,7 +82,7 @@
 async fn wait_until_linked(ingress: &Ingress, address: SocketAddr) {
     let control = &ingress.shared().control;
     let linked = async {
-        while !control.linked().contains(&address) {
+        while !control.current().contains(&address) {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     };
@@ -144,16 +146,44 @@
 fn addresses_outlast_links() {
     let [first, second] = ["10.0.0.1:7", "10.0.0.2:7"].map(|address| address.parse().unwrap());
     let mut addresses = IngressAddresses::default();
-    addresses.record(first, 0);
-    addresses.record(second, 0);
+    addresses.record(first, 0, 0);
+    addresses.record(second, 0, 0);
     let linked = BTreeSet::from([second]);
-    assert_eq!(addresses.unlinked(&linked, RETENTION_MS), [first]);
-    assert_eq!(addresses.all(), [first, second]);
-    assert_eq!(addresses.unlinked(&linked, RETENTION_MS + 1), []);
-    assert_eq!(
-        addresses.unlinked(&BTreeSet::new(), RETENTION_MS + 2),
-        [second]
-    );
+    assert_eq!(addresses.lost(&linked, RETENTION_MS), [first]);
+    assert!(addresses.ages(RETENTION_MS).contains_key(&first));
+    assert_eq!(addresses.lost(&linked, RETENTION_MS + 1), []);
+    assert!(!addresses.ages(RETENTION_MS).contains_key(&first));
+}
+
+/// Guards against calls to ingresses that have just lost a link, and open it again by themselves.
+#[test]
+fn no_call_within_second() {
+    let address = "10.0.0.1:7".parse().unwrap();
+    let mut addresses = IngressAddresses::default();
+    addresses.record(address, 0, 5_000);
+    assert_eq!(addresses.lost(&BTreeSet::new(), 5_999), []);
+    assert_eq!(addresses.lost(&BTreeSet::new(), 6_000), [address]);
+    assert_eq!(addresses.lost(&BTreeSet::from([address]), 6_001), []);
+    assert_eq!(addresses.lost(&BTreeSet::new(), 7_000), []);
+}
+
+/// Guards against addresses that control instances keep alive by telling each other.
+#[test]
+fn addresses_age_while_told() {
+    let address = "10.0.0.1:7".parse().unwrap();
+    let mut first = IngressAddresses::default();
+    let mut second = IngressAddresses::default();
+    first.record(address, 0, 0);
+    for now in (0..=RETENTION_MS).step_by(1_000) {
+        for (known, last_linked_ms) in first.ages(now) {
+            second.record(known, last_linked_ms, now);
+        }
+        for (known, last_linked_ms) in second.ages(now) {
+            first.record(known, last_linked_ms, now);
+        }
+    }
+    assert_eq!(first.lost(&BTreeSet::new(), RETENTION_MS + 1), []);
+    assert_eq!(second.lost(&BTreeSet::new(), RETENTION_MS + 1), []);
 }
 
 /// Returns the status of a request, and whether the response says when to come back.
@@ -189,10 +219,33 @@
     assert_eq!(call(&ingress, "/added/").await, (404, false));
     drop((control, link));
     let unlinked = async {
-        while ingress.shared().control.open() > 0 {
+        while ingress.shared().control.is_current() {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
     };
     tokio::time::timeout(WAIT_TIMEOUT, unlinked).await.unwrap();
     assert_eq!(call(&ingress, "/added/").await, (503, true));
 }
+
+/// Guards against an ingress that holds on to a control instance which hears of nothing itself.
+#[tokio::test]
+async fn control_without_leader_counts_as_none() {
+    let (control, _folder) = start_control().await;
+    let other = start_ingress("i1", &control).await;
+    wait_until_linked(&other, control.link_address()).await;
+    let mut island = EndingControl::start().await;
+    let ingress = start_linked_ingress("i2", &["127.0.0.1"], island.port).await;
+    let link = island.accept().await;
+    let addresses = [(other.link_address().unwrap(), 0)].into();
+    let frame = Frame::IngressAddresses {
+        last_linked_ms: addresses,
+    };
+    link.tx.send(frame).await.unwrap();
+    let counts = Frame::MemberCounts {
+        links: Vec::new(),
+        ingresses: [("z".into(), 1)].into(),
+        hears_leader: false,
+    };
+    link.tx.send(counts).await.unwrap();
+    wait_until_linked(&ingress, control.link_address()).await;
+}
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -139,13 +139,14 @@
         lists_relays,
         accepts_subscriptions,
         calls_ingresses,
+        hears_leader,
         ..
     } = decoded
     else {
         panic!()
     };
     assert!(!accepts_findings && !issues_permits && !sends_patches && !lists_relays);
-    assert!(!accepts_subscriptions && !calls_ingresses);
+    assert!(!accepts_subscriptions && !calls_ingresses && hears_leader);
 }
 
 /// Guards against a log that a control instance of a build without patches can't read.
