Keep the addresses of other instances through a restart of all

Control instances knew each other and the ingresses only in memory. If the successors of all instances in the settings were killed at once, they found neither each other nor an ingress that was out of reach, unless the settings were written anew. Change: a control instance stores the addresses of control instances and ingresses in its data folder (addresses.toml, synced and renamed, at most once a second) and reads them at its start. New: control_discovery::address_book_stored_again. Addresses of control instances that are gone are never removed; that is listed.

--- a/crates/toucanshelf-control/src/lib.rs
+++ b/crates/toucanshelf-control/src/lib.rs
@@ -20,6 +20,7 @@
 //! # }
 //! ```
 
+pub mod address_book;
 pub mod api;
 pub mod directory;
 pub mod driver;
@@ -155,6 +156,8 @@
         });
         shared.driver.start(&shared.settings, Arc::clone(&shared));
         shared.peers.start(&shared);
+        address_book::read(&shared);
+        tokio::spawn(address_book::run(Arc::clone(&shared)));
         tokio::spawn(seeds::run(Arc::clone(&shared)));
         let (links_tx, links) = mpsc::channel(64);
         tokio::spawn(link::serve(listener, hello, key, links_tx));
--- a/tests/testsuite/control_discovery.rs
+++ b/tests/testsuite/control_discovery.rs
@@ -7,6 +7,7 @@
 
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use toucanshelf_control::address_book::AddressBook;
 use toucanshelf_control::directory::ingress_addresses::IngressAddresses;
 use toucanshelf_ingress::Ingress;
 use toucanshelf_ingress::settings::IngressSettings;
@@ -249,3 +250,24 @@
     link.tx.send(counts).await.unwrap();
     wait_until_linked(&ingress, control.link_address()).await;
 }
+
+/// Guards against addresses that are lost or half stored.
+#[test]
+fn address_book_stored_again() {
+    let folder = tempfile::tempdir().unwrap();
+    assert_eq!(
+        AddressBook::load(folder.path()).unwrap(),
+        AddressBook::default()
+    );
+    let mut book = AddressBook::default();
+    for port in 1..=3 {
+        book.control
+            .push(SocketAddr::new([10, 0, 0, 1].into(), port));
+        book.ingresses
+            .push(SocketAddr::new([10, 0, 0, 2].into(), port));
+        book.store(folder.path()).unwrap();
+        assert_eq!(AddressBook::load(folder.path()).unwrap(), book);
+    }
+    std::fs::write(folder.path().join("addresses.toml"), "control = 7").unwrap();
+    assert!(AddressBook::load(folder.path()).is_err());
+}
--- a/tests/testsuite/replaced_control.rs
+++ b/tests/testsuite/replaced_control.rs
@@ -5,6 +5,7 @@
 use std::ops::Range;
 use std::path::PathBuf;
 
+use toucanshelf_control::address_book::AddressBook;
 use toucanshelf_core::digest::Digest;
 use toucanshelf_soak::process::Process;
 
@@ -86,6 +87,15 @@
         start("toucanshelf-ingress", &path)
     }
 
+    /// Whether successor `n` has stored the addresses of all successors and of an ingress.
+    fn knows_successors(&self, n: usize) -> bool {
+        let folder = self.folder.path(&format!("data-{}", CONTROLS + n));
+        let book = AddressBook::load(&folder).unwrap();
+        let mut successors = self.ips[CONTROLS..].iter();
+        successors.all(|ip| book.control.iter().any(|address| address.ip() == *ip))
+            && !book.ingresses.is_empty()
+    }
+
     /// Submits a deployment at control instance `n` until it is acknowledged.
     fn deploy(&self, n: usize, document: &str) {
         let address = SocketAddr::new(self.ips[n], self.api_port);
@@ -172,6 +182,38 @@
     wait_until(|| caller("/added/") == Some(503) && caller("/first/") == Some(404));
 }
 
+/// Guards against successors that find neither each other nor an ingress after a restart of all.
+///
+/// All control instances were replaced while the ingress was out of reach. Then the successors are
+/// killed at once, and the settings of all still name instances that are gone.
+#[test]
+fn all_successors_killed() {
+    let platform = ProcessPlatform::new(30);
+    let mut controls: Vec<_> = (0..CONTROLS).map(|n| platform.start_control(n)).collect();
+    let ingress = platform.start_ingress("i1");
+    wait_until_voting(&controls);
+    let first = DeploymentBuilder::new(1).route("first", "a.example", "/first/", "plain");
+    platform.deploy(0, &first.build());
+    let caller = |path| status(ingress.address("address"), "GET", path, "");
+    wait_until(|| caller("/first/") == Some(503));
+
+    ingress.signal("-STOP").unwrap();
+    replace_all(&platform, &mut controls);
+    wait_until(|| (0..CONTROLS).all(|n| platform.knows_successors(n)));
+    for control in &mut controls {
+        control.kill().unwrap();
+    }
+    for (n, control) in controls.iter_mut().enumerate() {
+        *control = platform.start_control(CONTROLS + n);
+    }
+    wait_until_voting(&controls);
+    ingress.signal("-CONT").unwrap();
+
+    let second = DeploymentBuilder::new(2).route("added", "a.example", "/added/", "plain");
+    platform.deploy(CONTROLS, &second.build());
+    wait_until(|| caller("/added/") == Some(503) && caller("/first/") == Some(404));
+}
+
 /// Guards against a control instance that never reads its seeds again.
 ///
 /// It starts with seeds that are gone, and nobody else knows it.
