Wait for the leader to be known before a 404 is expected

A control instance tells that it hears a leader up to a second after it does, and until then the ingress can't know that nothing newer allows the request. The test's wait for 503 on the known route also holds before the first deployment. Change: the test waits for the 404. relay::request_counted_at_sender names the refusal if it fails.

--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -317,7 +317,8 @@
             .header("x-toucanshelf-request-id", "r1")
             .header("toucanshelf-counted", "1");
         let request = request.body(String::new()).unwrap();
-        assert_eq!(send(relay, request).await.status, 200);
+        let response = send(relay, request).await;
+        assert_eq!(response.status, 200, "{}", response.body);
     }
     let mut repeats = 0;
     while shared.take_repeat("plain") {
--- a/tests/testsuite/replaced_control.rs
+++ b/tests/testsuite/replaced_control.rs
@@ -171,7 +171,7 @@
     let caller = |path| status(ingress.address("address"), "GET", path, "");
     // The service has no targets, so that a request on a known route gets 503.
     wait_until(|| caller("/first/") == Some(503));
-    assert_eq!(caller("/added/"), Some(404));
+    wait_until(|| caller("/added/") == Some(404));
 
     ingress.signal("-STOP").unwrap();
     replace_all(&platform, &mut controls);
