Name the engine in each call to its address

Orders, requests for reports and changes of a stream's route were sent to an address without an identity, and the expected number of begun orders was read from whoever answered there.

Change: the dialect builds each call for one engine, and the platform's header names it. An answer with status 421, or a report with the start time of another incarnation, means that the engine has ended: nothing of it is recorded, the incarnation gets no more orders and no layers, and at an ingress its streams move.

An engine now refuses what isn't for it, and the caller of such a call takes the refusal for the end of the engine that it meant.

--- a/crates/toucanshelf-control/src/directory/orders.rs
+++ b/crates/toucanshelf-control/src/directory/orders.rs
@@ -42,6 +42,8 @@
     Unknown,
     /// The engine rejected the order, or no connection to it could be opened.
     Rejected,
+    /// Another engine or incarnation answers at the address, so that the engine has ended.
+    Misdirected,
 }
 
 /// An order that tells an engine which layers to hold.
@@ -142,6 +144,14 @@
 }
 
 impl EngineOrders {
+    /// Returns whether another engine or incarnation has answered at the engine's address.
+    ///
+    /// Late heartbeats of the engine may still arrive. It gets no more orders.
+    pub fn has_ended(&self) -> bool {
+        self.last
+            .is_some_and(|order| order.state == OrderState::Misdirected)
+    }
+
     /// Marks the latest order as done if the engine reports the ordered layers.
     pub fn record_held_layers(&mut self, held: Option<LayerRange>) {
         if let Some(order) = &mut self.last
@@ -173,6 +183,7 @@
     /// executes one.
     pub fn can_send(&self, now: u64, load_time_ms: u64) -> bool {
         match &self.last {
+            Some(order) if order.state == OrderState::Misdirected => false,
             Some(order) if order.state == OrderState::Rejected => {
                 now >= order.sent_at_ms + REJECTED_RETRY_MS
             }
@@ -188,7 +199,7 @@
             OrderState::Sent => true,
             OrderState::Begun => now < self.sent_at_ms + load_time_ms + EFFECT_TIMEOUT_MS,
             OrderState::Unknown => now < self.sent_at_ms + UNANSWERED_RETRY_MS,
-            OrderState::Done | OrderState::Rejected => false,
+            OrderState::Done | OrderState::Misdirected | OrderState::Rejected => false,
         }
     }
 }
--- a/crates/toucanshelf-control/src/directory/reconciler.rs
+++ b/crates/toucanshelf-control/src/directory/reconciler.rs
@@ -11,16 +11,16 @@
 //! this control instance.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use http::StatusCode;
 use toucanshelf_core::deployment::{Deployment, ModelSpec};
-use toucanshelf_core::ids::Incarnation;
 use toucanshelf_core::layers::LayerRange;
 use toucanshelf_core::registration::Readiness;
 use toucanshelf_core::registry::{Entry, Registry};
+use toucanshelf_link::dialect::EngineInstance;
+use toucanshelf_link::engine_report::{ReportError, fetch_report};
 use toucanshelf_link::exchange::{ExchangeError, exchange};
 use toucanshelf_routing::placement::{EngineProfile, ModelShape, Repartitioning, plan};
 
@@ -245,6 +245,9 @@
         let next_zone = zones.len() as u16;
         let zone = *zones.entry(record.zone.clone()).or_insert(next_zone);
         let engine_orders = orders.engine(entry, reconciler.leading_since_ms.unwrap_or(now));
+        if engine_orders.has_ended() {
+            continue;
+        }
         engine_orders.record_held_layers(record.layers);
         let held =
             engine_orders.expected_layers(record.layers, now, load_time_ms(model, model.layers));
@@ -364,7 +367,7 @@
         state: OrderState::Sent,
     });
     let orders_begun = engine_orders.orders_begun;
-    let target = Target {
+    let target = EngineInstance {
         id: entry.record.id.clone(),
         incarnation: entry.record.incarnation,
         address: entry.record.address,
@@ -385,20 +388,13 @@
     );
 }
 
-/// Identity and address of an engine that an order is sent to.
-struct Target {
-    id: Box<str>,
-    incarnation: Incarnation,
-    address: SocketAddr,
-}
-
 /// Orders an engine to hold the layers in `assignment` and records the order's result.
 ///
 /// If `orders_begun` is `None`, the number of started orders is first requested from the engine.
 async fn deliver_order(
     shared: Arc<Shared>,
     orders: Arc<Mutex<Orders>>,
-    target: Target,
+    target: EngineInstance,
     assignment: LayerRange,
     orders_begun: Option<u64>,
 ) {
@@ -407,13 +403,23 @@
     };
     let orders_begun = match orders_begun {
         Some(orders_begun) => Some(orders_begun),
-        None => fetch_orders_begun(directory, &orders, &target).await,
+        None => match fetch_orders_begun(directory, &orders, &target).await {
+            Err(e) if e.has_ended() => {
+                let mut orders = orders.lock().expect("no lock holder panics");
+                let state = OrderState::Misdirected;
+                orders.update_state(&target.id, target.incarnation, assignment, state);
+                return;
+            }
+            result => result.ok(),
+        },
     };
-    let call = directory.dialect.place_call(assignment, orders_begun);
+    let dialect = &directory.dialect;
+    let call = dialect.place_call(&target.id, assignment, orders_begun);
     let result = exchange(target.address, call, CALL_TIMEOUT).await;
     let state = match &result {
         Ok(response) if response.status() == StatusCode::ACCEPTED => OrderState::Begun,
         Ok(response) if response.status() == StatusCode::OK => OrderState::Begun,
+        Err(ExchangeError::Misdirected { .. }) => OrderState::Misdirected,
         Ok(_) | Err(ExchangeError::Refused { .. }) => OrderState::Rejected,
         Err(_) => OrderState::Unknown,
     };
@@ -425,31 +431,24 @@
 
 /// Asks an engine how many orders it has started, and records the number.
 ///
-/// Returns `None` if the engine does not answer or its answer cannot be decoded.
+/// Fails if there is no report of this incarnation of the engine.
 async fn fetch_orders_begun(
     directory: &Directory,
     orders: &Mutex<Orders>,
-    target: &Target,
-) -> Option<u64> {
-    let call = directory.dialect.report_call();
-    let result = exchange(target.address, call, CALL_TIMEOUT).await;
-    let report = match result {
-        Ok(response) => directory.dialect.report(response.body()),
-        Err(e) => {
-            tracing::info!(event = "TS2524", target_id = %target.id, cause = %e, "engine report not available");
-            return None;
-        }
-    };
-    match report {
-        Ok(report) => {
-            let orders_begun = report.orders_begun;
-            let mut orders = orders.lock().expect("no lock holder panics");
-            orders.record_orders_begun(&target.id, target.incarnation, orders_begun);
-            Some(orders_begun)
+    target: &EngineInstance,
+) -> Result<u64, ReportError> {
+    let report = fetch_report(&*directory.dialect, target, CALL_TIMEOUT).await;
+    match &report {
+        Ok(_) => {}
+        Err(e @ ReportError::Decode(_)) => {
+            tracing::warn!(event = "TS2524", target_id = %target.id, cause = %e, "engine report not available");
         }
         Err(e) => {
-            tracing::warn!(event = "TS2524", target_id = %target.id, cause = %e, "engine report not available");
-            None
+            tracing::info!(event = "TS2524", target_id = %target.id, cause = %e, "engine report not available");
         }
     }
+    let orders_begun = report?.orders_begun;
+    let mut orders = orders.lock().expect("no lock holder panics");
+    orders.record_orders_begun(&target.id, target.incarnation, orders_begun);
+    Ok(orders_begun)
 }
--- a/crates/toucanshelf-ingress/src/live_route.rs
+++ b/crates/toucanshelf-ingress/src/live_route.rs
@@ -17,8 +17,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep_until};
-use toucanshelf_link::dialect::EngineReport;
-use toucanshelf_link::exchange::exchange;
+use toucanshelf_link::dialect::{EngineInstance, EngineReport};
+use toucanshelf_link::exchange::{ExchangeError, exchange};
 
 use crate::request::{CallerRequest, InFlight};
 use crate::shared::Shared;
@@ -94,6 +94,8 @@
     ///
     /// The value is the address of that engine, if the response names it.
     RefusedAt(Option<SocketAddr>),
+    /// Another engine answers at the address of the first engine, which has ended.
+    Misdirected,
     /// The call failed for any other reason.
     ///
     /// For example, the first engine did not answer in time or doesn't know the request.
@@ -122,6 +124,8 @@
     service: Box<str>,
     /// Expected number of tokens in the prompt and the response together.
     tokens: f64,
+    /// First engine of the route, to which the calls about the stream are sent.
+    first_engine: EngineInstance,
     hops: Vec<RouteHop>,
     in_flight: InFlight,
     /// Time at which data last arrived from the first engine.
@@ -147,8 +151,13 @@
 impl LiveRoute {
     /// Adds a request to the load of its route's engines and starts the timers.
     ///
-    /// The request must be sent to the first engine after this call.
-    pub fn new(shared: &Arc<Shared>, req: &CallerRequest, hops: Vec<RouteHop>) -> Self {
+    /// `first_engine` is the first of `hops`. The request must be sent to it after this call.
+    pub fn new(
+        shared: &Arc<Shared>,
+        req: &CallerRequest,
+        first_engine: EngineInstance,
+        hops: Vec<RouteHop>,
+    ) -> Self {
         let now = Instant::now();
         let tokens = req.expected_tokens();
         Self {
@@ -157,6 +166,7 @@
             service: req.service.clone(),
             tokens,
             in_flight: reserve(shared, &hops, tokens),
+            first_engine,
             hops,
             last_activity: now,
             check_due: now + FIRST_EVENT_CHECK_DELAY,
@@ -251,8 +261,8 @@
     }
 
     fn request_report(&mut self) {
-        let (shared, address) = (Arc::clone(&self.shared), self.hops[0].address);
-        let report = tokio::spawn(async move { shared.reports.get(&shared, address).await });
+        let (shared, engine) = (Arc::clone(&self.shared), self.first_engine.clone());
+        let report = tokio::spawn(async move { shared.reports.get(&shared, &engine).await });
         self.pending = Some(PendingCall::Report(report));
     }
 
@@ -270,6 +280,7 @@
                 self.excluded.extend(key);
                 None
             }
+            CallResult::Reroute(Reroute::Misdirected) => Some(self.fail_first(DownCause::Replaced)),
             CallResult::Reroute(Reroute::Failed) => Some(StreamFailure::RouteFailed),
         }
     }
@@ -281,9 +292,7 @@
     fn handle_report(&mut self, report: Option<&EngineReport>) -> Option<StreamFailure> {
         let first = self.hops[0];
         let Some(report) = report else {
-            mark_down_and_report(&self.shared, &self.request, first, DownCause::NoReport);
-            self.first_suspected = true;
-            return Some(StreamFailure::FirstEngineFailed);
+            return Some(self.fail_first(DownCause::NoReport));
         };
         let stalled = report.stalled.iter();
         let own = stalled.filter(|stalled| stalled.request_id == self.request);
@@ -303,6 +312,12 @@
         None
     }
 
+    fn fail_first(&mut self, cause: DownCause) -> StreamFailure {
+        mark_down_and_report(&self.shared, &self.request, self.hops[0], cause);
+        self.first_suspected = true;
+        StreamFailure::FirstEngineFailed
+    }
+
     /// Chooses replacements for the failed engines and starts a reroute call.
     ///
     /// Returns a failure if the route can't be repaired, and otherwise `None`. No call is started
@@ -327,11 +342,12 @@
         };
         self.reroutes += 1;
         let (shared, request) = (Arc::clone(&self.shared), self.request.clone());
+        let first = self.first_engine.clone();
         // The load is reserved before the call, so that streams rerouted at the same time choose
         // different engines.
         let in_flight = reserve(&shared, &hops, self.tokens);
         let reroute =
-            tokio::spawn(async move { reroute(&shared, &request, hops, in_flight).await });
+            tokio::spawn(async move { reroute(&shared, &request, &first, hops, in_flight).await });
         self.pending = Some(PendingCall::Reroute(reroute));
         None
     }
@@ -362,24 +378,25 @@
     }
 }
 
-/// Orders the first engine of `hops` to continue a request on the route `hops`.
+/// Orders `first`, the first engine of `hops`, to continue a request on the route `hops`.
 async fn reroute(
     shared: &Shared,
     request: &str,
+    first: &EngineInstance,
     hops: Vec<RouteHop>,
     in_flight: InFlight,
 ) -> Reroute {
     let path: Vec<_> = hops.iter().map(|hop| (hop.address, hop.layers)).collect();
-    let first = hops[0].address;
-    let call = shared.dialect.reroute_call(request, &path);
-    let response = exchange(first, call, REROUTE_TIMEOUT).await;
+    let call = shared.dialect.reroute_call(&first.id, request, &path);
+    let response = exchange(first.address, call, REROUTE_TIMEOUT).await;
     let status = response.as_ref().map(|response| response.status().as_u16());
-    tracing::info!(event = "TS4308", request, %first, hops = hops.len(), ?status, "reroute ended");
+    tracing::info!(event = "TS4308", request, first = %first.address, hops = hops.len(), ?status, "reroute ended");
     match response {
         Ok(response) if response.status().is_success() => Reroute::Done(hops, in_flight),
         Ok(response) if response.status() == StatusCode::CONFLICT => {
             Reroute::RefusedAt(shared.dialect.refusing_engine(response.body()))
         }
+        Err(ExchangeError::Misdirected { .. }) => Reroute::Misdirected,
         _ => Reroute::Failed,
     }
 }
--- a/crates/toucanshelf-ingress/src/reports.rs
+++ b/crates/toucanshelf-ingress/src/reports.rs
@@ -10,8 +10,8 @@
 
 use tokio::sync::Mutex as AsyncMutex;
 use tokio::time::Instant;
-use toucanshelf_link::dialect::EngineReport;
-use toucanshelf_link::exchange::exchange;
+use toucanshelf_link::dialect::{EngineInstance, EngineReport};
+use toucanshelf_link::engine_report::fetch_report;
 
 use crate::shared::Shared;
 
@@ -22,14 +22,16 @@
 
 /// Result of fetching a report.
 ///
-/// `report` is `None` if the engine sent no valid report in time.
+/// `report` is `None` if this incarnation of the engine sent no valid report in time.
 #[derive(Clone, Debug)]
 struct CachedReport {
+    /// Engine that was asked; another one may have had the same address before.
+    engine: EngineInstance,
     fetched_at: Instant,
     report: Option<Arc<EngineReport>>,
 }
 
-/// Cache entry for one engine, locked while a new report is fetched.
+/// Cache entry for one address, locked while a new report is fetched.
 type Slot = Arc<AsyncMutex<Option<CachedReport>>>;
 
 /// Cache of the latest report of each engine, by the engine's address.
@@ -44,23 +46,26 @@
         Self::default()
     }
 
-    /// Returns the report of the engine at `address`, at most `MAX_REPORT_AGE` old.
+    /// Returns the report of an engine, at most `MAX_REPORT_AGE` old.
     ///
-    /// Returns `None` if the engine sends no valid report in time. Streams that need the same
-    /// report at the same time share one call to the engine.
-    pub async fn get(&self, shared: &Shared, address: SocketAddr) -> Option<Arc<EngineReport>> {
+    /// Returns `None` if the engine sends no valid report in time, or if another engine or
+    /// incarnation answers. Streams that need the same report at the same time share one call to
+    /// the engine.
+    pub async fn get(&self, shared: &Shared, engine: &EngineInstance) -> Option<Arc<EngineReport>> {
         let slot = {
             let mut slots = self.slots.lock().expect("no holder panics");
-            Arc::clone(slots.entry(address).or_default())
+            Arc::clone(slots.entry(engine.address).or_default())
         };
         let mut cached = slot.lock().await;
         if let Some(cached) = cached.as_ref()
+            && cached.engine == *engine
             && cached.fetched_at.elapsed() < MAX_REPORT_AGE
         {
             return cached.report.clone();
         }
-        let report = fetch_report(shared, address).await.map(Arc::new);
+        let report = fetch(shared, engine).await.map(Arc::new);
         *cached = Some(CachedReport {
+            engine: engine.clone(),
             fetched_at: Instant::now(),
             report: report.clone(),
         });
@@ -68,19 +73,12 @@
     }
 }
 
-async fn fetch_report(shared: &Shared, address: SocketAddr) -> Option<EngineReport> {
-    let call = shared.dialect.report_call();
-    let response = exchange(address, call, REPORT_TIMEOUT).await;
-    let decoded = response.map_err(|e| e.to_string()).and_then(|response| {
-        shared
-            .dialect
-            .report(response.body())
-            .map_err(|e| e.to_string())
-    });
-    match decoded {
+async fn fetch(shared: &Shared, engine: &EngineInstance) -> Option<EngineReport> {
+    match fetch_report(&*shared.dialect, engine, REPORT_TIMEOUT).await {
         Ok(report) => Some(report),
         Err(cause) => {
-            tracing::info!(event = "TS4304", %address, %cause, "fetching the engine report failed");
+            let address = engine.address;
+            tracing::info!(event = "TS4304", target_id = %engine.id, %address, %cause, "fetching the engine report failed");
             None
         }
     }
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -97,24 +97,24 @@
         mut content: Option<ContentAttempt>,
     ) -> Result<Opened, AttemptError> {
         let first = route[0];
-        let (id, crash) = {
+        let (engine, crash) = {
             let targets = self.shared.targets();
-            (targets.id(first.key), targets.crash_id(first.key))
+            (targets.instance(first.key), targets.crash_id(first.key))
         };
-        let (Some(id), Some(crash)) = (id, crash) else {
+        let (Some(engine), Some(crash)) = (engine, crash) else {
             self.ledger.settle(attempt, AttemptState::NotSent);
             return Err(AttemptError::NotSent("the engine has deregistered".into()));
         };
         let hops: Vec<_> = route.iter().map(|hop| (hop.address, hop.layers)).collect();
         let destination = Destination {
-            id: &id,
+            id: &engine.id,
             address: first.address,
             hops: &hops,
             last_event: self.last_event.filter(|_| self.events > 0),
         };
         self.first_engine = Some(first.address);
         self.zone_crossings = self.shared.targets().zone_crossings(&route);
-        let mut live_route = LiveRoute::new(&self.shared, &self.req, route);
+        let mut live_route = LiveRoute::new(&self.shared, &self.req, engine.clone(), route);
         let sending = self.send_watched(&destination, &mut live_route);
         let result = tokio::select! {
             result = sending => result,
--- a/crates/toucanshelf-ingress/src/targets/marks.rs
+++ b/crates/toucanshelf-ingress/src/targets/marks.rs
@@ -20,6 +20,8 @@
     ConnectionFailed,
     /// It sent no report although a stream waits for it.
     NoReport,
+    /// Another target answers at its address, so that it has ended.
+    Replaced,
     /// It refuses requests after an earlier failure.
     Refused,
     /// A stream waits for it as a later engine of its route.
@@ -31,6 +33,7 @@
         f.write_str(match self {
             Self::ConnectionFailed => "connection failed",
             Self::NoReport => "the engine sent no report",
+            Self::Replaced => "another engine answers at its address",
             Self::Refused => "the engine refuses requests",
             Self::Stalled => "the request stalls here",
         })
--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -25,6 +25,7 @@
 use toucanshelf_core::layers::LayerRange;
 use toucanshelf_core::registration::{Readiness, Registration};
 use toucanshelf_core::registry::{Registry, RegistryChange};
+use toucanshelf_link::dialect::EngineInstance;
 use toucanshelf_routing::hops::{CandidateStage, HopCosts, cheapest_route};
 
 pub use limits::LimitChange;
@@ -445,11 +446,15 @@
         Some(hops.collect())
     }
 
-    /// Returns the identity under which a target has registered.
+    /// Returns the incarnation and the address of an engine, for calls that are for it only.
     ///
-    /// Returns `None` if the target has deregistered or was replaced by a new incarnation.
-    pub fn id(&self, key: TargetKey) -> Option<Box<str>> {
-        self.arena.get(key).map(|target| target.record.id.clone())
+    /// Returns `None` if the engine has deregistered or was replaced by a new incarnation.
+    pub fn instance(&self, key: TargetKey) -> Option<EngineInstance> {
+        self.arena.get(key).map(|target| EngineInstance {
+            id: target.record.id.clone(),
+            incarnation: target.record.incarnation,
+            address: target.record.address,
+        })
     }
 
     /// Returns the identifier of a crash of a target's present incarnation.
--- a/crates/toucanshelf-link/src/dialect.rs
+++ b/crates/toucanshelf-link/src/dialect.rs
@@ -114,6 +114,8 @@
     pub layers: Option<LayerRange>,
     /// Requests at this engine that wait for a later engine on their route.
     pub stalled: Vec<StalledRequest>,
+    /// Incarnation of the engine that reports; `None` if the report doesn't state it.
+    pub incarnation: Option<Incarnation>,
 }
 
 /// A request that waits for a later engine on its route.
@@ -132,10 +134,27 @@
     pub method: Method,
     /// Path of the request.
     pub path: &'static str,
+    /// Headers of the request, which name the engine that it is for.
+    ///
+    /// Any other engine answers status 421 and does nothing.
+    pub headers: HeaderMap,
     /// JSON body of the request; empty if the request has no body.
     pub body: Vec<u8>,
 }
 
+/// One incarnation of an engine, and the address where it was last known to be.
+///
+/// After the engine has ended, another one may listen at the address.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineInstance {
+    /// Identity under which the engine has registered.
+    pub id: Box<str>,
+    /// Run of the engine that is meant.
+    pub incarnation: Incarnation,
+    /// Address that the engine has registered.
+    pub address: SocketAddr,
+}
+
 /// Error for a platform's message that a [`Dialect`] could not decode.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("reading {what}: {cause}")]
@@ -193,8 +212,8 @@
     /// Returns the name of the response header that repeats the caller's request identifier.
     fn request_id_header(&self) -> http::HeaderName;
 
-    /// Encodes the request that asks an engine for its state.
-    fn report_call(&self) -> EngineCall;
+    /// Encodes the request that asks the engine `target` for its state.
+    fn report_call(&self, target: &str) -> EngineCall;
 
     /// Decodes the response to [`Dialect::report_call`].
     ///
@@ -205,17 +224,23 @@
 
     /// Encodes the call that moves a running request to another route of engines.
     ///
-    /// `hops` is the new route, and the call is sent to its first engine.
-    fn reroute_call(&self, request_id: &str, hops: &[(SocketAddr, LayerRange)]) -> EngineCall;
+    /// `hops` is the new route, and the call is sent to its first engine, `target`.
+    fn reroute_call(
+        &self,
+        target: &str,
+        request_id: &str,
+        hops: &[(SocketAddr, LayerRange)],
+    ) -> EngineCall;
 
     /// Returns the engine that a refusing response names as the cause, if any.
     ///
     /// `body` is the body of that response.
     fn refusing_engine(&self, body: &[u8]) -> Option<SocketAddr>;
 
-    /// Encodes the order that tells an engine to hold `layers`.
+    /// Encodes the order that tells the engine `target` to hold `layers`.
     ///
     /// If `orders_begun` is given, the engine executes the order only if that is the number of
     /// orders that it has started so far.
-    fn place_call(&self, layers: LayerRange, orders_begun: Option<u64>) -> EngineCall;
+    fn place_call(&self, target: &str, layers: LayerRange, orders_begun: Option<u64>)
+    -> EngineCall;
 }
--- a/crates/toucanshelf-link/src/exchange.rs
+++ b/crates/toucanshelf-link/src/exchange.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use http::header::{CONTENT_TYPE, HOST};
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
@@ -35,6 +35,12 @@
         /// Description of the network or HTTP error that caused the failure.
         cause: Box<str>,
     },
+    /// Another target answers at the address, with status 421; the called one has ended.
+    #[error("another target answers at {address}")]
+    Misdirected {
+        /// Address of the target that the request was for.
+        address: SocketAddr,
+    },
     /// The target's complete response did not arrive within the time limit.
     #[error("the request to {address} timed out after {time_limit:?}")]
     Timeout {
@@ -49,8 +55,8 @@
 ///
 /// # Errors
 ///
-/// Fails when the target cannot be reached, the connection fails, the response body is too large
-/// or the request takes longer than `time_limit`.
+/// Fails when the target cannot be reached, the connection fails, the response body is too large,
+/// the request takes longer than `time_limit` or another target answers at the address.
 pub async fn exchange(
     address: SocketAddr,
     call: EngineCall,
@@ -85,6 +91,7 @@
         .map_err(|e| broken(e.to_string()))?;
     let driver = tokio::spawn(connection);
     let mut request = Request::new(Full::new(Bytes::from(call.body)));
+    *request.headers_mut() = call.headers;
     *request.method_mut() = call.method;
     *request.uri_mut() = http::Uri::from_static(call.path);
     let host = address.to_string();
@@ -97,5 +104,8 @@
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
     let body = body.map_err(|e| broken(e.to_string()))?.to_bytes();
     driver.abort();
+    if parts.status == StatusCode::MISDIRECTED_REQUEST {
+        return Err(ExchangeError::Misdirected { address });
+    }
     Ok(Response::from_parts(parts, body))
 }
--- a/crates/toucanshelf-link/src/lib.rs
+++ b/crates/toucanshelf-link/src/lib.rs
@@ -19,6 +19,7 @@
 mod activity;
 pub mod dialect;
 pub mod engine;
+pub mod engine_report;
 pub mod exchange;
 pub mod frame;
 pub mod handshake;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -35,6 +35,7 @@
 mod raw_target;
 mod registry;
 mod relay;
+mod reused_address;
 mod routes;
 mod runs;
 mod silent_engines;
--- a/tests/testsuite/orders.rs
+++ b/tests/testsuite/orders.rs
@@ -89,6 +89,28 @@
     assert!(current.last.is_none());
 }
 
+/// Guards against orders to an address where another engine listens, and against its layers.
+#[test]
+fn ended_engine_gets_no_orders() {
+    let mut orders = Orders::new();
+    let engine = entry(1, None);
+    send(&mut orders, &engine, range(0, 4), 0);
+    orders.update_state("e", Incarnation(1), range(0, 4), OrderState::Misdirected);
+    let current = orders.engine(&engine, 0);
+    current.record_held_layers(Some(range(0, 4)));
+    assert!(
+        current.has_ended(),
+        "a late heartbeat doesn't bring the engine back"
+    );
+    assert_eq!(current.orders_begun, None);
+    for now in [0, 400, 1_500, 4_000, 3_600_000] {
+        assert!(!current.can_send(now, LOAD_TIME_MS), "at {now} ms");
+    }
+    let restarted = orders.engine(&entry(2, None), 0);
+    assert!(!restarted.has_ended());
+    assert!(restarted.can_send(0, LOAD_TIME_MS));
+}
+
 #[test]
 fn known_before_leading() {
     let mut orders = Orders::new();
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -6,7 +6,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::ops::Range;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
@@ -228,12 +228,28 @@
     stalled: Arc<Mutex<Option<SocketAddr>>>,
     /// Whether the target fails calls for its report.
     hides_reports: Arc<AtomicBool>,
+    api: Arc<EngineApi>,
     /// Set to stop the target; dropping the sender stops it as well.
     stop: Arc<watch::Sender<bool>>,
     /// Headers that the target adds to every answer.
     headers: Arc<Mutex<HeaderMap>>,
 }
 
+/// State of a target's own API, which takes orders and reports the state of an engine.
+#[derive(Default)]
+struct EngineApi {
+    /// Identity of the engine, which refuses calls for any other one.
+    ///
+    /// Without it, the target takes all calls and rejects every order.
+    id: Mutex<Option<&'static str>>,
+    /// Start time that the reports state.
+    born: Mutex<Option<u64>>,
+    /// Bodies of the orders that the engine has begun.
+    orders_begun: Mutex<Vec<Bytes>>,
+    /// Number of calls that were for another engine.
+    misdirected: AtomicUsize,
+}
+
 /// Body of a target's response.
 type TargetBody = BoxBody<Bytes, std::io::Error>;
 
@@ -261,8 +277,10 @@
         let stop = Arc::new(stop);
         let headers = Arc::default();
         let hides_reports = Arc::default();
+        let api = Arc::default();
         let behaviour = Arc::new(Behaviour {
             hides_reports: Arc::clone(&hides_reports),
+            api: Arc::clone(&api),
             headers: Arc::clone(&headers),
             script: Arc::clone(&script),
             crashes: Box::new(crashes),
@@ -288,6 +306,7 @@
             script,
             stalled,
             hides_reports,
+            api,
             stop,
             headers,
         }
@@ -298,6 +317,26 @@
         self.hides_reports.store(true, Ordering::Relaxed);
     }
 
+    /// Makes the target take orders, and refuse calls of its API that are for another engine.
+    pub fn identify_as(&self, id: &'static str) {
+        *self.api.id.lock().unwrap() = Some(id);
+    }
+
+    /// Makes the target's reports state its start time.
+    pub fn report_born(&self, born: u64) {
+        *self.api.born.lock().unwrap() = Some(born);
+    }
+
+    /// Returns the number of orders that the target has begun.
+    pub fn orders_begun(&self) -> usize {
+        self.api.orders_begun.lock().unwrap().len()
+    }
+
+    /// Returns the number of calls of the target's API that were for another engine.
+    pub fn misdirected_calls(&self) -> usize {
+        self.api.misdirected.load(Ordering::Relaxed)
+    }
+
     /// Makes the target name a limit in its answers, in requests a second, or none.
     pub fn name_limit(&self, rate: Option<&'static str>) {
         self.add_header("server-limit", rate);
@@ -338,6 +377,7 @@
 struct Behaviour {
     /// Whether the target fails calls for its report.
     hides_reports: Arc<AtomicBool>,
+    api: Arc<EngineApi>,
     script: Arc<Mutex<VecDeque<TargetAction>>>,
     /// Whether a request crashes the target.
     crashes: Box<dyn Fn(&ReceivedRequest) -> bool + Send + Sync>,
@@ -356,12 +396,21 @@
 ) -> Response<TargetBody> {
     let (parts, body) = req.into_parts();
     let body = body.collect().await.unwrap().to_bytes();
-    // The target rejects every order, and its reports hold only stalled requests.
     if parts.uri.path().starts_with("/api/") {
-        let status = if parts.method == Method::POST {
-            404
-        } else {
-            200
+        let api = &behaviour.api;
+        let id = *api.id.lock().unwrap();
+        let expected = parts.headers.get("x-toucanshelf-expect-instance");
+        if id.is_some() && expected.is_some_and(|expected| expected != id.unwrap()) {
+            api.misdirected.fetch_add(1, Ordering::Relaxed);
+            return respond(421, &HeaderMap::new(), static_body(""));
+        }
+        let status = match (parts.method, id) {
+            (Method::POST, None) => 404,
+            (Method::POST, Some(_)) => {
+                api.orders_begun.lock().unwrap().push(body);
+                202
+            }
+            _ => 200,
         };
         if behaviour.hides_reports.load(Ordering::Relaxed) {
             return respond(503, &HeaderMap::new(), static_body(""));
@@ -370,7 +419,8 @@
         let stalled: Vec<_> = stalled
             .map(|address| serde_json::json!({ "id": "r1", "address": address }))
             .collect();
-        let report = serde_json::json!({ "stalled": stalled }).to_string();
+        let born = *api.born.lock().unwrap();
+        let report = serde_json::json!({ "stalled": stalled, "born": born }).to_string();
         return respond(status, &HeaderMap::new(), bytes_body(report.into()));
     }
     let id = parts.headers.get("x-toucanshelf-request-id").cloned();
