Keep findings about content while processes restart in turn

A control instance that started got from each ingress only the findings that this one had made; once their maker had restarted, nobody had them for a control instance, and an ingress takes all findings from one control instance.

Change: control instances send each other all findings on a new link, and forward new ones with those for the ingresses. `Standing` announces that they are accepted, so that older programs get none. A control instance that starts also asks one ingress for all findings, by a flag in its first list of members.

`findings_restarts::all_orders_of_restarts` (24 orders of two control instances and two ingresses) and `only_control_instance_restarts` (6 orders) failed on the code before, for instance with "Control(0) lacks findings after [Ingress(0), Control(0)]", and pass in 6 s. Bytes between zones were not measured.

Conclusion: callers saw engines lost again to requests that were known. Now each process that starts finds one that has all findings, in any order of restarts, one at a time.

--- a/crates/toucanshelf-control/src/directory/ingresses.rs
+++ b/crates/toucanshelf-control/src/directory/ingresses.rs
@@ -27,9 +27,6 @@
 /// Interval between announcements of the deployment version, control instances and zones.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Interval at which new findings are forwarded to the ingresses.
-// Each finding goes to all ingresses, and targets that reset connections cause hundreds a second.
-const FINDINGS_INTERVAL: Duration = Duration::from_millis(200);
 /// Number of announcements after which unchanged numbers of ingresses are announced again.
 // A full queue may have dropped the last change.
 const COUNTS_INTERVAL_TICKS: u32 = 5;
@@ -67,6 +64,8 @@
 struct Sessions {
     open: BTreeMap<u32, Session>,
     next_id: u32,
+    /// Link whose ingress was asked for all findings that it knows.
+    findings_asked: Option<u32>,
     last_push: u64,
 }
 
@@ -76,7 +75,9 @@
     sessions: Mutex<Sessions>,
     changed: Notify,
     /// Findings that have not been forwarded yet, with the id of the link that they came from.
-    queued_findings: Mutex<Vec<(u32, Finding)>>,
+    ///
+    /// It is `None` for those of other control instances.
+    queued_findings: Mutex<Vec<(Option<u32>, Finding)>>,
 }
 
 impl Ingresses {
@@ -245,16 +246,32 @@
         }
     }
 
-    /// Keeps new findings of an ingress until they are forwarded together.
-    fn queue_findings(&self, sender: u32, findings: Vec<Finding>) {
+    /// Returns whether the ingress of a new link is to send all findings that it knows.
+    ///
+    /// One linked ingress is asked at a time, since all of them know the same.
+    fn ask_for_all_findings(&self, id: u32) -> bool {
+        let mut sessions = self.sessions();
+        let asked = sessions.findings_asked;
+        if asked.is_some_and(|asked| sessions.open.contains_key(&asked)) {
+            return false;
+        }
+        sessions.findings_asked = Some(id);
+        true
+    }
+
+    /// Keeps new findings until they are forwarded together.
+    ///
+    /// `sender` is the link of the ingress that sent them, or `None` for another control instance.
+    pub(crate) fn queue_findings(&self, sender: Option<u32>, findings: Vec<Finding>) {
         let mut queued = self.queued_findings.lock().expect("no lock holder panics");
         queued.extend(findings.into_iter().map(|finding| (sender, finding)));
     }
 
     /// Forwards the queued findings to the ingress instances that receive them from here.
     ///
-    /// None goes back to its sender, which knows what has become of its trials since.
-    fn forward_findings(&self) {
+    /// None goes back to its sender, which knows what has become of its trials since. Returns those
+    /// that have come from ingresses.
+    pub(crate) fn forward_findings(&self) -> Vec<Finding> {
         let queued = {
             let mut queued = self.queued_findings.lock().expect("no lock holder panics");
             std::mem::take(&mut *queued)
@@ -263,13 +280,15 @@
             if !session.wants_findings.unwrap_or(session.shares_findings) {
                 continue;
             }
-            let others = queued.iter().filter(|(sender, _)| sender != id);
+            let others = queued.iter().filter(|(sender, _)| *sender != Some(*id));
             let findings: Vec<_> = others.map(|(_, finding)| finding.clone()).collect();
             if !findings.is_empty() {
                 // A full queue drops the findings; the ingress receives all of them on its next link.
                 let _ = session.tx.try_send(Frame::CrashFindings { findings });
             }
         }
+        let from_ingresses = queued.into_iter().filter(|(sender, _)| sender.is_some());
+        from_ingresses.map(|(_, finding)| finding).collect()
     }
 
     fn broadcast(&self, frame: &Frame) {
@@ -316,18 +335,6 @@
     }
 }
 
-/// Forwards the findings of ingresses to the others from time to time.
-pub(crate) async fn forward_findings(shared: Arc<Shared>) {
-    let Some(directory) = &shared.directory else {
-        return;
-    };
-    let mut ticks = tokio::time::interval(FINDINGS_INTERVAL);
-    loop {
-        ticks.tick().await;
-        directory.ingresses.forward_findings();
-    }
-}
-
 /// Latest announcement of the numbers of ingresses.
 #[derive(Debug, Default)]
 struct CountsAnnouncement {
@@ -346,7 +353,7 @@
     let ingresses = &directory.ingresses;
     let lists = |session: &Session| !session.watches_counts;
     if ingresses.sessions().open.values().any(lists) {
-        ingresses.broadcast_to(&members_frame(shared, directory), lists);
+        ingresses.broadcast_to(&members_frame(shared, directory, false), lists);
     }
     last.age_ticks += 1;
     let (links, counts) = (shared.peers.members(), ingresses.counts());
@@ -366,7 +373,7 @@
 }
 
 /// Creates the frame that lists the control instances and the zones of linked ingresses.
-fn members_frame(shared: &Shared, directory: &Directory) -> Frame {
+fn members_frame(shared: &Shared, directory: &Directory, wants_all_findings: bool) -> Frame {
     Frame::Members {
         links: shared.peers.members(),
         ingress_zones: directory.ingresses.zones(),
@@ -375,6 +382,7 @@
         sends_patches: true,
         lists_relays: true,
         accepts_subscriptions: true,
+        wants_all_findings,
     }
 }
 
@@ -385,7 +393,7 @@
     };
     let (id, overflow) = directory.ingresses.open(&link);
     tracing::info!(event = "TS2505", ingress = %link.peer.name, "ingress linked");
-    if send_initial_state(&shared, &link.tx) {
+    if send_initial_state(&shared, id, &link.tx) {
         loop {
             let frame = tokio::select! {
                 frame = link.rx.recv() => frame,
@@ -435,7 +443,7 @@
                 }
                 Frame::CrashFindings { findings } => {
                     let new = directory.apply_findings(findings);
-                    directory.ingresses.queue_findings(id, new);
+                    directory.ingresses.queue_findings(Some(id), new);
                     if directory.ingresses.add_finder(id) && !send_findings(directory, &link.tx) {
                         break;
                     }
@@ -453,7 +461,7 @@
 /// It consists of the registrations of all targets, the link addresses of the control instances,
 /// the zones of the linked ingresses and the version of the deployment. Returns `false` if the
 /// link's outgoing queue is full, or if the settings of this instance enable no platform.
-fn send_initial_state(shared: &Shared, tx: &mpsc::Sender<Frame>) -> bool {
+fn send_initial_state(shared: &Shared, id: u32, tx: &mpsc::Sender<Frame>) -> bool {
     let Some(directory) = &shared.directory else {
         return false;
     };
@@ -466,7 +474,8 @@
     };
     let push = 0;
     let registrations = tx.try_send(Frame::Registrations { push, records });
-    let members = tx.try_send(members_frame(shared, directory));
+    let wants_all_findings = directory.ingresses.ask_for_all_findings(id);
+    let members = tx.try_send(members_frame(shared, directory, wants_all_findings));
     let version = shared.driver.state().deployment_version();
     let head = match version {
         Some(version) => tx.try_send(Frame::DeploymentHead { version }),
--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod calls;
 mod deployments;
+pub(crate) mod findings;
 pub mod ingresses;
 pub mod orders;
 pub mod reconciler;
@@ -158,7 +159,7 @@
     }
 
     /// Returns all findings about content that crashes targets.
-    pub(crate) fn crash_findings(&self) -> Vec<Finding> {
+    pub fn crash_findings(&self) -> Vec<Finding> {
         self.crash_ledgers().findings()
     }
 
@@ -258,7 +259,7 @@
     });
     tokio::spawn(reconciler::run(Arc::clone(shared)));
     tokio::spawn(ingresses::announce(Arc::clone(shared)));
-    tokio::spawn(ingresses::forward_findings(Arc::clone(shared)));
+    tokio::spawn(findings::forward(Arc::clone(shared)));
     tracing::info!(event = "TS2503", %address, "platform API started");
     Ok(Some(address))
 }
--- a/crates/toucanshelf-control/src/peers.rs
+++ b/crates/toucanshelf-control/src/peers.rs
@@ -11,12 +11,14 @@
 
 use tokio::sync::{mpsc, oneshot};
 use toucanshelf_coordination::replica::{Message, ReplicaId};
+use toucanshelf_core::crash::Finding;
 use toucanshelf_core::state::{CommandBody, Reply};
 use toucanshelf_link::frame::{Frame, LogId, SubmitError};
 use toucanshelf_link::handshake::{Hello, SharedKey};
 use toucanshelf_link::link::{self, Link};
 
 use crate::Shared;
+use crate::directory::findings;
 use crate::settings::ControlSettings;
 
 /// Delay before a link that closed or failed to open is opened again.
@@ -35,6 +37,8 @@
     ///
     /// `None` until the peer has reported whether it has one.
     has_empty_disk: Option<bool>,
+    /// Whether the peer accepts findings about content that crashes targets.
+    accepts_findings: bool,
 }
 
 /// Addresses of the other known control instances, and the open links to them.
@@ -111,6 +115,27 @@
         }
     }
 
+    /// Marks the linked instance at `address` as one that accepts findings from now on.
+    ///
+    /// Returns the sender of frames to it, or `None` if the link has closed.
+    pub(crate) fn add_finding_peer(&self, address: SocketAddr) -> Option<mpsc::Sender<Frame>> {
+        let mut links = self.links.lock().expect("no lock holder panics");
+        let peer = links.get_mut(&address)?;
+        peer.accepts_findings = true;
+        Some(peer.tx.clone())
+    }
+
+    /// Sends findings to each linked control instance that accepts them.
+    pub(crate) fn share_findings(&self, findings: &[Finding]) {
+        let links = self.links.lock().expect("no lock holder panics");
+        for peer in links.values().filter(|peer| peer.accepts_findings) {
+            let findings = findings.to_vec();
+            // A full queue drops the findings; the peer receives all of them on its next link, and
+            // these also from the ingresses that are linked to it.
+            let _ = peer.tx.try_send(Frame::CrashFindings { findings });
+        }
+    }
+
     /// Sends a log replication message to the replica that it is addressed to.
     ///
     /// Without an open link to that replica, the message is dropped.
@@ -217,6 +242,7 @@
         replica,
         tx: link.tx.clone(),
         has_empty_disk: None,
+        accepts_findings: false,
     };
     peers
         .links
@@ -230,12 +256,19 @@
                     let _ = reply.send(result);
                 }
             }
-            Frame::Standing { log, reads_patches } => {
+            Frame::Standing {
+                log,
+                reads_patches,
+                accepts_findings,
+            } => {
                 if let Some(replica) = replica.filter(|_| reads_patches) {
                     let mut readers = peers.patch_readers.lock().expect("no lock holder panics");
                     readers.insert(replica);
                 }
                 handle_standing(shared, address, log);
+                if accepts_findings && !findings::send_all(shared, address) {
+                    break;
+                }
             }
             Frame::Members { links, .. } => {
                 for link in links {
@@ -275,7 +308,11 @@
 pub(crate) async fn serve(shared: Arc<Shared>, mut link: Link) {
     let log = shared.driver.log();
     let reads_patches = true;
-    let standing = Frame::Standing { log, reads_patches };
+    let standing = Frame::Standing {
+        log,
+        reads_patches,
+        accepts_findings: true,
+    };
     if link.tx.send(standing).await.is_err() {
         return;
     }
@@ -293,6 +330,7 @@
                     sends_patches: false,
                     lists_relays: false,
                     accepts_subscriptions: false,
+                    wants_all_findings: false,
                 };
                 if link.tx.try_send(frame).is_err() {
                     return;
@@ -303,6 +341,7 @@
                     directory.apply_forwarded(records);
                 }
             }
+            Frame::CrashFindings { findings } => findings::receive_from_peer(&shared, findings),
             Frame::Submit { id, body, .. } => {
                 let (shared, tx) = (Arc::clone(&shared), link.tx.clone());
                 tokio::spawn(async move {
--- a/crates/toucanshelf-core/src/crash.rs
+++ b/crates/toucanshelf-core/src/crash.rs
@@ -50,6 +50,15 @@
     TrialEnded,
 }
 
+impl Outcome {
+    /// Returns whether a finding with this outcome tells of a trial that is under way.
+    ///
+    /// It is of no use to a process that receives it late.
+    pub fn is_passing(&self) -> bool {
+        matches!(self, Self::TrialStarted | Self::TrialEnded)
+    }
+}
+
 /// A finding about one content of the requests to a service.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Finding {
--- a/crates/toucanshelf-ingress/src/control.rs
+++ b/crates/toucanshelf-ingress/src/control.rs
@@ -344,6 +344,7 @@
             sends_patches,
             lists_relays,
             accepts_subscriptions,
+            wants_all_findings,
         } => {
             let own = ingress_zones.iter();
             let own = own.filter(|zone| **zone == shared.settings.zone).count();
@@ -368,7 +369,7 @@
             connect_new(shared, key, links);
             !accepts_findings
                 || !shared.control.add_finding_link(address)
-                || send_findings(shared, address, tx)
+                || send_findings(shared, address, wants_all_findings, tx)
         }
         Frame::MemberCounts { links, ingresses } => {
             let own = ingresses.get(&shared.settings.zone).copied();
@@ -420,8 +421,16 @@
 }
 
 /// Sends findings on a new link; returns `false` if its queue is full.
-fn send_findings(shared: &Shared, address: SocketAddr, tx: &mpsc::Sender<Frame>) -> bool {
+///
+/// `all_wanted` tells whether the control instance has asked for those of other ingresses as well.
+fn send_findings(
+    shared: &Shared,
+    address: SocketAddr,
+    all_wanted: bool,
+    tx: &mpsc::Sender<Frame>,
+) -> bool {
     let own = shared.control.own_findings_for(address);
+    let own = own.filter(|_| !all_wanted);
     let findings = own.unwrap_or_else(|| shared.content.findings());
     tx.try_send(Frame::CrashFindings { findings }).is_ok()
 }
--- a/crates/toucanshelf-link/src/frame.rs
+++ b/crates/toucanshelf-link/src/frame.rs
@@ -132,6 +132,11 @@
         /// Whether the sender can read [`CommandBody::DeployPatch`], which older programs can't.
         #[serde(default)]
         reads_patches: bool,
+        /// Whether the sender accepts [`Frame::CrashFindings`] of other control instances.
+        ///
+        /// Older programs ignore them.
+        #[serde(default)]
+        accepts_findings: bool,
     },
     /// Control to control: announces the address at which the sender accepts links.
     Introduce {
@@ -165,6 +170,11 @@
         /// Older programs don't know them.
         #[serde(default)]
         accepts_subscriptions: bool,
+        /// Whether the sender asks for all findings that the receiver knows.
+        ///
+        /// Otherwise the receiver sends those that it has made itself.
+        #[serde(default)]
+        wants_all_findings: bool,
     },
     /// Ingress to control: asks for [`Frame::MemberCounts`] in place of [`Frame::Members`].
     WatchCounts,
@@ -225,10 +235,12 @@
         /// Number of the push, from the [`Frame::Registrations`] message.
         push: u64,
     },
-    /// Ingress to control, or control to ingress: shares findings about content of requests.
+    /// Ingress or control to control, or control to ingress: shares findings about content of requests.
     ///
-    /// An ingress sends its own findings when it opens a link. Control replies with all findings
-    /// that it knows, and then forwards those of the other ingresses.
+    /// An ingress sends its own findings when it opens a link, or all that it knows if control asks
+    /// for them. Control replies with all findings that it knows, and then forwards those of the
+    /// other ingresses. A control instance sends all findings on a link that it opens to another,
+    /// and then forwards those of its ingresses.
     CrashFindings {
         /// Findings that the receiver adds to its own.
         findings: Vec<Finding>,
--- a/tests/testsuite/ingress_links.rs
+++ b/tests/testsuite/ingress_links.rs
@@ -1,6 +1,7 @@
 //! Tests of what a control instance sends to many linked ingresses.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use futures_util::FutureExt as _;
 use http::Request;
@@ -15,23 +16,31 @@
 use toucanshelf_link::link::{Link, connect};
 
 use crate::platform_support::{
-    DeploymentBuilder, LINK_KEY, Platform, Target, call_ingress, send, start_control, start_ingress,
+    DeploymentBuilder, LINK_KEY, Platform, Target, WAIT_TIMEOUT, call_ingress, send, start_control,
+    start_ingress,
 };
 
 /// Opens the link of an ingress and reads the list of members, which comes first.
 async fn open_link(control: &Control, name: &str, zone: &str) -> Link {
+    open_asked_link(control, name, zone).await.0
+}
+
+/// Does the same as [`open_link`], and returns whether the ingress is asked for all findings.
+async fn open_asked_link(control: &Control, name: &str, zone: &str) -> (Link, bool) {
     let key = SharedKey::new(LINK_KEY).unwrap();
     let hello = Hello::for_ingress(name, zone);
     let mut link = connect(control.link_address(), &hello, &key).await.unwrap();
-    let accepts = next(&mut link, |frame| match frame {
+    let members = next(&mut link, |frame| match frame {
         Frame::Members {
             accepts_subscriptions,
+            wants_all_findings,
             ..
-        } => Some(accepts_subscriptions),
+        } => Some((accepts_subscriptions, wants_all_findings)),
         _ => None,
     });
-    assert!(accepts.await, "the instance accepts subscriptions");
-    link
+    let (accepts_subscriptions, is_asked) = members.await;
+    assert!(accepts_subscriptions, "the instance accepts subscriptions");
+    (link, is_asked)
 }
 
 /// Returns the first value that `select` takes from a frame.
@@ -146,6 +155,44 @@
     assert_eq!(findings_until_answer(&mut finder).await, 0);
 }
 
+/// Guards against a control instance that starts and gets all findings from each of many ingresses.
+#[tokio::test]
+async fn one_ingress_sends_all_findings() {
+    let (control, _folder) = start_control().await;
+    let (first, is_asked) = open_asked_link(&control, "i0", "z").await;
+    assert!(is_asked, "the first ingress that links is asked");
+    let mut others = Vec::new();
+    for n in 1..100 {
+        let (link, is_asked) = open_asked_link(&control, &format!("i{n}"), "z").await;
+        assert!(!is_asked, "the instance asks i{n}, too");
+        others.push(link);
+    }
+    drop(first);
+    let directory = control.shared().directory.as_ref().unwrap();
+    let closed = async {
+        while directory.ingresses.zones().len() > others.len() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(WAIT_TIMEOUT, closed).await.unwrap();
+    let (_next, is_asked) = open_asked_link(&control, "i0", "z").await;
+    assert!(is_asked, "no ingress that was asked is linked any more");
+}
+
+/// Guards against findings of trials that reach a control instance late, as copies of another one.
+#[test]
+fn findings_of_trials_pass() {
+    let (finding, _) = crash_finding();
+    assert!(!finding.outcome.is_passing());
+    assert!(
+        !Outcome::Served {
+            despite: Vec::new()
+        }
+        .is_passing()
+    );
+    assert!(Outcome::TrialStarted.is_passing() && Outcome::TrialEnded.is_passing());
+}
+
 /// Guards against a drain that is acknowledged although the ingresses don't know it.
 ///
 /// The target calls again because the first call wasn't answered in time. Until the ingresses have
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -138,13 +138,14 @@
         sends_patches,
         lists_relays,
         accepts_subscriptions,
+        wants_all_findings,
         ..
     } = decoded
     else {
         panic!()
     };
     assert!(!accepts_findings && !issues_permits && !sends_patches && !lists_relays);
-    assert!(!accepts_subscriptions);
+    assert!(!accepts_subscriptions && !wants_all_findings);
 }
 
 /// Guards against a log that a control instance of a build without patches can't read.
@@ -154,10 +155,15 @@
     let mut buf = Vec::new();
     ciborium::into_writer(&frame, &mut buf).unwrap();
     let decoded: Frame = ciborium::from_reader(&*buf).unwrap();
-    let Frame::Standing { log, reads_patches } = decoded else {
+    let Frame::Standing {
+        log,
+        reads_patches,
+        accepts_findings,
+    } = decoded
+    else {
         panic!()
     };
-    assert!(log == Some(7) && !reads_patches);
+    assert!(log == Some(7) && !reads_patches && !accepts_findings);
 }
 
 /// Guards against a conflict verdict that cannot be decoded from CBOR.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod docs;
 mod endless;
 mod events;
+mod findings_restarts;
 mod full_disk;
 mod heavy_load;
 mod hops;
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -788,12 +788,26 @@
 
 /// Starts a control instance whose replica keeps its state in the store that `opener` opens.
 pub async fn start_control_on(opener: Arc<dyn OpenStore>) -> Control {
+    start_control_at("127.0.0.1:0".parse().unwrap(), &["127.0.0.1"], opener).await
+}
+
+/// Starts one of several control instances, which accepts links at `link_listen`.
+///
+/// The others accept them at the IP addresses `seeds`, on the same port.
+pub async fn start_control_at(
+    link_listen: SocketAddr,
+    seeds: &[&str],
+    opener: Arc<dyn OpenStore>,
+) -> Control {
+    let seeds: Vec<_> = seeds.iter().map(|ip| format!("'{ip}:0'")).collect();
     let settings = format!(
-        "name = '127.0.0.1'\nzone = 'z'\nlisten = '127.0.0.1:0'\nlink-listen = '127.0.0.1:0'\n\
+        "name = '{}'\nzone = 'z'\nlisten = '127.0.0.1:0'\nlink-listen = '{link_listen}'\n\
              link-key = '{LINK_KEY}'\ndata-folder = 'unused'\n\
              operator-token-digests = ['{OPERATOR_TOKEN_DIGEST}']\n\
-             [deployment]\nlisten = '127.0.0.1:0'\nseeds = ['127.0.0.1:0']\nbootstrap = true\n\
+             [deployment]\nlisten = '127.0.0.1:0'\nseeds = [{}]\nbootstrap = true\n\
              tolerated-losses = 0\n",
+        link_listen.ip(),
+        seeds.join(", ")
     );
     let settings = toucanshelf_runtime::settings::parse("control.toml", &settings).unwrap();
     let dialect = Arc::new(PlatformDialect);
