--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -10,6 +10,7 @@
 
 pub mod calls;
 mod deployments;
+pub(crate) mod findings;
 pub mod ingress_addresses;
 mod ingress_calls;
 pub mod ingresses;
@@ -184,7 +185,7 @@
     }
 
     /// Returns all findings about content that crashes targets.
-    pub(crate) fn crash_findings(&self) -> Vec<Finding> {
+    pub fn crash_findings(&self) -> Vec<Finding> {
         self.crash_ledgers().findings()
     }
 
@@ -284,8 +285,8 @@
     });
     tokio::spawn(reconciler::run(Arc::clone(shared)));
     tokio::spawn(ingresses::announce(Arc::clone(shared)));
-    tokio::spawn(ingresses::forward_findings(Arc::clone(shared)));
     tokio::spawn(ingress_calls::run(Arc::clone(shared)));
+    tokio::spawn(findings::forward(Arc::clone(shared)));
     tracing::info!(event = "TS2503", %address, "platform API started");
     Ok(Some(address))
 }
--- a/crates/toucanshelf-control/src/peers.rs
+++ b/crates/toucanshelf-control/src/peers.rs
@@ -11,12 +11,14 @@
 
 use tokio::sync::{mpsc, oneshot};
 use toucanshelf_coordination::replica::{Message, ReplicaId};
+use toucanshelf_core::crash::Finding;
 use toucanshelf_core::state::{CommandBody, Reply};
 use toucanshelf_link::frame::{Frame, LogId, SubmitError};
 use toucanshelf_link::handshake::{Hello, SharedKey};
 use toucanshelf_link::link::{self, Link};
 
 use crate::Shared;
+use crate::directory::findings;
 use crate::settings::ControlSettings;
 
 /// Delay before a link that closed or failed to open is opened again.
@@ -35,6 +37,8 @@
     ///
     /// `None` until the peer has reported whether it has one.
     has_empty_disk: Option<bool>,
+    /// Whether the peer accepts findings about content that crashes targets.
+    accepts_findings: bool,
 }
 
 /// Addresses of the other known control instances, and the open links to them.
@@ -127,6 +131,27 @@
         }
     }
 
+    /// Marks the linked instance at `address` as one that accepts findings from now on.
+    ///
+    /// Returns the sender of frames to it, or `None` if the link has closed.
+    pub(crate) fn add_finding_peer(&self, address: SocketAddr) -> Option<mpsc::Sender<Frame>> {
+        let mut links = self.links.lock().expect("no lock holder panics");
+        let peer = links.get_mut(&address)?;
+        peer.accepts_findings = true;
+        Some(peer.tx.clone())
+    }
+
+    /// Sends findings to each linked control instance that accepts them.
+    pub(crate) fn share_findings(&self, findings: &[Finding]) {
+        let links = self.links.lock().expect("no lock holder panics");
+        for peer in links.values().filter(|peer| peer.accepts_findings) {
+            let findings = findings.to_vec();
+            // A full queue drops the findings; the peer receives all of them on its next link, and
+            // these also from the ingresses that are linked to it.
+            let _ = peer.tx.try_send(Frame::CrashFindings { findings });
+        }
+    }
+
     /// Sends a log replication message to the replica that it is addressed to.
     ///
     /// Without an open link to that replica, the message is dropped.
@@ -233,6 +258,7 @@
         replica,
         tx: link.tx.clone(),
         has_empty_disk: None,
+        accepts_findings: false,
     };
     peers
         .links
@@ -250,6 +276,7 @@
                 log,
                 reads_patches,
                 calls_ingresses,
+                accepts_findings,
             } => {
                 if calls_ingresses && let Some(directory) = &shared.directory {
                     let last_linked_ms = directory.ingress_addresses().ages(directory.now());
@@ -261,6 +288,9 @@
                     readers.insert(replica);
                 }
                 handle_standing(shared, address, log);
+                if accepts_findings && !findings::send_all(shared, address) {
+                    break;
+                }
             }
             Frame::Members { links, .. } => {
                 for link in links {
@@ -303,6 +333,7 @@
         log,
         reads_patches: true,
         calls_ingresses: true,
+        accepts_findings: true,
     };
     if link.tx.send(standing).await.is_err() {
         return;
@@ -323,6 +354,7 @@
                     accepts_subscriptions: false,
                     calls_ingresses: false,
                     hears_leader: shared.driver.status().current,
+                    wants_all_findings: false,
                 };
                 if link.tx.try_send(frame).is_err() {
                     return;
@@ -338,6 +370,7 @@
                     directory.record_ingress_addresses(last_linked_ms);
                 }
             }
+            Frame::CrashFindings { findings } => findings::receive_from_peer(&shared, findings),
             Frame::Submit { id, body, .. } => {
                 let (shared, tx) = (Arc::clone(&shared), link.tx.clone());
                 tokio::spawn(async move {
--- a/tests/testsuite/control_discovery.rs
+++ b/tests/testsuite/control_discovery.rs
@@ -63,6 +63,7 @@
             accepts_subscriptions: false,
             calls_ingresses: true,
             hears_leader: true,
+            wants_all_findings: false,
         };
         link.tx.send(members).await.unwrap();
         link
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -140,6 +140,7 @@
         accepts_subscriptions,
         calls_ingresses,
         hears_leader,
+        wants_all_findings,
         ..
     } = decoded
     else {
@@ -147,6 +148,7 @@
     };
     assert!(!accepts_findings && !issues_permits && !sends_patches && !lists_relays);
     assert!(!accepts_subscriptions && !calls_ingresses && hears_leader);
+    assert!(!wants_all_findings);
 }
 
 /// Guards against a log that a control instance of a build without patches can't read.
@@ -160,11 +162,12 @@
         log,
         reads_patches,
         calls_ingresses,
+        accepts_findings,
     } = decoded
     else {
         panic!()
     };
-    assert!(log == Some(7) && !reads_patches && !calls_ingresses);
+    assert!(log == Some(7) && !reads_patches && !calls_ingresses && !accepts_findings);
 }
 
 /// Guards against a conflict verdict that cannot be decoded from CBOR.
