Refuse content only if nothing else explains the crashes

Cause: of two prompt parts that were in the same crashes, the ledger blamed the later one, and a trial of a request with both counted as proof against it. Change: a request is refused only if no content that it lacks was in all of the crashes but one at most, and if one of the crashes was in a trial that tried nothing else with crashes of its own. A trial counts against all contents that it tried. Where contents were in the same crashes, the position in the prompt only decides which requests are sent as trials.

--- a/crates/toucanshelf-ingress/src/content_guard.rs
+++ b/crates/toucanshelf-ingress/src/content_guard.rs
@@ -89,7 +89,7 @@
 fn handling(ledgers: &CrashLedgers, finding: &Finding, now: u64) -> Handling {
     let ledger = ledgers.get(&finding.service);
     ledger.map_or(Handling::Normal, |ledger| {
-        ledger.handling(finding.content, now)
+        ledger.handling(&[finding.content], now)
     })
 }
 
@@ -201,28 +201,23 @@
 fn decide(shared: &Arc<Shared>, req: &CallerRequest) -> Decision {
     let now = shared.now();
     let mut attempt = ContentAttempt::new(shared, req);
-    let mut suspects = Vec::new();
-    let mut busy_until = 0;
-    {
+    let contents = contents(req);
+    let tried = {
         let ledgers = shared.content.ledgers();
         let Some(ledger) = ledgers.get(&req.service) else {
             return Decision::Send(attempt);
         };
-        for (content, position) in contents(req) {
-            match ledger.handling(content, now) {
-                Handling::Refused { until } => return Decision::Refuse { until },
-                Handling::Trial { busy_until: until } => {
-                    busy_until = until.max(busy_until);
-                    suspects.push((content, position));
-                }
-                Handling::Normal => {}
+        let contents: Vec<_> = contents.iter().map(|(content, _)| *content).collect();
+        match ledger.handling(&contents, now) {
+            Handling::Normal => return Decision::Send(attempt),
+            Handling::Refused { until } => return Decision::Refuse { until },
+            Handling::Trial { busy_until } if now < busy_until => {
+                return Decision::Wait { busy_until };
             }
+            Handling::Trial { .. } => ledger.tried(&contents),
         }
-    }
-    if now < busy_until {
-        return Decision::Wait { busy_until };
-    }
-    for suspect in suspects {
+    };
+    for suspect in contents.into_iter().filter(|(c, _)| tried.contains(c)) {
         tracing::info!(event = "TS4312", request = req.id(), content = %suspect.0, "trial started");
         attempt.publish(suspect, Outcome::TrialStarted);
         attempt.trial.push(suspect);
@@ -250,13 +245,12 @@
             let now = self.shared.now();
             let ledgers = self.shared.content.ledgers();
             let ledger = ledgers.get(&self.service);
-            let is_refused = ledger.is_some_and(|ledger| {
-                let mut contents = contents(req).into_iter();
-                contents.any(|(content, _)| {
-                    matches!(ledger.handling(content, now), Handling::Refused { .. })
-                })
-            });
-            if is_refused {
+            let contents: Vec<_> = contents(req)
+                .into_iter()
+                .map(|(content, _)| content)
+                .collect();
+            let handling = ledger.map(|ledger| ledger.handling(&contents, now));
+            if matches!(handling, Some(Handling::Refused { .. })) {
                 return;
             }
         }
@@ -302,7 +296,10 @@
             return;
         }
         let trial = std::mem::take(&mut self.trial);
-        let tried = trial.first().map(|(content, _)| *content);
+        let tried: Vec<_> = trial
+            .iter()
+            .map(|(content, _)| content.to_string())
+            .collect();
         let contents = contents(req);
         tracing::info!(
             event = "TS4310",
@@ -311,16 +308,13 @@
             service = %self.service,
             crash = crash.0,
             parts = %req.shared_parts(),
-            tried = tried.map(|content| content.to_string()),
+            tried = tried.join(","),
             "target crashed before the end of its answer"
         );
         for content in contents {
-            let in_trial = tried == Some(content.0);
+            let in_trial = trial.contains(&content);
             self.publish(content, Outcome::Crashed { crash, in_trial });
         }
-        for content in trial.into_iter().skip(1) {
-            self.publish(content, Outcome::TrialEnded);
-        }
     }
 
     /// Adds a finding to those of this ingress and sends it to the control instances.
