Keep a trial's mark when an earlier crash is told again

Cause: found by reading while findings began to travel between control instances. Change: only a crash that wasn't known to have ended a trial ends one. Measured: crash_ledger::late_copy_keeps_trial failed before (free in place of busy until 2010 ms) and passes.

--- a/crates/toucanshelf-routing/src/crash_ledger.rs
+++ b/crates/toucanshelf-routing/src/crash_ledger.rs
@@ -133,13 +133,15 @@
 
     /// Adds a crash and returns whether that changed anything.
     fn add_crash(&mut self, now: u64, crash: CrashId, in_trial: bool) -> bool {
-        if in_trial {
-            self.trial_until_ms = 0;
-        }
-        let changed = match self.crashes.get(&crash) {
+        let known = self.crashes.get(&crash);
+        let changed = match known {
             Some(known_in_trial) => in_trial && !known_in_trial,
             None => self.crashes.len() < MAX_CRASHES,
         };
+        // A copy of a crash that is known to have ended a trial says nothing about the current one.
+        if in_trial && known != Some(&true) {
+            self.trial_until_ms = 0;
+        }
         if changed {
             self.crashes.insert(crash, in_trial);
             self.last_crash_ms = now;
--- a/tests/testsuite/crash_ledger.rs
+++ b/tests/testsuite/crash_ledger.rs
@@ -118,6 +118,21 @@
     assert_eq!(ledger.handling(&[DEADLY], 40), Handling::Normal);
 }
 
+/// Guards against a second trial because the crash of an earlier one is told again meanwhile.
+#[test]
+fn late_copy_keeps_trial() {
+    let mut ledger = CrashLedger::new();
+    crash(&mut ledger, 0, 1, &[DEADLY], None);
+    crash(&mut ledger, 0, 2, &[DEADLY], Some(DEADLY));
+    let busy_until = 10 + MAX_TRIAL_MS;
+    ledger.apply(10, &finding(DEADLY, Outcome::TrialStarted));
+    crash(&mut ledger, 11, 2, &[DEADLY], Some(DEADLY));
+    assert_eq!(
+        ledger.handling(&[DEADLY], 12),
+        Handling::Trial { busy_until }
+    );
+}
+
 #[test]
 fn refused_after_crash_in_trial() {
     let mut ledger = CrashLedger::new();
