Refuse heartbeats and reports with fields missing or of another type

A heartbeat must have each field that every target sends, and the optional ones must have their type; a report must have `busy` and `seq`. Unknown fields are ignored as before. A departure that can't be read gets 400 (TS2519). The sample heartbeats and reports of the tests lacked fields that every target sends and now have them; what they assert is unchanged. Conclusion: An entry of another writer is refused as a whole and changes nothing, so that the target's own heartbeats stay in effect.

--- a/crates/toucanshelf-control/src/directory/calls.rs
+++ b/crates/toucanshelf-control/src/directory/calls.rs
@@ -180,7 +180,13 @@
 }
 
 async fn leave(shared: &Arc<Shared>, directory: &Directory, id: &str, body: &[u8]) -> CallResponse {
-    let incarnation = directory.dialect.leaving_incarnation(body);
+    let incarnation = match directory.dialect.leaving_incarnation(body) {
+        Ok(incarnation) => incarnation,
+        Err(e) => {
+            tracing::warn!(event = "TS2519", target_id = %id, cause = %e, "departure refused");
+            return error_response(StatusCode::BAD_REQUEST, &e.to_string());
+        }
+    };
     let departed = directory
         .registry()
         .mark_gone(id, incarnation, directory.now());
--- a/crates/toucanshelf-link/src/dialect.rs
+++ b/crates/toucanshelf-link/src/dialect.rs
@@ -167,8 +167,12 @@
     /// Fails when a field of the heartbeat is missing or has the wrong type.
     fn registration(&self, id: &str, body: &[u8]) -> Result<Registration, DecodeError>;
 
-    /// Returns the incarnation of a leaving target, if its call states it.
-    fn leaving_incarnation(&self, body: &[u8]) -> Option<Incarnation>;
+    /// Decodes the body of a leaving target's call into its incarnation, if the call states it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body cannot be decoded.
+    fn leaving_incarnation(&self, body: &[u8]) -> Result<Option<Incarnation>, DecodeError>;
 
     /// Returns whether `path` is where the platform probes the readiness of an instance.
     fn is_readiness_probe(&self, path: &str) -> bool;
--- a/tests/testsuite/ingress.rs
+++ b/tests/testsuite/ingress.rs
@@ -534,7 +534,7 @@
     let platform = Platform::start(&document().build(), &targets_by_service).await;
     let drains = serde_json::json!({
         "service": "plain", "address": targets[0].address, "zone": "z", "version": "v1",
-        "slots": 8, "state": "draining", "seq": 2, "born": 1000
+        "slots": 8, "state": "draining", "cold_left_ms": 0, "seq": 2, "born": 1000
     });
     assert_eq!(platform.send_heartbeat("t0", &drains).await, 200);
     // The response to the heartbeat means that every ingress has applied it, so the test does not
@@ -553,8 +553,8 @@
     let broken = serde_json::json!({ "service": "plain", "address": 7, "state": "ready" });
     assert_eq!(platform.send_heartbeat("t0", &broken).await, 400);
     let unknown = serde_json::json!({
-        "service": "plain", "address": target.address, "zone": "z", "state": "odd", "seq": 3,
-        "born": 1000
+        "service": "plain", "address": target.address, "zone": "z", "version": "v1",
+        "slots": 8, "state": "odd", "cold_left_ms": 0, "seq": 3, "born": 1000
     });
     assert_eq!(platform.send_heartbeat("t0", &unknown).await, 400);
     assert_eq!(
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod matcher;
 mod names;
 mod orders;
+mod other_writers;
 mod permits;
 mod placement;
 mod platform_support;
--- /dev/null
+++ b/tests/testsuite/other_writers.rs
@@ -0,0 +1,98 @@
+//! Tests of heartbeats and departures that other writers send in a target's name.
+
+use http::Request;
+use toucanshelf_ingress::Ingress;
+
+use crate::platform_support::{DeploymentBuilder, Platform, Target, call_ingress, send};
+
+/// Start time of the target `t0`, as [`Platform::start`] registers it.
+const BORN: u64 = 1_000;
+/// Sequence number that a target does not reach.
+const FAR_AHEAD: u64 = 1_000_000;
+
+/// A platform with two targets of the same service.
+struct TwoTargets {
+    platform: Platform,
+    targets: [Target; 2],
+}
+
+impl TwoTargets {
+    async fn start() -> Self {
+        let targets = [Target::start([]).await, Target::start([]).await];
+        let document = DeploymentBuilder::new(1)
+            .service("other")
+            .route("read", "a.example", "/read/", "plain")
+            .build();
+        let registered = targets.each_ref().map(|target| ("plain", target));
+        let platform = Platform::start(&document, &registered).await;
+        Self { platform, targets }
+    }
+
+    /// Returns a heartbeat of the first target, in which the object `overrides` replaces fields.
+    fn heartbeat(&self, overrides: &serde_json::Value) -> serde_json::Value {
+        let mut heartbeat = serde_json::json!({
+            "service": "plain", "address": self.targets[0].address, "zone": "z", "version": "v1",
+            "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 2, "born": BORN
+        });
+        let fields = overrides.as_object().unwrap().clone();
+        heartbeat.as_object_mut().unwrap().extend(fields);
+        heartbeat
+    }
+
+    /// Sends a heartbeat in the first target's name and returns the status.
+    async fn beat(&self, overrides: serde_json::Value) -> u16 {
+        let heartbeat = self.heartbeat(&overrides);
+        self.platform.send_heartbeat("t0", &heartbeat).await
+    }
+
+    /// Sends the departure of a target and returns the status.
+    async fn depart(&self, id: &str, body: &str) -> u16 {
+        let request = Request::delete(format!("/api/instances/{id}")).header("host", "control");
+        let request = request.body(body.into()).unwrap();
+        send(self.platform.control_api_address(), request)
+            .await
+            .status
+    }
+
+    /// Sends requests, and returns how many of them the first target has received.
+    async fn received_by_first(&self) -> usize {
+        let received = || self.targets[0].received_requests().len();
+        let before = received();
+        for _ in 0..12 {
+            assert_eq!(read(&self.platform.ingress).await, 200);
+        }
+        received() - before
+    }
+}
+
+async fn read(ingress: &Ingress) -> u16 {
+    let id = ("x-toucanshelf-request-id", "r1");
+    call_ingress(ingress, "GET", "/read/", &[id]).await.status
+}
+
+/// Guards against a drain that is hidden by a heartbeat with fields missing or of another type.
+#[tokio::test]
+async fn drain_after_invalid_heartbeat() {
+    let two = TwoTargets::start().await;
+    let mut invalid = two.heartbeat(&serde_json::json!({
+        "version": 1, "slots": "six", "seq": FAR_AHEAD
+    }));
+    invalid.as_object_mut().unwrap().remove("cold_left_ms");
+    let invalid_status = two.platform.send_heartbeat("t0", &invalid).await;
+    let drain = serde_json::json!({ "state": "draining" });
+    assert_eq!(two.beat(drain).await, 200);
+    assert_eq!(two.received_by_first().await, 0);
+    assert_eq!(invalid_status, 400);
+}
+
+/// Guards against a departure that is taken from a body that can't be read.
+#[tokio::test]
+async fn departure_that_cannot_be_read() {
+    let two = TwoTargets::start().await;
+    for body in [r#"{"born":"x"}"#, r#"{"born":null}"#, "[1000]", "{", "1000"] {
+        assert_eq!(two.depart("t0", body).await, 400, "{body}");
+    }
+    assert_ne!(two.received_by_first().await, 0);
+    assert_eq!(two.depart("t0", "").await, 200);
+    assert_eq!(two.received_by_first().await, 0);
+}
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -370,7 +370,7 @@
         let stalled: Vec<_> = stalled
             .map(|address| serde_json::json!({ "id": "r1", "address": address }))
             .collect();
-        let report = serde_json::json!({ "stalled": stalled }).to_string();
+        let report = serde_json::json!({ "busy": false, "seq": 0, "stalled": stalled }).to_string();
         return respond(status, &HeaderMap::new(), bytes_body(report.into()));
     }
     let id = parts.headers.get("x-toucanshelf-request-id").cloned();
@@ -588,7 +588,7 @@
         for (n, (service, target)) in targets.iter().enumerate() {
             let heartbeat = serde_json::json!({
                 "service": service, "address": target.address, "zone": "z", "version": "v1",
-                "slots": 8, "state": "ready", "seq": 1, "born": 1000 + n
+                "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1000 + n
             });
             assert_eq!(
                 platform.send_heartbeat(&format!("t{n}"), &heartbeat).await,
@@ -630,7 +630,7 @@
     pub async fn register(&self, id: &str, service: &str, address: SocketAddr) {
         let heartbeat = serde_json::json!({
             "service": service, "address": address, "zone": "z", "version": "v1",
-            "slots": 8, "state": "ready", "seq": 1, "born": 1000
+            "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1000
         });
         assert_eq!(self.send_heartbeat(id, &heartbeat).await, 200);
         let shared = self.ingress.shared();
@@ -652,7 +652,7 @@
     ) {
         let heartbeat = serde_json::json!({
             "service": "model", "address": address, "zone": zone, "version": "v1",
-            "slots": 8, "state": "ready", "seq": 1, "born": 1000, "kind": "card",
+            "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1000, "kind": "card",
             "layers": { "from": layers.start, "target": layers.end, "version": 1 }
         });
         assert_eq!(self.send_heartbeat(id, &heartbeat).await, 200);
