Acknowledge a drain only if the registry holds it

Cause: Control answered each decoded heartbeat with 200, also one that the registry discarded as outdated. A heartbeat under the same start with another service or address, which only another writer sends, replaced the target's entry. Change: A discarded heartbeat is acknowledged only if `Registry::holds` it: the entry of the same start is as new, and doesn't say ready where the heartbeat says draining. A heartbeat that names another service, address or zone for a registered start is refused before it reaches the registry. Both get 409 with TS2518. Measured: `other_writers::drain_older_than_known_state`, `drain_of_earlier_start` and `heartbeat_of_other_service` failed before and pass now. `registry::held_drain_is_not_ready` explores all lists of up to three out of 18 heartbeats of two targets at one address; it and `contradiction_within_one_start` call new functions, so they were not run on the old code. Conclusion: A target that drains is told so, or calls another instance. A heartbeat that arrives late or twice is still acknowledged, since the registry holds the same or a newer state.

--- a/crates/toucanshelf-control/src/directory/calls.rs
+++ b/crates/toucanshelf-control/src/directory/calls.rs
@@ -164,9 +164,17 @@
             return error_response(StatusCode::BAD_REQUEST, &e.to_string());
         }
     };
+    if directory.registry().contradicts(&record) {
+        let cause = "another service, address or zone is registered for this start of the target";
+        return refuse_heartbeat(&record, cause);
+    }
     let is_draining = record.readiness == Readiness::Draining;
     match directory.apply_registration(&record) {
-        RegistryChange::Stale => {}
+        RegistryChange::Stale => {
+            if !directory.registry().holds(&record) {
+                return refuse_heartbeat(&record, "a newer registration says otherwise");
+            }
+        }
         RegistryChange::Refreshed => forward_registrations(shared, vec![record]),
         RegistryChange::Changed => {
             publish(shared, directory, record, is_draining).await;
@@ -179,6 +187,24 @@
     empty_response()
 }
 
+/// Answers a heartbeat that changes nothing, although the registry doesn't hold what it says.
+///
+/// An acknowledgement would let a draining target end while requests are sent to it.
+fn refuse_heartbeat(record: &Registration, cause: &'static str) -> CallResponse {
+    tracing::warn!(
+        event = "TS2518",
+        target_id = %record.id,
+        incarnation = record.incarnation.0,
+        sequence = record.sequence,
+        readiness = ?record.readiness,
+        service = %record.service,
+        address = %record.address,
+        cause,
+        "heartbeat refused"
+    );
+    error_response(StatusCode::CONFLICT, cause)
+}
+
 async fn leave(shared: &Arc<Shared>, directory: &Directory, id: &str, body: &[u8]) -> CallResponse {
     let incarnation = match directory.dialect.leaving_incarnation(body) {
         Ok(incarnation) => incarnation,
@@ -193,9 +219,9 @@
     if let Some(record) = departed {
         tracing::info!(event = "TS2514", target_id = %id, incarnation = record.incarnation.0, "target left");
         publish(shared, directory, record, true).await;
-    } else {
-        publish_known(shared, directory, id).await;
+        return empty_response();
     }
+    publish_known(shared, directory, id).await;
     empty_response()
 }
 
--- a/crates/toucanshelf-core/src/registry.rs
+++ b/crates/toucanshelf-core/src/registry.rs
@@ -84,6 +84,35 @@
         }
     }
 
+    /// Returns whether `record` names another service, address or zone than the same start of the
+    /// target does in the registry.
+    ///
+    /// They don't change while a target runs, so such a registration comes from another writer.
+    /// Without a start time, the registration may belong to another start.
+    pub fn contradicts(&self, record: &Registration) -> bool {
+        self.entries.get(&record.id).is_some_and(|entry| {
+            let known = &entry.record;
+            known.incarnation == record.incarnation
+                && known.incarnation != Incarnation(0)
+                && (&known.service, known.address, &known.zone)
+                    != (&record.service, record.address, &record.zone)
+        })
+    }
+
+    /// Returns whether the registry holds what `record` says, or a later state of the same start.
+    ///
+    /// A target that drains or has left doesn't become ready again, so a drain is held only by an entry
+    /// that isn't ready.
+    pub fn holds(&self, record: &Registration) -> bool {
+        self.entries.get(&record.id).is_some_and(|entry| {
+            let known = &entry.record;
+            let is_held = known.readiness == Readiness::Gone || known.sequence >= record.sequence;
+            known.incarnation == record.incarnation
+                && is_held
+                && (record.readiness == Readiness::Ready || known.readiness != Readiness::Ready)
+        })
+    }
+
     /// Marks a target as gone at `now`, in milliseconds.
     ///
     /// Returns the changed registration. The call has no effect and returns `None` if the target is
--- a/tests/testsuite/other_writers.rs
+++ b/tests/testsuite/other_writers.rs
@@ -85,6 +85,48 @@
     assert_eq!(invalid_status, 400);
 }
 
+/// Guards against a drain that is acknowledged although it was discarded as outdated.
+#[tokio::test]
+async fn drain_older_than_known_state() {
+    let two = TwoTargets::start().await;
+    assert_eq!(two.beat(serde_json::json!({ "seq": FAR_AHEAD })).await, 200);
+    let drain = serde_json::json!({ "state": "draining" });
+    assert_eq!(two.beat(drain).await, 409);
+    let drain = serde_json::json!({ "state": "draining", "seq": FAR_AHEAD + 1 });
+    assert_eq!(two.beat(drain).await, 200);
+    assert_eq!(two.received_by_first().await, 0);
+    let late_drain = serde_json::json!({ "state": "draining" });
+    assert_eq!(two.beat(late_drain).await, 200, "it drains already");
+    let late = serde_json::json!({});
+    assert_eq!(two.beat(late).await, 200, "a newer state is known");
+}
+
+/// Guards against a drain that is acknowledged although it belongs to an earlier start.
+#[tokio::test]
+async fn drain_of_earlier_start() {
+    let two = TwoTargets::start().await;
+    let drain = serde_json::json!({ "state": "draining", "born": BORN - 1 });
+    assert_eq!(two.beat(drain).await, 409);
+}
+
+/// Guards against a target that is lost, with its drain, because another writer names its service.
+#[tokio::test]
+async fn heartbeat_of_other_service() {
+    let two = TwoTargets::start().await;
+    for overrides in [
+        serde_json::json!({ "service": "other", "seq": FAR_AHEAD }),
+        serde_json::json!({ "service": "unnamed", "seq": FAR_AHEAD }),
+        serde_json::json!({ "address": "127.0.0.1:1", "seq": FAR_AHEAD }),
+        serde_json::json!({ "zone": "y", "seq": FAR_AHEAD }),
+    ] {
+        let status = two.beat(overrides.clone()).await;
+        assert_eq!(status, 409, "{overrides}");
+    }
+    let drain = serde_json::json!({ "state": "draining" });
+    assert_eq!(two.beat(drain).await, 200);
+    assert_eq!(two.received_by_first().await, 0);
+}
+
 /// Guards against a departure that is taken from a body that can't be read.
 #[tokio::test]
 async fn departure_that_cannot_be_read() {
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -96,3 +96,90 @@
     draining.readiness = Readiness::Draining;
     assert_eq!(registry.apply(draining, 0), RegistryChange::Changed);
 }
+
+/// Returns all lists of up to `length` of the `choices`.
+fn lists<T: Clone>(choices: &[T], length: usize) -> Vec<Vec<T>> {
+    let mut all = vec![Vec::new()];
+    let mut last = all.clone();
+    for _ in 0..length {
+        last = last
+            .iter()
+            .flat_map(|list| {
+                choices.iter().map(|choice| {
+                    let mut longer = list.clone();
+                    longer.push(choice.clone());
+                    longer
+                })
+            })
+            .collect();
+        all.extend(last.iter().cloned());
+    }
+    all
+}
+
+/// Guards against a drain that is acknowledged while the target is still used.
+///
+/// Explores all orders of three heartbeats of two targets at the same address.
+#[test]
+fn held_drain_is_not_ready() {
+    let mut records = Vec::new();
+    for (id, incarnation, sequence) in [
+        ("a", 1, 1),
+        ("a", 1, 2),
+        ("a", 1, 3),
+        ("a", 2, 1),
+        ("b", 2, 1),
+        ("b", 3, 1),
+    ] {
+        for readiness in [Readiness::Ready, Readiness::Draining, Readiness::Gone] {
+            records.push(Registration {
+                readiness,
+                ..registration(id, incarnation, sequence)
+            });
+        }
+    }
+    for list in lists(&records, 3) {
+        let mut registry = Registry::new();
+        for record in &list {
+            let change = registry.apply(record.clone(), 0);
+            let holds = registry.holds(record);
+            assert!(holds || change == RegistryChange::Stale, "{list:?}");
+            let is_used = registry.entries().any(|entry| {
+                entry.record.id == record.id
+                    && entry.record.incarnation == record.incarnation
+                    && entry.record.readiness == Readiness::Ready
+            });
+            if holds && record.readiness != Readiness::Ready {
+                assert!(!is_used, "{list:?}");
+            }
+            // A heartbeat that is sent again, because its answer was lost, must be taken again.
+            let again = registry.apply(record.clone(), 0);
+            assert_eq!(again, RegistryChange::Stale);
+            assert_eq!(registry.holds(record), holds, "{list:?}");
+        }
+    }
+}
+
+/// Guards against a target that is lost because its own heartbeats are taken for another writer's.
+#[test]
+fn contradiction_within_one_start() {
+    let mut registry = Registry::new();
+    let known = registration("a", 1, 5);
+    assert!(!registry.contradicts(&known));
+    registry.apply(known.clone(), 0);
+    let moved = |incarnation| Registration {
+        address: "10.0.0.2:80".parse().unwrap(),
+        ..registration("a", incarnation, 6)
+    };
+    assert!(registry.contradicts(&moved(1)));
+    assert!(!registry.contradicts(&moved(2)), "the target has restarted");
+    let draining = Registration {
+        readiness: Readiness::Draining,
+        accelerator: Some("card".into()),
+        ..known
+    };
+    assert!(!registry.contradicts(&draining));
+    let mut registry = Registry::new();
+    registry.apply(registration("a", 0, 5), 0);
+    assert!(!registry.contradicts(&moved(0)), "the start is unknown");
+}
