Refuse the departure of a target that isn't registered

Cause: A control instance that has just started knows no targets. It acknowledged the departure of one and forgot it, so that the target was used on where other instances had it registered. The departure of a start later than the registered one marked the registered start as gone, and a late heartbeat of the later start registered the target again. Change: The departure of an unknown target gets 503 with TS2519, so that the target calls the next instance. A departure of a later start is entered under that start. Conclusion: An acknowledged departure is always in the registry of the instance that acknowledged it.

--- a/crates/toucanshelf-control/src/directory/calls.rs
+++ b/crates/toucanshelf-control/src/directory/calls.rs
@@ -221,6 +221,12 @@
         publish(shared, directory, record, true).await;
         return empty_response();
     }
+    if directory.registry().get(id).is_none() {
+        // Other instances may know the target, and it calls them next.
+        let cause = "the target isn't registered here";
+        tracing::warn!(event = "TS2519", target_id = %id, cause, "departure refused");
+        return error_response(StatusCode::SERVICE_UNAVAILABLE, cause);
+    }
     publish_known(shared, directory, id).await;
     empty_response()
 }
--- a/crates/toucanshelf-core/src/registry.rs
+++ b/crates/toucanshelf-core/src/registry.rs
@@ -116,7 +116,8 @@
     /// Marks a target as gone at `now`, in milliseconds.
     ///
     /// Returns the changed registration. The call has no effect and returns `None` if the target is
-    /// unknown or already gone, or if its registered incarnation is newer than `incarnation`.
+    /// unknown or already gone, or if its registered incarnation is newer than `incarnation`. If
+    /// `incarnation` is newer, its heartbeats that arrive late are outdated from now on.
     pub fn mark_gone(
         &mut self,
         id: &str,
@@ -125,9 +126,12 @@
     ) -> Option<Registration> {
         let entry = self.entries.get_mut(id)?;
         let known = entry.record.incarnation;
-        if entry.record.readiness == Readiness::Gone || incarnation.is_some_and(|i| i < known) {
+        let incarnation = incarnation.unwrap_or(known);
+        let is_gone = entry.record.readiness == Readiness::Gone;
+        if incarnation < known || (is_gone && incarnation == known) {
             return None;
         }
+        entry.record.incarnation = incarnation;
         entry.record.readiness = Readiness::Gone;
         entry.last_seen_ms = now;
         Some(entry.record.clone())
--- a/tests/testsuite/other_writers.rs
+++ b/tests/testsuite/other_writers.rs
@@ -138,3 +138,33 @@
     assert_eq!(two.depart("t0", "").await, 200);
     assert_eq!(two.received_by_first().await, 0);
 }
+
+/// Guards against a departure that is acknowledged and forgotten by an instance that has restarted.
+///
+/// The target is registered at other instances, and a heartbeat of it may still arrive.
+#[tokio::test]
+async fn departure_of_unknown_target() {
+    let two = TwoTargets::start().await;
+    assert_eq!(two.depart("unknown", "").await, 503);
+    assert_eq!(two.depart("unknown", r#"{"born":1000}"#).await, 503);
+    assert_eq!(two.depart("t0", r#"{"born":1000}"#).await, 200);
+    assert_eq!(
+        two.depart("t0", r#"{"born":1000}"#).await,
+        200,
+        "sent again"
+    );
+}
+
+/// Guards against a target that is used again after the departure of a start that was unknown.
+#[tokio::test]
+async fn departure_of_unknown_start() {
+    let two = TwoTargets::start().await;
+    assert_eq!(two.depart("t0", r#"{"born":2000}"#).await, 200);
+    let late = serde_json::json!({ "born": 2_000, "seq": 1 });
+    assert_eq!(two.beat(late).await, 200, "the departure is known");
+    assert_eq!(two.received_by_first().await, 0);
+    assert_eq!(two.depart("t0", r#"{"born":3000}"#).await, 200);
+    let late = serde_json::json!({ "born": 3_000, "seq": 1 });
+    assert_eq!(two.beat(late).await, 200);
+    assert_eq!(two.received_by_first().await, 0);
+}
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -183,3 +183,24 @@
     registry.apply(registration("a", 0, 5), 0);
     assert!(!registry.contradicts(&moved(0)), "the start is unknown");
 }
+
+/// Guards against a target that is used again after the departure of its latest start.
+#[test]
+fn departure_of_later_start() {
+    let mut registry = Registry::new();
+    registry.apply(registration("a", 1, 5), 0);
+    let record = registry.mark_gone("a", Some(Incarnation(2)), 0).unwrap();
+    assert_eq!(record.incarnation, Incarnation(2));
+    assert!(registry.mark_gone("a", Some(Incarnation(2)), 0).is_none());
+    assert!(registry.mark_gone("a", Some(Incarnation(1)), 0).is_none());
+    assert!(registry.mark_gone("a", None, 0).is_none());
+    assert_eq!(
+        registry.apply(registration("a", 2, 1), 0),
+        RegistryChange::Stale
+    );
+    assert!(registry.mark_gone("a", Some(Incarnation(3)), 0).is_some());
+    assert_eq!(
+        registry.apply(registration("a", 4, 1), 0),
+        RegistryChange::Changed
+    );
+}
