Forward absolute-form request lines without a path

Cause: In the request line `GET http://host?x=1` the path is empty. The ingress built the target's URI from `?x=1`, which can't be parsed, so that the handler panicked and the caller's connection closed without an answer. Change: An empty path is sent as `/`, which it stands for. Measured: `ingress::absolute_form_without_path` failed before, with the panic at request.rs, and passes now. Conclusion: The route for `/` handles the request, and the target gets `/?x=1`.

--- a/crates/toucanshelf-ingress/src/request.rs
+++ b/crates/toucanshelf-ingress/src/request.rs
@@ -4,6 +4,7 @@
 //! targets of a service are its back ends. On a service with a model, a request runs on a sequence
 //! of targets, each of which runs some of the model's layers.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -73,8 +74,7 @@
     pub fn to_request(&self) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
         *request.method_mut() = self.method.clone();
-        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
-        *request.uri_mut() = Uri::try_from(path).expect("the path was parsed as part of a URI");
+        *request.uri_mut() = origin_form(&self.uri);
         *request.version_mut() = Version::HTTP_11;
         *request.headers_mut() = self.headers.clone();
         request
@@ -129,6 +129,18 @@
     }
 }
 
+/// Returns the path and query of a request line, as they are sent to a target.
+///
+/// In a request line such as `GET http://host?query`, the path is empty, which stands for `/`.
+fn origin_form(uri: &Uri) -> Uri {
+    let path = uri.path_and_query().map_or("", |path| path.as_str());
+    let path: Cow<'_, str> = match path.chars().next() {
+        None | Some('?') => format!("/{path}").into(),
+        Some(_) => path.into(),
+    };
+    Uri::try_from(&*path).expect("the path was parsed as part of a URI")
+}
+
 /// Guard that counts a request towards its targets' load until dropped.
 #[derive(Debug)]
 pub struct InFlight {
--- a/tests/testsuite/ingress.rs
+++ b/tests/testsuite/ingress.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use http::Request;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpStream;
 
 use crate::platform_support::{DeploymentBuilder, Platform, Target, TargetAction, send};
 
@@ -594,3 +596,31 @@
     assert_eq!(response.body, events.concat());
     assert_eq!(other.received_requests().len(), 0);
 }
+
+/// Guards against a request line that ends the connection of its caller without an answer.
+#[tokio::test]
+async fn absolute_form_without_path() {
+    let target = Target::start([]).await;
+    let document = DeploymentBuilder::new(1)
+        .route("root", "a.example", "/", "plain")
+        .build();
+    let platform = Platform::start(&document, &[("plain", &target)]).await;
+    for (line, path) in [
+        ("GET http://a.example?x=1 HTTP/1.1", "/?x=1"),
+        ("GET http://a.example HTTP/1.1", "/"),
+        ("GET http://a.example/p?x=1 HTTP/1.1", "/p?x=1"),
+    ] {
+        let head = format!(
+            "{line}\r\nhost: a.example\r\nx-toucanshelf-request-id: r1\r\nconnection: close\r\n\r\n"
+        );
+        let mut stream = TcpStream::connect(platform.ingress.address())
+            .await
+            .unwrap();
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200"), "{line}: {answer:?}");
+        let received = target.received_requests();
+        assert_eq!(received.last().unwrap().path, path);
+    }
+}
