Refuse two routes whose hosts differ only in case

Cause: The check for routes with the same host and prefix compared hosts as they are written, while the route table matches them in any case. Such a deployment was acknowledged, and one of the routes got no request. Change: The check compares hosts in lower case. Measured: `deployment::same_place_in_other_case` failed before and passes now. Conclusion: The deployment is refused with the host and prefix.

--- a/crates/toucanshelf-core/src/deployment.rs
+++ b/crates/toucanshelf-core/src/deployment.rs
@@ -209,7 +209,9 @@
         let mut seen_prefixes = BTreeSet::new();
         for route in &self.routes {
             check_route(route, &services)?;
-            if !seen_prefixes.insert((&route.host, &route.path_prefix)) {
+            // Hosts are matched without regard to case.
+            let host = route.host.to_ascii_lowercase();
+            if !seen_prefixes.insert((host, &route.path_prefix)) {
                 return Err(DeploymentError::DuplicateRoute {
                     host: route.host.clone(),
                     path_prefix: route.path_prefix.clone(),
--- a/tests/testsuite/deployment.rs
+++ b/tests/testsuite/deployment.rs
@@ -48,6 +48,18 @@
     ));
 }
 
+/// Guards against two routes of which one gets no request, since hosts are matched in any case.
+#[test]
+fn same_place_in_other_case() {
+    let document = valid_deployment()
+        .route("s", "A.Example", "/x/", "plain")
+        .build();
+    assert!(matches!(
+        validation_error(&document),
+        DeploymentError::DuplicateRoute { .. }
+    ));
+}
+
 #[test]
 fn no_weight() {
     let document = valid_deployment()
