Learn from relays which targets leave and which deployment applies

Cause: An ingress that passes on a relay's response read neither `Server-Leaving` in it, nor by which deployment the relay had handled the request. Once it reached targets again, it sent requests to a target that had said that it leaves, and could fall behind the deployment that its callers had seen. Change: A relay names its deployment, and the targets of the service that take no new requests with their incarnations, in headers of its response. They are listed in `Connection`, which ingresses of earlier builds remove from responses, too; without them nothing changes. The ingress marks those targets as leaving and fetches the deployment. Until it has it, it relays requests to ingresses that do, or answers 503. Measured: `relay::target_leaves_during_cut` (4 requests at the target instead of 3) and `relay_names_its_deployment` failed before and pass now. `deployment_older_than_relays` calls new functions, so it was not run on the old code. Conclusion: What a relay knows about leaving targets and the deployment holds for the ingress too. The former is told of 64 targets at most.

--- a/crates/toucanshelf-ingress/src/deployments.rs
+++ b/crates/toucanshelf-ingress/src/deployments.rs
@@ -5,6 +5,7 @@
 //! ingress prefers another instance, so that the transfers are spread over all of them.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -43,6 +44,8 @@
     announced: watch::Sender<Option<u64>>,
     /// Version of the active deployment.
     installed: watch::Sender<Option<u64>>,
+    /// Highest version by which a relay has handled a request; 0 if there is none.
+    relayed: AtomicU64,
     requested_at: Mutex<Option<Instant>>,
 }
 
@@ -53,6 +56,7 @@
             document: Mutex::default(),
             announced: watch::Sender::new(None),
             installed: watch::Sender::new(None),
+            relayed: AtomicU64::new(0),
             requested_at: Mutex::default(),
         }
     }
@@ -72,6 +76,23 @@
         });
     }
 
+    /// Records that a relay has handled a request by `version`, which is fetched if it is newer.
+    pub fn record_relayed(&self, version: u64) {
+        self.relayed.fetch_max(version, Ordering::Relaxed);
+        self.announce(version);
+    }
+
+    /// Returns the highest version by which a relay has handled a request; 0 if there is none.
+    pub fn relayed(&self) -> u64 {
+        self.relayed.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether a relay has handled a request by a newer version than the active one.
+    pub fn is_behind_relays(&self) -> bool {
+        let relayed = self.relayed();
+        relayed > 0 && *self.installed.borrow() < Some(relayed)
+    }
+
     /// Returns a receiver that follows the version of the active deployment.
     pub fn installed(&self) -> watch::Receiver<Option<u64>> {
         self.installed.subscribe()
--- a/crates/toucanshelf-ingress/src/front.rs
+++ b/crates/toucanshelf-ingress/src/front.rs
@@ -36,7 +36,8 @@
 /// Forwards a request of another ingress's caller to a target and returns the response.
 pub async fn handle_relayed(shared: Arc<Shared>, mut req: Request<Incoming>) -> ProxyResponse {
     let metadata = RelayMetadata::take(req.headers_mut());
-    let unable = if shared.version() < metadata.min_deployment {
+    let is_behind = shared.deployments.is_behind_relays();
+    let unable = if is_behind || shared.version() < metadata.min_deployment {
         Some(Refusal::NotConfigured)
     } else {
         shared.isolation.is_isolated().then_some(Refusal::NoTarget)
@@ -61,7 +62,14 @@
     let id = facts.id.clone();
     let mut req = match read_request(&shared, facts, req).await {
         Ok(req) => req,
-        Err(refusal) => return reject(&shared, id.as_deref(), refusal),
+        Err(refusal) => {
+            let version = shared.version();
+            let mut response = reject(&shared, id.as_deref(), refusal);
+            if metadata.is_some() {
+                relay::set_notices(&shared, version, None, &mut response);
+            }
+            return response;
+        }
     };
     req.relayed = metadata.is_some();
     req.earlier_runs = metadata.and_then(|metadata| metadata.earlier_runs);
@@ -72,10 +80,15 @@
     if !metadata.is_some_and(|metadata| metadata.counted) {
         shared.count_request(&req.service);
     }
-    match req.kind {
-        RequestKind::Stream { .. } => stream::run(shared, req, under_way).await,
+    let relayed = req.relayed.then(|| (req.version, req.service.clone()));
+    let mut response = match req.kind {
+        RequestKind::Stream { .. } => stream::run(Arc::clone(&shared), req, under_way).await,
         _ => plain::run(&shared, &req).await,
+    };
+    if let Some((version, service)) = relayed {
+        relay::set_notices(&shared, Some(version), Some(&service), &mut response);
     }
+    response
 }
 
 /// Builds the error response to a request that is sent to no target.
@@ -110,6 +123,8 @@
     let host = host(&parts);
     let found = table.find(&host, parts.uri.path(), facts.key.as_deref());
     let found = found.map_err(|denial| match denial {
+        // The newer deployment, which callers have seen through a relay, may allow the request.
+        _ if shared.deployments.is_behind_relays() => Refusal::NotConfigured,
         MatchError::NoRoute => Refusal::NoRoute,
         MatchError::UnknownKey => Refusal::UnknownKey,
     })?;
--- a/crates/toucanshelf-ingress/src/relay/headers.rs
+++ b/crates/toucanshelf-ingress/src/relay/headers.rs
@@ -1,6 +1,8 @@
 //! Headers by which ingresses tell each other about a relayed request.
 
+use http::header::CONNECTION;
 use http::{HeaderMap, HeaderName, HeaderValue};
+use toucanshelf_core::ids::Incarnation;
 
 use crate::response::ProxyResponse;
 
@@ -23,6 +25,15 @@
 /// Response header of a relay with the number of counted runs, its own included.
 const RUNS: HeaderName = HeaderName::from_static("toucanshelf-relay-runs");
 
+/// Response header of a relay with the version of the deployment by which it handled the request.
+const DEPLOYMENT: HeaderName = HeaderName::from_static("toucanshelf-relay-deployment");
+/// Response header of a relay with the targets of the request's service that take no new requests.
+///
+/// Each has the form `incarnation:id`, and commas separate them.
+const LEAVING: HeaderName = HeaderName::from_static("toucanshelf-relay-leaving");
+/// Maximum number of targets in the header [`LEAVING`].
+const MAX_LEAVING: usize = 64;
+
 /// What another ingress says about a request that it relays.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RelayMetadata {
@@ -87,3 +98,52 @@
     let runs = headers.remove(RUNS)?;
     runs.to_str().ok()?.parse().ok()
 }
+
+/// What a relay says in its response about its deployment and the targets.
+#[derive(Debug, Default)]
+pub(crate) struct RelayNotices {
+    /// Version of the deployment by which the relay handled the request.
+    pub deployment: Option<u64>,
+    /// Targets of the request's service that take no new requests.
+    pub leaving: Vec<(Incarnation, Box<str>)>,
+}
+
+impl RelayNotices {
+    /// Sets the headers of a response to a relayed request.
+    ///
+    /// They are listed in `Connection`, so that an ingress of an earlier build, which doesn't know
+    /// them, doesn't pass them on to the caller.
+    pub(super) fn set(&self, headers: &mut HeaderMap) {
+        if let Some(version) = self.deployment {
+            headers.insert(DEPLOYMENT, HeaderValue::from(version));
+            headers.append(CONNECTION, HeaderValue::from_name(DEPLOYMENT));
+        }
+        let named = self.leaving.iter().filter(|(_, id)| !id.contains(','));
+        let leaving: Vec<_> = named
+            .take(MAX_LEAVING)
+            .map(|(incarnation, id)| format!("{}:{id}", incarnation.0))
+            .collect();
+        // An identifier that isn't valid in a header is the target's own choice.
+        let value = HeaderValue::from_str(&leaving.join(","));
+        if let Some(value) = value.ok().filter(|value| !value.is_empty()) {
+            headers.insert(LEAVING, value);
+            headers.append(CONNECTION, HeaderValue::from_name(LEAVING));
+        }
+    }
+
+    /// Takes the notices out of the headers of a relay's response.
+    pub(super) fn take(headers: &mut HeaderMap) -> Self {
+        let deployment = headers.remove(DEPLOYMENT);
+        let leaving = headers.remove(LEAVING);
+        let leaving = leaving.as_ref().and_then(|value| value.to_str().ok());
+        let leaving = leaving.into_iter().flat_map(|value| value.split(','));
+        let leaving = leaving.filter_map(|target| {
+            let (incarnation, id) = target.split_once(':')?;
+            Some((Incarnation(incarnation.parse().ok()?), id.into()))
+        });
+        Self {
+            deployment: deployment.and_then(|value| value.to_str().ok()?.parse().ok()),
+            leaving: leaving.collect(),
+        }
+    }
+}
--- a/crates/toucanshelf-ingress/src/relay/mod.rs
+++ b/crates/toucanshelf-ingress/src/relay/mod.rs
@@ -3,6 +3,9 @@
 //! A relay is another ingress, which handles the request as if it came from the caller and never
 //! passes it on to a further one. Its response is passed on to the caller.
 //!
+//! A relay names the deployment by which it handled the request, and the targets that take no new
+//! requests. Once this ingress reaches targets again, it doesn't fall behind what its callers have seen.
+//!
 //! The relay is told how often the request has run, and its response names the runs after its own. If
 //! the response breaks off, a request that may run again goes to another relay, and a stream continues
 //! there after its last event. A relay that ends without a response may have used all runs that were left.
@@ -32,7 +35,7 @@
     ProxyResponse, Refusal, channel_body, full_body, refusal_response, strip_connection_headers,
 };
 use crate::shared::Shared;
-use headers::{is_marked_unable, take_runs};
+use headers::{RelayNotices, is_marked_unable, take_runs};
 use table::RelayLoad;
 
 pub(crate) use headers::{RelayMetadata, mark_unable, set_runs};
@@ -66,8 +69,26 @@
 }
 
 /// Returns whether a request must go to another ingress.
+///
+/// It must also if callers have seen a newer deployment through a relay than this ingress has.
 pub(crate) fn is_needed(shared: &Shared, req: &CallerRequest) -> bool {
-    !req.relayed && shared.isolation.is_isolated()
+    !req.relayed && (shared.isolation.is_isolated() || shared.deployments.is_behind_relays())
+}
+
+/// Adds what the ingress from which a request comes must know to the response.
+///
+/// `service` is the service that handled the request, if a route was found by the deployment `version`.
+pub(crate) fn set_notices(
+    shared: &Shared,
+    version: Option<u64>,
+    service: Option<&str>,
+    response: &mut ProxyResponse,
+) {
+    let notices = RelayNotices {
+        deployment: version,
+        leaving: service.map_or_else(Vec::new, |service| shared.targets().leaving(service)),
+    };
+    notices.set(response.headers_mut());
 }
 
 /// What has happened to a request before it is relayed.
@@ -164,6 +185,8 @@
             match self.send(req, address).await {
                 Ok((sender, mut response)) => {
                     let runs = take_runs(response.headers_mut());
+                    let notices = RelayNotices::take(response.headers_mut());
+                    self.record_notices(req, address, &notices);
                     if response.status() == StatusCode::SERVICE_UNAVAILABLE {
                         self.shared.relays.record_refusal(address);
                     }
@@ -190,6 +213,25 @@
         None
     }
 
+    /// Records what a relay has said about its deployment and the targets.
+    fn record_notices(&self, req: &CallerRequest, address: SocketAddr, notices: &RelayNotices) {
+        if let Some(version) = notices.deployment {
+            self.shared.deployments.record_relayed(version);
+        }
+        for (incarnation, id) in &notices.leaving {
+            let mut targets = self.shared.targets();
+            if targets.record_leaving_incarnation(id, *incarnation) {
+                tracing::info!(
+                    event = "TS4316",
+                    request = req.id(),
+                    target_id = %id,
+                    relay = %address,
+                    "target leaves"
+                );
+            }
+        }
+    }
+
     /// Returns whether the request may run again, and takes a repeated send for that.
     fn may_repeat(&self, req: &CallerRequest) -> bool {
         req.kind.is_retryable()
@@ -252,7 +294,7 @@
         let dialect = &self.shared.dialect;
         dialect.relay_headers(headers, deadline_ms, self.last_event);
         let metadata = RelayMetadata {
-            min_deployment: Some(req.version),
+            min_deployment: Some(req.version.max(self.shared.deployments.relayed())),
             counted: self.counted,
             earlier_runs: self.earlier_runs,
         };
--- a/crates/toucanshelf-ingress/src/targets/notices.rs
+++ b/crates/toucanshelf-ingress/src/targets/notices.rs
@@ -1,5 +1,8 @@
 //! What targets say of themselves, in their answers or by refusing a connection.
 
+use toucanshelf_core::ids::Incarnation;
+use toucanshelf_core::registration::Readiness;
+
 use super::{TargetKey, Targets};
 
 impl Targets {
@@ -12,6 +15,28 @@
         target.is_some_and(|target| !std::mem::replace(&mut target.leaving, true))
     }
 
+    /// Records that an incarnation of the target `id` leaves; returns whether that is new.
+    ///
+    /// It has no effect if another incarnation is known.
+    pub fn record_leaving_incarnation(&mut self, id: &str, incarnation: Incarnation) -> bool {
+        let key = self.by_id.get(id).copied();
+        let target = key.and_then(|key| self.arena.get(key));
+        target.is_some_and(|target| target.record.incarnation == incarnation)
+            && self.record_leaving(id)
+    }
+
+    /// Returns the targets of a service that take no new requests, with their incarnations.
+    pub fn leaving(&self, service: &str) -> Vec<(Incarnation, Box<str>)> {
+        let targets = self.arena.iter().map(|(_, target)| target);
+        let leaving = targets.filter(|target| {
+            let is_leaving = target.leaving || target.record.readiness != Readiness::Ready;
+            is_leaving && &*target.record.service == service
+        });
+        leaving
+            .map(|target| (target.record.incarnation, target.record.id.clone()))
+            .collect()
+    }
+
     /// Records that the target `id` wants no requests until `until`.
     ///
     /// `until` is in milliseconds since the ingress started.
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -305,6 +305,111 @@
     assert_eq!(received.header("toucanshelf-min-deployment"), "");
 }
 
+/// Guards against requests to a leaving target after the ingress has got its connections back.
+///
+/// The target has said that it leaves in an answer to the relay, and control may not know it.
+#[tokio::test(flavor = "multi_thread")]
+async fn target_leaves_during_cut() {
+    let cut_platform = CutPlatform::start().await;
+    let _other = cut_platform.start_other_ingress("i2").await;
+    cut_platform.cut(Cut::Refused);
+    let ingress = &cut_platform.platform.ingress;
+    served(ingress, "GET", "/read/").await;
+    let leaving = &cut_platform.targets[0];
+    leaving.add_header("server-leaving", Some("1"));
+    let before = leaving.received_requests().len();
+    while leaving.received_requests().len() == before {
+        let response = call(ingress, "GET", "/read/").await;
+        assert_eq!(response.status, 200);
+        let names = response.headers.keys();
+        let internal: Vec<_> = names
+            .filter(|name| name.as_str().starts_with("toucanshelf-"))
+            .collect();
+        assert!(internal.is_empty(), "{internal:?}");
+    }
+    cut_platform.connector.heal();
+    let healed = async {
+        while ingress.shared().isolation.is_isolated() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(WAIT_TIMEOUT, healed).await.unwrap();
+    let before = leaving.received_requests().len();
+    for _ in 0..20 {
+        assert_eq!(call(ingress, "GET", "/read/").await.status, 200);
+    }
+    assert_eq!(leaving.received_requests().len(), before);
+}
+
+/// Guards against an ingress that doesn't learn by which deployment its relay handled a request.
+///
+/// The header that says so applies to the connection, so that earlier builds don't pass it on.
+#[tokio::test(flavor = "multi_thread")]
+async fn relay_names_its_deployment() {
+    let cut_platform = CutPlatform::start().await;
+    let relay = cut_platform.platform.ingress.shared().relays.own_address();
+    for path in ["/read/", "/unknown/"] {
+        let request = http::Request::get(path)
+            .header("host", "a.example")
+            .header("x-toucanshelf-request-id", "r1");
+        let request = request.body(String::new()).unwrap();
+        let headers = send(relay.unwrap(), request).await.headers;
+        let version = headers.get("toucanshelf-relay-deployment");
+        assert_eq!(version.map(|version| version.to_str().unwrap()), Some("1"));
+        let connection = headers.get_all("connection").iter();
+        let connection: Vec<_> = connection.map(|value| value.to_str().unwrap()).collect();
+        assert!(
+            connection
+                .join(",")
+                .contains("toucanshelf-relay-deployment")
+        );
+    }
+    let response = call(&cut_platform.platform.ingress, "GET", "/read/").await;
+    assert!(
+        !response
+            .headers
+            .contains_key("toucanshelf-relay-deployment")
+    );
+}
+
+/// Guards against an ingress that falls behind the deployment that its callers have seen at a relay.
+#[tokio::test(flavor = "multi_thread")]
+async fn deployment_older_than_relays() {
+    let cut_platform = CutPlatform::start().await;
+    let other = cut_platform.start_other_ingress("i2").await;
+    let ingress = &cut_platform.platform.ingress;
+    let deployments = &ingress.shared().deployments;
+    assert_eq!(deployments.relayed(), 0);
+    cut_platform.cut(Cut::Refused);
+    served(ingress, "GET", "/read/").await;
+    assert_eq!(deployments.relayed(), 1, "the relay has named its version");
+    cut_platform.connector.heal();
+    let healed = async {
+        while ingress.shared().isolation.is_isolated() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(WAIT_TIMEOUT, healed).await.unwrap();
+    deployments.record_relayed(9);
+    let before = cut_platform.runs();
+    for path in ["/read/", "/later/"] {
+        let response = call(ingress, "GET", path).await;
+        assert_eq!(response.status, 503, "{path}");
+        assert!(response.headers.contains_key("retry-after"));
+    }
+    assert_eq!(cut_platform.runs(), before);
+    let document = DeploymentBuilder::new(9)
+        .route("read", "a.example", "/read/", "plain")
+        .route("later", "a.example", "/later/", "plain")
+        .build();
+    let status = cut_platform.platform.put_deployment(&document).await;
+    assert_eq!(status, 200);
+    cut_platform.platform.wait_until_in_sync().await;
+    assert_eq!(call(ingress, "GET", "/later/").await.status, 200);
+    assert_eq!(call(ingress, "GET", "/unknown/").await.status, 404);
+    drop(other);
+}
+
 /// Guards against a budget of repeated sends that grows because two ingresses count one request.
 #[tokio::test(flavor = "multi_thread")]
 async fn request_counted_at_sender() {
