Announce at once that a leader is heard

An ingress heard up to a second late that its control instance hears a leader. Change: the announcement follows the replica's status instead of the next tick; the test's heartbeat is complete.

--- a/crates/toucanshelf-control/src/directory/ingresses.rs
+++ b/crates/toucanshelf-control/src/directory/ingresses.rs
@@ -337,10 +337,15 @@
         return;
     };
     let mut deployment_versions = shared.driver.deployment_versions();
+    let mut statuses = shared.driver.statuses();
     let mut ticks = tokio::time::interval(ANNOUNCE_INTERVAL);
     let mut counts = CountsAnnouncement::default();
     loop {
+        let hears_leader = counts.hears_leader;
         tokio::select! {
+            Ok(_) = statuses.wait_for(|status| status.current != hears_leader) => {
+                announce_members(&shared, directory, &mut counts);
+            }
             changed = deployment_versions.changed() => {
                 if changed.is_err() {
                     return;
--- a/crates/toucanshelf-control/src/driver/mod.rs
+++ b/crates/toucanshelf-control/src/driver/mod.rs
@@ -212,6 +212,11 @@
         self.status.borrow().clone()
     }
 
+    /// Returns a receiver that follows the published status.
+    pub fn statuses(&self) -> watch::Receiver<ReplicaStatus> {
+        self.status.subscribe()
+    }
+
     /// Returns a receiver that follows the applied revision of the configuration.
     pub fn revisions(&self) -> watch::Receiver<Revision> {
         self.revision.subscribe()
--- a/tests/testsuite/reused_address.rs
+++ b/tests/testsuite/reused_address.rs
@@ -27,7 +27,7 @@
         for (id, target) in engines {
             let heartbeat = serde_json::json!({
                 "service": "model", "address": target.address, "zone": "z", "version": "v1",
-                "slots": 8, "state": "ready", "seq": sequence, "born": 1000, "kind": "card"
+                "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": sequence, "born": 1000, "kind": "card"
             });
             assert_eq!(platform.send_heartbeat(id, &heartbeat).await, 200);
         }
