Wait for the registrations when a test's platform starts

Cause: relay::request_counted_at_sender got 503 no-target for its first request in some runs. Platform::start waited for the deployment only. Control answers a target's heartbeat without waiting until the ingress has the registration, as it waits only for departures and drains. So the first request could arrive when the ingress had the deployment and an empty table of targets. In both failures that were traced, the request was number 0, no attempt had been made and the table held no target; no time-out, mark, permit or lost connection was involved. Change: Platform::start and its variants return once the ingress knows each target that they register. The wait is the one that Platform::register had. No assertion changes: all 200 requests must still be served.

--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -549,7 +549,7 @@
     /// Starts a control instance and an ingress, and deploys `document`.
     ///
     /// Registers the targets, given as `(service, target)` pairs, and waits until the ingress has
-    /// the deployment.
+    /// the deployment and knows the targets.
     pub async fn start(document: &str, targets: &[(&str, &Target)]) -> Self {
         let (control, folder) = start_control().await;
         Self::with_control(control, folder, document, targets).await
@@ -596,6 +596,9 @@
             );
         }
         platform.wait_until_in_sync().await;
+        for (_, target) in targets {
+            platform.wait_until_known(target.address).await;
+        }
         platform
     }
 
@@ -633,6 +636,13 @@
             "slots": 8, "state": "ready", "seq": 1, "born": 1000
         });
         assert_eq!(self.send_heartbeat(id, &heartbeat).await, 200);
+        self.wait_until_known(address).await;
+    }
+
+    /// Waits until the ingress has the registration of the target at `address`.
+    ///
+    /// The registration isn't ordered with the deployment, which may arrive first.
+    async fn wait_until_known(&self, address: SocketAddr) {
         let shared = self.ingress.shared();
         let known = async {
             while shared.targets().at_address(address).is_none() {
