--- a/crates/toucanshelf-ingress/src/content_guard.rs
+++ b/crates/toucanshelf-ingress/src/content_guard.rs
@@ -1,8 +1,8 @@
 //! Limits the number of targets that requests with the same content can crash.
 //!
-//! Each attempt to send a request reports whether the target answered it to the end or crashed.
-//! The findings are shared with the other ingresses, and a [`CrashLedgers`] decides from all of
-//! them which requests are sent, tried one at a time, or refused.
+//! Each attempt to send a request reports whether the target answered it or crashed. The findings
+//! are shared with the other ingresses, and a [`CrashLedgers`] decides from all of them which
+//! requests are sent, tried one at a time, or refused.
 
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -89,7 +89,7 @@
 fn handling(ledgers: &CrashLedgers, finding: &Finding, now: u64) -> Handling {
     let ledger = ledgers.get(&finding.service);
     ledger.map_or(Handling::Normal, |ledger| {
-        ledger.handling(&[finding.content], now)
+        ledger.handling(finding.content, now)
     })
 }
 
@@ -135,12 +135,14 @@
 pub struct ContentAttempt {
     shared: Arc<Shared>,
     service: Box<str>,
+    /// Content with crashes that were known when the attempt began.
+    ///
+    /// An answer proves that the content has not caused these crashes.
+    known: Vec<(PositionedContent, Vec<CrashId>)>,
     /// Content that the attempt tries, the most specific one first.
     trial: Vec<PositionedContent>,
     /// Receiver of a counter that is raised by each new finding.
     changes: watch::Receiver<u64>,
-    /// Whether the target has begun to answer.
-    has_begun: bool,
     /// Whether the outcome of the attempt is recorded.
     settled: bool,
 }
@@ -175,21 +177,11 @@
     }
 }
 
-/// Begins an attempt that continues a stream, of which the caller has events.
-///
-/// The stream doesn't wait while another request with suspected content is on trial.
-///
-/// # Errors
-///
-/// If the request must not be sent, returns the time after which it may be sent again.
-pub fn begin_resumed_attempt(
-    shared: &Arc<Shared>,
-    req: &CallerRequest,
-) -> Result<ContentAttempt, Duration> {
-    match decide(shared, req) {
-        Decision::Send(attempt) => Ok(attempt),
-        Decision::Refuse { until } => Err(time_until(shared, until)),
-        Decision::Wait { .. } => Ok(ContentAttempt::new(shared, req)),
+/// Waits until the content of `req` is refused, if its attempt reports on the content.
+pub async fn refused(content: Option<&mut ContentAttempt>, req: &CallerRequest) {
+    match content {
+        Some(content) => content.refused(req).await,
+        None => std::future::pending().await,
     }
 }
 
@@ -201,23 +193,32 @@
 fn decide(shared: &Arc<Shared>, req: &CallerRequest) -> Decision {
     let now = shared.now();
     let mut attempt = ContentAttempt::new(shared, req);
-    let contents = contents(req);
-    let tried = {
+    let mut suspects = Vec::new();
+    let mut busy_until = 0;
+    {
         let ledgers = shared.content.ledgers();
         let Some(ledger) = ledgers.get(&req.service) else {
             return Decision::Send(attempt);
         };
-        let contents: Vec<_> = contents.iter().map(|(content, _)| *content).collect();
-        match ledger.handling(&contents, now) {
-            Handling::Normal => return Decision::Send(attempt),
-            Handling::Refused { until } => return Decision::Refuse { until },
-            Handling::Trial { busy_until } if now < busy_until => {
-                return Decision::Wait { busy_until };
+        for (content, position) in contents(req) {
+            match ledger.handling(content, now) {
+                Handling::Refused { until } => return Decision::Refuse { until },
+                Handling::Trial { busy_until: until } => {
+                    busy_until = until.max(busy_until);
+                    suspects.push((content, position));
+                }
+                Handling::Normal => {}
+            }
+            let crashes = ledger.unexplained(content);
+            if !crashes.is_empty() {
+                attempt.known.push(((content, position), crashes));
             }
-            Handling::Trial { .. } => ledger.tried(&contents),
         }
-    };
-    for suspect in contents.into_iter().filter(|(c, _)| tried.contains(c)) {
+    }
+    if now < busy_until {
+        return Decision::Wait { busy_until };
+    }
+    for suspect in suspects {
         tracing::info!(event = "TS4312", request = req.id(), content = %suspect.0, "trial started");
         attempt.publish(suspect, Outcome::TrialStarted);
         attempt.trial.push(suspect);
@@ -230,65 +231,47 @@
         Self {
             shared: Arc::clone(shared),
             service: req.service.clone(),
+            known: Vec::new(),
             trial: Vec::new(),
             changes: shared.content.changed.subscribe(),
-            has_begun: false,
             settled: false,
         }
     }
 
     /// Waits until requests with the content of `req`, the request of this attempt, are refused.
     ///
-    /// Once the target has begun to answer, the future never completes. It is cancel safe.
+    /// Once the target has answered, the future never completes. It is cancel safe.
     pub async fn refused(&mut self, req: &CallerRequest) {
-        while !self.has_begun && !self.settled && self.changes.changed().await.is_ok() {
+        while !self.settled && self.changes.changed().await.is_ok() {
             let now = self.shared.now();
             let ledgers = self.shared.content.ledgers();
             let ledger = ledgers.get(&self.service);
-            let contents: Vec<_> = contents(req)
-                .into_iter()
-                .map(|(content, _)| content)
-                .collect();
-            let handling = ledger.map(|ledger| ledger.handling(&contents, now));
-            if matches!(handling, Some(Handling::Refused { .. })) {
+            let is_refused = ledger.is_some_and(|ledger| {
+                let mut contents = contents(req).into_iter();
+                contents.any(|(content, _)| {
+                    matches!(ledger.handling(content, now), Handling::Refused { .. })
+                })
+            });
+            if is_refused {
                 return;
             }
         }
         std::future::pending::<()>().await;
     }
 
-    /// Records that the target has begun to answer the request.
-    ///
-    /// The attempt is then not cancelled any more, but its target may still crash.
-    pub fn record_begun(&mut self) {
-        self.has_begun = true;
-    }
-
-    /// Records that the target answered `req`, the request of this attempt, to the end.
+    /// Records that the target answered the request.
     ///
-    /// The content of the request has then not caused the crashes that are known by now. Calls after
-    /// the first outcome have no effect.
-    pub fn record_served(&mut self, req: &CallerRequest) {
+    /// Calls after the first outcome have no effect.
+    pub fn record_served(&mut self) {
         if std::mem::replace(&mut self.settled, true) {
             return;
         }
-        let trial = std::mem::take(&mut self.trial);
-        for content in contents(req) {
-            let despite = {
-                let ledgers = self.shared.content.ledgers();
-                let ledger = ledgers.get(&self.service);
-                ledger.map_or_else(Vec::new, |ledger| ledger.unexplained(content.0))
-            };
-            if !despite.is_empty() {
-                self.publish(content, Outcome::Served { despite });
-            } else if trial.contains(&content) {
-                self.publish(content, Outcome::TrialEnded);
-            }
+        for (content, despite) in std::mem::take(&mut self.known) {
+            self.publish(content, Outcome::Served { despite });
         }
     }
 
-    /// Records that the target crashed before the end of its answer to `req`, the request of this
-    /// attempt.
+    /// Records that the target crashed before it answered `req`, the request of this attempt.
     ///
     /// Calls after the first outcome have no effect.
     pub fn record_crash(&mut self, req: &CallerRequest, crash: CrashId) {
@@ -296,25 +279,24 @@
             return;
         }
         let trial = std::mem::take(&mut self.trial);
-        let tried: Vec<_> = trial
-            .iter()
-            .map(|(content, _)| content.to_string())
-            .collect();
+        let tried = trial.first().map(|(content, _)| *content);
         let contents = contents(req);
         tracing::info!(
             event = "TS4310",
             request = req.id(),
-            has_begun = self.has_begun,
             service = %self.service,
             crash = crash.0,
             parts = %req.shared_parts(),
-            tried = tried.join(","),
-            "target crashed before the end of its answer"
+            tried = tried.map(|content| content.to_string()),
+            "target crashed before it answered"
         );
         for content in contents {
-            let in_trial = trial.contains(&content);
+            let in_trial = tried == Some(content.0);
             self.publish(content, Outcome::Crashed { crash, in_trial });
         }
+        for content in trial.into_iter().skip(1) {
+            self.publish(content, Outcome::TrialEnded);
+        }
     }
 
     /// Adds a finding to those of this ingress and sends it to the control instances.
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -22,7 +22,7 @@
 use toucanshelf_runtime::in_flight::InFlightGuard;
 
 use crate::attempt::ReusableConnection;
-use crate::content_guard::ContentAttempt;
+use crate::content_guard::{ContentAttempt, refused};
 use crate::events::EventSplitter;
 use crate::live_route::{LiveRoute, StreamFailure};
 use crate::relay::{self, History};
@@ -151,20 +151,24 @@
     has_event: bool,
     /// Identifier under which a crash of the first engine is reported.
     crash: CrashId,
-    /// Report on the request's content.
-    content: ContentAttempt,
+    /// Report on the request's content; `None` if the caller had events when the attempt began.
+    content: Option<ContentAttempt>,
 }
 
 impl Upstream {
-    /// Records that the first engine has sent an event.
-    fn record_event(&mut self) {
+    /// Records that the first engine has sent an event or a complete response.
+    fn record_served(&mut self) {
         self.has_event = true;
-        self.content.record_begun();
+        if let Some(content) = &mut self.content {
+            content.record_served();
+        }
     }
 
-    /// Reports that the first engine crashed.
+    /// Reports that the first engine crashed, unless it had sent an event.
     fn record_crash(&mut self, req: &CallerRequest) {
-        self.content.record_crash(req, self.crash);
+        if let Some(content) = &mut self.content {
+            content.record_crash(req, self.crash);
+        }
     }
 
     /// Returns the connection to the pool once the stream has ended.
@@ -245,7 +249,7 @@
                     let cause = "the engine sent bytes that are no event";
                     return StreamItem::Failed(StreamFailure::Broken(cause.into()));
                 }
-                upstream.record_event();
+                upstream.record_served();
                 if event.id.is_some_and(|id| self.has_delivered(id)) {
                     continue;
                 }
@@ -277,16 +281,12 @@
                         ));
                     }
                     None => {
-                        // A resumed stream without an event doesn't show that the engine would
-                        // have survived one.
-                        if upstream.has_event || self.events == 0 {
-                            upstream.content.record_served(&self.req);
-                        }
+                        upstream.record_served();
                         return StreamItem::End;
                     }
                 },
                 () = caller_disconnected(caller) => return StreamItem::CallerDisconnected,
-                () = upstream.content.refused(&self.req) => {
+                () = refused(upstream.content.as_mut(), &self.req) => {
                     return StreamItem::Failed(StreamFailure::Cancelled);
                 }
                 failure = upstream.route.watch() => {
--- a/crates/toucanshelf-routing/src/crash_ledger.rs
+++ b/crates/toucanshelf-routing/src/crash_ledger.rs
@@ -2,10 +2,9 @@
 //!
 //! A crash ends all requests at the target, of which one may be its cause. Content that is common
 //! to the requests of several crashes becomes a suspect, unless other content explains these
-//! crashes better. Requests with a suspect are sent one at a time, as trials. A request that is
-//! answered to the end clears its contents. After a trial that crashes another target, requests are
-//! refused for some time if they have all contents that may be the cause: contents that were in the
-//! same crashes are told apart only by a request that has one of them without the other.
+//! crashes better. Requests with a suspect are sent one at a time, as trials. A trial that is
+//! answered clears the suspect; after a trial that crashes another target, requests with the
+//! content are refused for some time.
 //!
 //! A ledger merges the findings of all ingresses. Crashes and answers are kept as sets, so that
 //! findings may arrive in any order and more than once.
@@ -95,21 +94,10 @@
         in_trial.count() as u32
     }
 
-    /// Returns the number of crashes that this content and `other` may both have caused.
-    fn common_crashes(&self, other: &Self) -> usize {
-        let crashes = self.unexplained();
-        crashes.filter(|id| other.may_have_caused(*id)).count()
-    }
-
-    fn may_have_caused(&self, crash: CrashId) -> bool {
-        self.crashes.contains_key(&crash) && !self.cleared.contains(&crash)
-    }
-
     /// Returns whether `other` explains the crashes better than this content.
     ///
     /// It does if it was present in more crashes, including all of these. If it was present in the
-    /// same ones, the later part of the prompt is tried first, because fewer requests have it. That
-    /// decides on trials only: what is refused depends on [`CrashLedger::is_proven`].
+    /// same ones, the later part of the prompt explains them better, because fewer requests have it.
     /// `both_parts` tells whether both contents are parts of prompts.
     fn is_explained_better_by(&self, other: &Self, both_parts: bool) -> bool {
         let own = self.unexplained().count();
@@ -121,16 +109,11 @@
         let better = others > own || (others == own && more_specific);
         let includes_all = || {
             let mut own = self.unexplained();
-            own.all(|id| other.may_have_caused(id))
+            own.all(|id| other.crashes.contains_key(&id) && !other.cleared.contains(&id))
         };
         better && includes_all()
     }
 
-    /// Whether the content may have caused `crash`, which happened in a trial of it.
-    fn is_tried_in(&self, crash: CrashId) -> bool {
-        self.may_have_caused(crash) && self.crashes.get(&crash) == Some(&true)
-    }
-
     /// Adds a crash and returns whether that changed anything.
     fn add_crash(&mut self, now: u64, crash: CrashId, in_trial: bool) -> bool {
         let known = self.crashes.get(&crash);
@@ -225,49 +208,20 @@
         entry.map_or_else(Vec::new, |entry| entry.unexplained().collect())
     }
 
-    /// Returns how a request with `contents` is handled at the time `now`, in milliseconds.
-    ///
-    /// The contents are those of one request, the most specific one first.
-    pub fn handling(&self, contents: &[Content], now: u64) -> Handling {
-        let mut trial_busy_until = None;
-        for content in contents {
-            match self.content_handling(*content, contents, now) {
-                Handling::Normal => {}
-                Handling::Trial { busy_until } => {
-                    trial_busy_until = trial_busy_until.max(Some(busy_until));
-                }
-                refused @ Handling::Refused { .. } => return refused,
-            }
-        }
-        trial_busy_until.map_or(Handling::Normal, |busy_until| Handling::Trial {
-            busy_until,
-        })
-    }
-
-    /// Returns the contents that a trial with a request with `contents` tries.
-    ///
-    /// If the trial crashes its target, each of them may be the cause.
-    pub fn tried(&self, contents: &[Content]) -> Vec<Content> {
-        let is_tried = |content: &Content| {
-            let entry = self.entries.get(content);
-            entry.is_some_and(|entry| entry.unexplained().count() >= MIN_SUSPECT_CRASHES)
-        };
-        contents.iter().copied().filter(is_tried).collect()
-    }
-
-    /// Returns how a request with `contents` is handled because of one of them.
-    fn content_handling(&self, content: Content, contents: &[Content], now: u64) -> Handling {
+    /// Returns how requests with `content` are handled at the time `now`, in milliseconds.
+    pub fn handling(&self, content: Content, now: u64) -> Handling {
         let Some(entry) = self.entries.get(&content) else {
             return Handling::Normal;
         };
         let crashes = entry.unexplained().count();
+        let trial_crashes = entry.trial_crashes();
         let trial = Handling::Trial {
             busy_until: entry.trial_until_ms,
         };
         if crashes < MIN_SUSPECT_CRASHES {
             Handling::Normal
-        } else if crashes >= MIN_REFUSED_CRASHES && self.is_proven(content, entry, contents) {
-            let until = entry.last_crash_ms + refusal_ms(entry.trial_crashes());
+        } else if crashes >= MIN_REFUSED_CRASHES && trial_crashes > 0 {
+            let until = entry.last_crash_ms + refusal_ms(trial_crashes);
             if now < until {
                 Handling::Refused { until }
             } else {
@@ -280,32 +234,6 @@
         }
     }
 
-    /// Returns whether nothing but the `contents` of a request explains the crashes of one of them.
-    ///
-    /// Content that the request doesn't have is another explanation if it was in all of these crashes
-    /// but one at most. Otherwise a crash in a trial is the proof, unless the trial also tried content
-    /// that the request doesn't have, and that was in crashes of its own.
-    fn is_proven(&self, content: Content, entry: &Entry, contents: &[Content]) -> bool {
-        let crashes = entry.unexplained().count();
-        let others = self.entries.iter();
-        let others = others.filter(|(other, _)| **other != content && !contents.contains(other));
-        let others: Vec<_> = others
-            .map(|(_, other)| (other, entry.common_crashes(other)))
-            .filter(|(_, common)| *common > 0)
-            .collect();
-        let explains_all = |common| crashes - common < MIN_SUSPECT_CRASHES;
-        if others.iter().any(|(_, common)| explains_all(*common)) {
-            return false;
-        }
-        let tried_other = |crash| {
-            others.iter().any(|(other, common)| {
-                other.is_tried_in(crash) && other.unexplained().count() > *common
-            })
-        };
-        let mut trials = entry.unexplained().filter(|id| entry.is_tried_in(*id));
-        trials.any(|id| !tried_other(id))
-    }
-
     fn is_explained_by_other(&self, content: Content, entry: &Entry) -> bool {
         let mut others = self.entries.iter().filter(|(other, _)| **other != content);
         others.any(|(other, other_entry)| {
