--- a/crates/toucanshelf-control/src/directory/ingresses.rs
+++ b/crates/toucanshelf-control/src/directory/ingresses.rs
@@ -4,7 +4,7 @@
 //! are targets at which requests fail or stall. A push is one transfer of registrations, numbered
 //! so that each ingress can acknowledge it. A session is an open link with its acknowledgements.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -27,14 +27,13 @@
 /// Interval between announcements of the deployment version, control instances and zones.
 const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Interval at which new findings are forwarded to the ingresses.
-// Each finding goes to all ingresses, and targets that reset connections cause hundreds a second.
-const FINDINGS_INTERVAL: Duration = Duration::from_millis(200);
 /// Number of announcements after which unchanged numbers of ingresses are announced again.
 // A full queue may have dropped the last change.
 const COUNTS_INTERVAL_TICKS: u32 = 5;
 /// Maximum number of ingresses that are named to one that reaches no target.
 const MAX_LISTED_RELAYS: usize = 16;
+/// Maximum number of ingresses that are named to another one, which asks them if it loses control.
+const MAX_LISTED_INGRESSES: usize = 16;
 
 /// An open link to an ingress instance, and what the instance has acknowledged.
 #[derive(Debug)]
@@ -55,6 +54,8 @@
     deployment_in_force: Option<u64>,
     /// Address for requests of other ingresses, while the instance reaches targets.
     relay: Option<SocketAddr>,
+    /// Address at which the instance accepts links, if it has told one.
+    link: Option<SocketAddr>,
     name: Box<str>,
     /// Notified when the link is to close, because registrations could not be queued on it.
     overflow: Arc<Notify>,
@@ -67,6 +68,8 @@
 struct Sessions {
     open: BTreeMap<u32, Session>,
     next_id: u32,
+    /// Link whose ingress was asked for all findings that it knows.
+    findings_asked: Option<u32>,
     last_push: u64,
 }
 
@@ -76,7 +79,9 @@
     sessions: Mutex<Sessions>,
     changed: Notify,
     /// Findings that have not been forwarded yet, with the id of the link that they came from.
-    queued_findings: Mutex<Vec<(u32, Finding)>>,
+    ///
+    /// It is `None` for those of other control instances.
+    queued_findings: Mutex<Vec<(Option<u32>, Finding)>>,
 }
 
 impl Ingresses {
@@ -129,6 +134,7 @@
                 watches_counts: false,
                 deployment_in_force: None,
                 relay: None,
+                link: None,
                 name: link.peer.name.clone(),
                 overflow: Arc::clone(&overflow),
             },
@@ -192,6 +198,27 @@
         }
     }
 
+    fn record_link(&self, id: u32, link: SocketAddr) {
+        if let Some(session) = self.sessions().open.get_mut(&id) {
+            session.link = Some(link);
+        }
+    }
+
+    /// Returns the addresses at which the linked ingresses accept links.
+    pub(crate) fn link_addresses(&self) -> BTreeSet<SocketAddr> {
+        let sessions = self.sessions();
+        let open = sessions.open.values();
+        open.filter_map(|session| session.link).collect()
+    }
+
+    /// Returns some ingresses that accept links, other than the one with session `id`.
+    fn link_sample_for(&self, id: u32) -> Vec<SocketAddr> {
+        let sessions = self.sessions();
+        let others = sessions.open.iter().filter(|(other, _)| **other != id);
+        let links = others.filter_map(|(_, session)| session.link);
+        links.sample(&mut rand::rng(), MAX_LISTED_INGRESSES)
+    }
+
     /// Returns some ingresses to which the ingress with session `id` may send its requests.
     fn relays_for(&self, id: u32) -> Vec<SocketAddr> {
         let sessions = self.sessions();
@@ -245,16 +272,32 @@
         }
     }
 
-    /// Keeps new findings of an ingress until they are forwarded together.
-    fn queue_findings(&self, sender: u32, findings: Vec<Finding>) {
+    /// Returns whether the ingress of a new link is to send all findings that it knows.
+    ///
+    /// One linked ingress is asked at a time, since all of them know the same.
+    fn ask_for_all_findings(&self, id: u32) -> bool {
+        let mut sessions = self.sessions();
+        let asked = sessions.findings_asked;
+        if asked.is_some_and(|asked| sessions.open.contains_key(&asked)) {
+            return false;
+        }
+        sessions.findings_asked = Some(id);
+        true
+    }
+
+    /// Keeps new findings until they are forwarded together.
+    ///
+    /// `sender` is the link of the ingress that sent them, or `None` for another control instance.
+    pub(crate) fn queue_findings(&self, sender: Option<u32>, findings: Vec<Finding>) {
         let mut queued = self.queued_findings.lock().expect("no lock holder panics");
         queued.extend(findings.into_iter().map(|finding| (sender, finding)));
     }
 
     /// Forwards the queued findings to the ingress instances that receive them from here.
     ///
-    /// None goes back to its sender, which knows what has become of its trials since.
-    fn forward_findings(&self) {
+    /// None goes back to its sender, which knows what has become of its trials since. Returns those
+    /// that have come from ingresses.
+    pub(crate) fn forward_findings(&self) -> Vec<Finding> {
         let queued = {
             let mut queued = self.queued_findings.lock().expect("no lock holder panics");
             std::mem::take(&mut *queued)
@@ -263,13 +306,15 @@
             if !session.wants_findings.unwrap_or(session.shares_findings) {
                 continue;
             }
-            let others = queued.iter().filter(|(sender, _)| sender != id);
+            let others = queued.iter().filter(|(sender, _)| *sender != Some(*id));
             let findings: Vec<_> = others.map(|(_, finding)| finding.clone()).collect();
             if !findings.is_empty() {
                 // A full queue drops the findings; the ingress receives all of them on its next link.
                 let _ = session.tx.try_send(Frame::CrashFindings { findings });
             }
         }
+        let from_ingresses = queued.into_iter().filter(|(sender, _)| sender.is_some());
+        from_ingresses.map(|(_, finding)| finding).collect()
     }
 
     fn broadcast(&self, frame: &Frame) {
@@ -292,10 +337,15 @@
         return;
     };
     let mut deployment_versions = shared.driver.deployment_versions();
+    let mut statuses = shared.driver.statuses();
     let mut ticks = tokio::time::interval(ANNOUNCE_INTERVAL);
     let mut counts = CountsAnnouncement::default();
     loop {
+        let hears_leader = counts.hears_leader;
         tokio::select! {
+            Ok(_) = statuses.wait_for(|status| status.current != hears_leader) => {
+                announce_members(&shared, directory, &mut counts);
+            }
             changed = deployment_versions.changed() => {
                 if changed.is_err() {
                     return;
@@ -316,23 +366,12 @@
     }
 }
 
-/// Forwards the findings of ingresses to the others from time to time.
-pub(crate) async fn forward_findings(shared: Arc<Shared>) {
-    let Some(directory) = &shared.directory else {
-        return;
-    };
-    let mut ticks = tokio::time::interval(FINDINGS_INTERVAL);
-    loop {
-        ticks.tick().await;
-        directory.ingresses.forward_findings();
-    }
-}
-
 /// Latest announcement of the numbers of ingresses.
 #[derive(Debug, Default)]
 struct CountsAnnouncement {
     links: Vec<SocketAddr>,
     ingresses: BTreeMap<Box<str>, u32>,
+    hears_leader: bool,
     /// Number of ticks since the announcement was sent.
     age_ticks: u32,
 }
@@ -346,27 +385,31 @@
     let ingresses = &directory.ingresses;
     let lists = |session: &Session| !session.watches_counts;
     if ingresses.sessions().open.values().any(lists) {
-        ingresses.broadcast_to(&members_frame(shared, directory), lists);
+        ingresses.broadcast_to(&members_frame(shared, directory, false), lists);
     }
     last.age_ticks += 1;
     let (links, counts) = (shared.peers.members(), ingresses.counts());
-    let changed = (&last.links, &last.ingresses) != (&links, &counts);
+    let hears_leader = shared.driver.status().current;
+    let changed =
+        (&last.links, &last.ingresses) != (&links, &counts) || last.hears_leader != hears_leader;
     if changed || last.age_ticks >= COUNTS_INTERVAL_TICKS {
         let frame = Frame::MemberCounts {
             links: links.clone(),
             ingresses: counts.clone(),
+            hears_leader,
         };
         ingresses.broadcast_to(&frame, |session| session.watches_counts);
         *last = CountsAnnouncement {
             links,
             ingresses: counts,
+            hears_leader,
             age_ticks: 0,
         };
     }
 }
 
 /// Creates the frame that lists the control instances and the zones of linked ingresses.
-fn members_frame(shared: &Shared, directory: &Directory) -> Frame {
+fn members_frame(shared: &Shared, directory: &Directory, wants_all_findings: bool) -> Frame {
     Frame::Members {
         links: shared.peers.members(),
         ingress_zones: directory.ingresses.zones(),
@@ -375,6 +418,9 @@
         sends_patches: true,
         lists_relays: true,
         accepts_subscriptions: true,
+        calls_ingresses: true,
+        hears_leader: shared.driver.status().current,
+        wants_all_findings,
     }
 }
 
@@ -385,7 +431,7 @@
     };
     let (id, overflow) = directory.ingresses.open(&link);
     tracing::info!(event = "TS2505", ingress = %link.peer.name, "ingress linked");
-    if send_initial_state(&shared, &link.tx) {
+    if send_initial_state(&shared, id, &link.tx) {
         loop {
             let frame = tokio::select! {
                 frame = link.rx.recv() => frame,
@@ -417,6 +463,11 @@
                     // A full queue drops the answer; the ingress asks again, and others as well.
                     let _ = link.tx.try_send(Frame::Relays { addresses });
                 }
+                Frame::IngressAddress { link: address } => {
+                    directory.ingresses.record_link(id, address);
+                    directory.record_ingress_addresses([(address, 0)]);
+                    send_ingress_addresses(directory, id, &link.tx);
+                }
                 Frame::DeploymentInForce { version } => {
                     directory.ingresses.record_in_force(id, version);
                 }
@@ -435,7 +486,7 @@
                 }
                 Frame::CrashFindings { findings } => {
                     let new = directory.apply_findings(findings);
-                    directory.ingresses.queue_findings(id, new);
+                    directory.ingresses.queue_findings(Some(id), new);
                     if directory.ingresses.add_finder(id) && !send_findings(directory, &link.tx) {
                         break;
                     }
@@ -453,7 +504,7 @@
 /// It consists of the registrations of all targets, the link addresses of the control instances,
 /// the zones of the linked ingresses and the version of the deployment. Returns `false` if the
 /// link's outgoing queue is full, or if the settings of this instance enable no platform.
-fn send_initial_state(shared: &Shared, tx: &mpsc::Sender<Frame>) -> bool {
+fn send_initial_state(shared: &Shared, id: u32, tx: &mpsc::Sender<Frame>) -> bool {
     let Some(directory) = &shared.directory else {
         return false;
     };
@@ -466,7 +517,8 @@
     };
     let push = 0;
     let registrations = tx.try_send(Frame::Registrations { push, records });
-    let members = tx.try_send(members_frame(shared, directory));
+    let wants_all_findings = directory.ingresses.ask_for_all_findings(id);
+    let members = tx.try_send(members_frame(shared, directory, wants_all_findings));
     let version = shared.driver.state().deployment_version();
     let head = match version {
         Some(version) => tx.try_send(Frame::DeploymentHead { version }),
@@ -475,6 +527,14 @@
     registrations.is_ok() && members.is_ok() && head.is_ok()
 }
 
+/// Names some other ingresses to one that has announced its address.
+fn send_ingress_addresses(directory: &Directory, id: u32, tx: &mpsc::Sender<Frame>) {
+    let others = directory.ingresses.link_sample_for(id);
+    let last_linked_ms = others.into_iter().map(|address| (address, 0)).collect();
+    // A full queue drops the list, and the ingress announces its address again.
+    let _ = tx.try_send(Frame::IngressAddresses { last_linked_ms });
+}
+
 /// Sends all findings about content that crashes targets to an ingress.
 ///
 /// Returns `false` if the link's outgoing queue is full.
--- a/crates/toucanshelf-ingress/src/control.rs
+++ b/crates/toucanshelf-ingress/src/control.rs
@@ -50,6 +50,10 @@
     is_near: bool,
     /// Whether the control instance accepts [`Frame::WantFindings`].
     accepts_subscriptions: bool,
+    /// Whether the control instance accepts [`Frame::IngressAddress`].
+    calls_ingresses: bool,
+    /// Whether the control instance hears a leader.
+    hears_leader: bool,
 }
 
 #[derive(Debug, Default)]
@@ -60,6 +64,10 @@
     known: Vec<SocketAddr>,
     /// Control instance that sends the findings of other ingresses, if one was chosen.
     findings_from: Option<SocketAddr>,
+    /// Address at which this ingress accepts links, if it does.
+    own_address: Option<SocketAddr>,
+    /// Other ingresses that accept links.
+    other_ingresses: Vec<SocketAddr>,
     /// Latest findings of this ingress itself.
     own_findings: VecDeque<Finding>,
 }
@@ -85,6 +93,79 @@
         self.links().open.len()
     }
 
+    /// Whether a control instance is linked that hears of new deployments.
+    pub fn is_current(&self) -> bool {
+        self.links().open.values().any(|link| link.hears_leader)
+    }
+
+    fn record_leader(&self, address: SocketAddr, hears_leader: bool) {
+        if let Some(link) = self.links().open.get_mut(&address) {
+            link.hears_leader = hears_leader;
+        }
+    }
+
+    /// Marks a link as one to an instance that calls ingresses, and tells it where this one is.
+    fn add_caller(&self, address: SocketAddr) {
+        let mut links = self.links();
+        let own_address = links.own_address;
+        if let Some(open) = links.open.get_mut(&address) {
+            open.calls_ingresses = true;
+            if let Some(link) = own_address {
+                // A full queue drops the address, which is announced again.
+                let _ = open.tx.try_send(Frame::IngressAddress { link });
+            }
+        }
+    }
+
+    /// Tells the control instances where this ingress accepts links.
+    ///
+    /// Each answers with some other ingresses.
+    pub(crate) fn announce_own_address(&self) {
+        let links = self.links();
+        let Some(link) = links.own_address else {
+            return;
+        };
+        let callers = links.open.values().filter(|link| link.calls_ingresses);
+        for caller in callers {
+            // A full queue drops the address, which is announced again.
+            let _ = caller.tx.try_send(Frame::IngressAddress { link });
+        }
+    }
+
+    /// Keeps the addresses of other ingresses; an empty list replaces none.
+    fn record_ingresses(&self, last_linked_ms: BTreeMap<SocketAddr, u64>) {
+        if !last_linked_ms.is_empty() {
+            self.links().other_ingresses = last_linked_ms.into_keys().collect();
+        }
+    }
+
+    /// Returns the addresses of control instances to which links are kept open or tried.
+    pub fn known(&self) -> Vec<SocketAddr> {
+        self.links().known.clone()
+    }
+
+    /// Returns the addresses of the linked control instances that hear of new deployments.
+    pub fn current(&self) -> Vec<SocketAddr> {
+        let links = self.links();
+        let current = links.open.iter().filter(|(_, link)| link.hears_leader);
+        current.map(|(address, _)| *address).collect()
+    }
+
+    /// Returns the address at which this ingress accepts links, if it does.
+    pub(crate) fn own_address(&self) -> Option<SocketAddr> {
+        self.links().own_address
+    }
+
+    /// Sets the address at which this ingress accepts links.
+    pub(crate) fn set_own_address(&self, address: SocketAddr) {
+        self.links().own_address = Some(address);
+    }
+
+    /// Returns other ingresses that accept links, as a control instance has last listed them.
+    pub(crate) fn other_ingresses(&self) -> Vec<SocketAddr> {
+        self.links().other_ingresses.clone()
+    }
+
     /// Reports the target at `address` to all connected control instances as suspected.
     pub fn report_suspected(&self, address: SocketAddr) {
         for link in self.links().open.values() {
@@ -263,21 +344,16 @@
     }
 }
 
-/// Starts links to the control instances in the settings.
+/// Starts links to the control instances that the settings name as seeds.
 ///
 /// The instances then announce the addresses of the others, to which links are started as well.
 pub(crate) fn start(shared: &Arc<Shared>, key: &SharedKey) {
-    let settings = &shared.settings;
-    let seeds = settings.seeds.iter();
-    let links: Vec<_> = seeds
-        .map(|seed| SocketAddr::new(seed.ip(), settings.link_port))
-        .collect();
-    connect_new(shared, key, links);
+    connect_new(shared, key, shared.settings.seed_links());
     tokio::spawn(deployments::run(Arc::clone(shared)));
 }
 
 /// For each new address, starts a task that keeps a link to it open.
-fn connect_new(shared: &Arc<Shared>, key: &SharedKey, addresses: Vec<SocketAddr>) {
+pub(crate) fn connect_new(shared: &Arc<Shared>, key: &SharedKey, addresses: Vec<SocketAddr>) {
     for address in addresses {
         let mut links = shared.control.links();
         if links.known.contains(&address) {
@@ -312,6 +388,8 @@
         lists_relays: false,
         is_near: link.peer.zone == shared.settings.zone,
         accepts_subscriptions: false,
+        calls_ingresses: false,
+        hears_leader: true,
     };
     shared.control.links().open.insert(address, open);
     shared.metrics.control_links.inc();
@@ -344,6 +422,9 @@
             sends_patches,
             lists_relays,
             accepts_subscriptions,
+            calls_ingresses,
+            hears_leader,
+            wants_all_findings,
         } => {
             let own = ingress_zones.iter();
             let own = own.filter(|zone| **zone == shared.settings.zone).count();
@@ -351,6 +432,10 @@
             if accepts_subscriptions {
                 shared.control.subscribe(address);
             }
+            shared.control.record_leader(address, hears_leader);
+            if calls_ingresses {
+                shared.control.add_caller(address);
+            }
             shared.control.record_issuer(address, issues_permits);
             let is_new = shared.control.record_source(address, sends_patches);
             if let Some(version) = shared.version().filter(|_| is_new && sends_patches) {
@@ -368,15 +453,24 @@
             connect_new(shared, key, links);
             !accepts_findings
                 || !shared.control.add_finding_link(address)
-                || send_findings(shared, address, tx)
+                || send_findings(shared, address, wants_all_findings, tx)
         }
-        Frame::MemberCounts { links, ingresses } => {
+        Frame::MemberCounts {
+            links,
+            ingresses,
+            hears_leader,
+        } => {
+            shared.control.record_leader(address, hears_leader);
             let own = ingresses.get(&shared.settings.zone).copied();
             shared.record_ingresses(ingresses.values().sum(), own.unwrap_or(0));
             shared.content.prune(shared.now());
             connect_new(shared, key, links);
             true
         }
+        Frame::IngressAddresses { last_linked_ms } => {
+            shared.control.record_ingresses(last_linked_ms);
+            true
+        }
         Frame::Relays { addresses } => {
             shared.relays.update(addresses);
             true
@@ -420,8 +514,16 @@
 }
 
 /// Sends findings on a new link; returns `false` if its queue is full.
-fn send_findings(shared: &Shared, address: SocketAddr, tx: &mpsc::Sender<Frame>) -> bool {
+///
+/// `all_wanted` tells whether the control instance has asked for those of other ingresses as well.
+fn send_findings(
+    shared: &Shared,
+    address: SocketAddr,
+    all_wanted: bool,
+    tx: &mpsc::Sender<Frame>,
+) -> bool {
     let own = shared.control.own_findings_for(address);
+    let own = own.filter(|_| !all_wanted);
     let findings = own.unwrap_or_else(|| shared.content.findings());
     tx.try_send(Frame::CrashFindings { findings }).is_ok()
 }
--- a/crates/toucanshelf-ingress/src/settings.rs
+++ b/crates/toucanshelf-ingress/src/settings.rs
@@ -7,7 +7,7 @@
 use toucanshelf_link::handshake::SharedKey;
 use toucanshelf_routing::budget::BudgetLimits;
 use toucanshelf_runtime::program::DaemonSettings;
-use toucanshelf_runtime::settings::{LogSettings, milliseconds};
+use toucanshelf_runtime::settings::{LogSettings, SettingsFile, milliseconds};
 
 /// Settings of an ingress, which stay the same while it runs.
 #[derive(Clone, Debug, Deserialize)]
@@ -28,6 +28,11 @@
     /// Without it, this ingress serves no requests of others, but still sends its own to them.
     #[serde(default)]
     pub relay_listen: Option<SocketAddr>,
+    /// Address on which links of control instances and other ingresses are accepted.
+    ///
+    /// Through it, this ingress learns which control instances run if it has lost all it knows.
+    #[serde(default)]
+    pub link_listen: Option<SocketAddr>,
     /// Secret key shared by all processes of the system to authenticate their connections.
     pub link_key: Box<str>,
     /// Addresses of the control instances to which the ingress connects first.
@@ -63,6 +68,9 @@
     /// Settings of logs and traces.
     #[serde(default)]
     pub log: LogSettings,
+    /// File from which `seeds` is read again, if there is one.
+    #[serde(skip)]
+    pub file: Option<SettingsFile>,
 }
 
 fn default_stop_timeout() -> u64 {
@@ -91,6 +99,14 @@
         SharedKey::new(self.link_key.clone()).map_err(|e| format!("link-key: {e}").into())
     }
 
+    /// Returns the addresses at which the control instances in `seeds` accept links.
+    pub fn seed_links(&self) -> Vec<SocketAddr> {
+        let seeds = self.seeds.iter();
+        seeds
+            .map(|seed| SocketAddr::new(seed.ip(), self.link_port))
+            .collect()
+    }
+
     /// Returns the limits on repeated sends, from the settings `repeat_*`.
     pub fn budget_limits(&self) -> BudgetLimits {
         BudgetLimits {
@@ -124,4 +140,8 @@
     fn log(&self) -> &LogSettings {
         &self.log
     }
+
+    fn set_file(&mut self, file: SettingsFile) {
+        self.file = Some(file);
+    }
 }
--- a/crates/toucanshelf-link/src/frame.rs
+++ b/crates/toucanshelf-link/src/frame.rs
@@ -132,6 +132,14 @@
         /// Whether the sender can read [`CommandBody::DeployPatch`], which older programs can't.
         #[serde(default)]
         reads_patches: bool,
+        /// Whether the sender accepts [`Frame::IngressAddresses`], which older programs don't know.
+        #[serde(default)]
+        calls_ingresses: bool,
+        /// Whether the sender accepts [`Frame::CrashFindings`] of other control instances.
+        ///
+        /// Older programs ignore them.
+        #[serde(default)]
+        accepts_findings: bool,
     },
     /// Control to control: announces the address at which the sender accepts links.
     Introduce {
@@ -165,6 +173,35 @@
         /// Older programs don't know them.
         #[serde(default)]
         accepts_subscriptions: bool,
+        /// Whether the sender accepts [`Frame::IngressAddress`], which older programs don't know.
+        #[serde(default)]
+        calls_ingresses: bool,
+        /// Whether the sender hears a leader, so that it learns of new deployments.
+        ///
+        /// Older programs don't tell, and count as hearing one.
+        #[serde(default = "hears_leader")]
+        hears_leader: bool,
+        /// Whether the sender asks for all findings that the receiver knows.
+        ///
+        /// Otherwise the receiver sends those that it has made itself.
+        #[serde(default)]
+        wants_all_findings: bool,
+    },
+    /// Ingress to control: announces the address at which the sender accepts links.
+    IngressAddress {
+        /// Address at which the sender accepts links.
+        link: SocketAddr,
+    },
+    /// Control to control or ingress: lists ingresses that are or were linked to the sender.
+    IngressAddresses {
+        /// Time since the last link of each ingress in milliseconds, by the address at which it accepts
+        /// links.
+        last_linked_ms: BTreeMap<SocketAddr, u64>,
+    },
+    /// Control or ingress to an ingress, on a link to it: names control instances that run now.
+    ControlInstances {
+        /// Addresses at which the control instances accept links.
+        links: Vec<SocketAddr>,
     },
     /// Ingress to control: asks for [`Frame::MemberCounts`] in place of [`Frame::Members`].
     WatchCounts,
@@ -174,6 +211,9 @@
         links: Vec<SocketAddr>,
         /// Availability zones with the number of ingress instances there that are linked to the sender.
         ingresses: BTreeMap<Box<str>, u32>,
+        /// Whether the sender hears a leader; see [`Frame::Members`].
+        #[serde(default = "hears_leader")]
+        hears_leader: bool,
     },
 
     /// Control to ingress: announces the version of the current deployment.
@@ -225,10 +265,12 @@
         /// Number of the push, from the [`Frame::Registrations`] message.
         push: u64,
     },
-    /// Ingress to control, or control to ingress: shares findings about content of requests.
+    /// Ingress or control to control, or control to ingress: shares findings about content of requests.
     ///
-    /// An ingress sends its own findings when it opens a link. Control replies with all findings
-    /// that it knows, and then forwards those of the other ingresses.
+    /// An ingress sends its own findings when it opens a link, or all that it knows if control asks
+    /// for them. Control replies with all findings that it knows, and then forwards those of the
+    /// other ingresses. A control instance sends all findings on a link that it opens to another,
+    /// and then forwards those of its ingresses.
     CrashFindings {
         /// Findings that the receiver adds to its own.
         findings: Vec<Finding>,
@@ -277,6 +319,10 @@
     },
 }
 
+fn hears_leader() -> bool {
+    true
+}
+
 /// Reason why a submitted command has no reply from the state machine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize, thiserror::Error)]
 pub enum SubmitError {
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -6,7 +6,7 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::ops::Range;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
@@ -228,12 +228,28 @@
     stalled: Arc<Mutex<Option<SocketAddr>>>,
     /// Whether the target fails calls for its report.
     hides_reports: Arc<AtomicBool>,
+    api: Arc<EngineApi>,
     /// Set to stop the target; dropping the sender stops it as well.
     stop: Arc<watch::Sender<bool>>,
     /// Headers that the target adds to every answer.
     headers: Arc<Mutex<HeaderMap>>,
 }
 
+/// State of a target's own API, which takes orders and reports the state of an engine.
+#[derive(Default)]
+struct EngineApi {
+    /// Identity of the engine, which refuses calls for any other one.
+    ///
+    /// Without it, the target takes all calls and rejects every order.
+    id: Mutex<Option<&'static str>>,
+    /// Start time that the reports state.
+    born: Mutex<Option<u64>>,
+    /// Bodies of the orders that the engine has begun.
+    orders_begun: Mutex<Vec<Bytes>>,
+    /// Number of calls that were for another engine.
+    misdirected: AtomicUsize,
+}
+
 /// Body of a target's response.
 type TargetBody = BoxBody<Bytes, std::io::Error>;
 
@@ -261,8 +277,10 @@
         let stop = Arc::new(stop);
         let headers = Arc::default();
         let hides_reports = Arc::default();
+        let api = Arc::default();
         let behaviour = Arc::new(Behaviour {
             hides_reports: Arc::clone(&hides_reports),
+            api: Arc::clone(&api),
             headers: Arc::clone(&headers),
             script: Arc::clone(&script),
             crashes: Box::new(crashes),
@@ -288,6 +306,7 @@
             script,
             stalled,
             hides_reports,
+            api,
             stop,
             headers,
         }
@@ -298,6 +317,26 @@
         self.hides_reports.store(true, Ordering::Relaxed);
     }
 
+    /// Makes the target take orders, and refuse calls of its API that are for another engine.
+    pub fn identify_as(&self, id: &'static str) {
+        *self.api.id.lock().unwrap() = Some(id);
+    }
+
+    /// Makes the target's reports state its start time.
+    pub fn report_born(&self, born: u64) {
+        *self.api.born.lock().unwrap() = Some(born);
+    }
+
+    /// Returns the number of orders that the target has begun.
+    pub fn orders_begun(&self) -> usize {
+        self.api.orders_begun.lock().unwrap().len()
+    }
+
+    /// Returns the number of calls of the target's API that were for another engine.
+    pub fn misdirected_calls(&self) -> usize {
+        self.api.misdirected.load(Ordering::Relaxed)
+    }
+
     /// Makes the target name a limit in its answers, in requests a second, or none.
     pub fn name_limit(&self, rate: Option<&'static str>) {
         self.add_header("server-limit", rate);
@@ -338,6 +377,7 @@
 struct Behaviour {
     /// Whether the target fails calls for its report.
     hides_reports: Arc<AtomicBool>,
+    api: Arc<EngineApi>,
     script: Arc<Mutex<VecDeque<TargetAction>>>,
     /// Whether a request crashes the target.
     crashes: Box<dyn Fn(&ReceivedRequest) -> bool + Send + Sync>,
@@ -356,12 +396,21 @@
 ) -> Response<TargetBody> {
     let (parts, body) = req.into_parts();
     let body = body.collect().await.unwrap().to_bytes();
-    // The target rejects every order, and its reports hold only stalled requests.
     if parts.uri.path().starts_with("/api/") {
-        let status = if parts.method == Method::POST {
-            404
-        } else {
-            200
+        let api = &behaviour.api;
+        let id = *api.id.lock().unwrap();
+        let expected = parts.headers.get("x-toucanshelf-expect-instance");
+        if id.is_some() && expected.is_some_and(|expected| expected != id.unwrap()) {
+            api.misdirected.fetch_add(1, Ordering::Relaxed);
+            return respond(421, &HeaderMap::new(), static_body(""));
+        }
+        let status = match (parts.method, id) {
+            (Method::POST, None) => 404,
+            (Method::POST, Some(_)) => {
+                api.orders_begun.lock().unwrap().push(body);
+                202
+            }
+            _ => 200,
         };
         if behaviour.hides_reports.load(Ordering::Relaxed) {
             return respond(503, &HeaderMap::new(), static_body(""));
@@ -370,7 +419,10 @@
         let stalled: Vec<_> = stalled
             .map(|address| serde_json::json!({ "id": "r1", "address": address }))
             .collect();
-        let report = serde_json::json!({ "stalled": stalled }).to_string();
+        let born = *api.born.lock().unwrap();
+        let report =
+            serde_json::json!({ "busy": false, "seq": 0, "stalled": stalled, "born": born });
+        let report = report.to_string();
         return respond(status, &HeaderMap::new(), bytes_body(report.into()));
     }
     let id = parts.headers.get("x-toucanshelf-request-id").cloned();
@@ -549,7 +601,7 @@
     /// Starts a control instance and an ingress, and deploys `document`.
     ///
     /// Registers the targets, given as `(service, target)` pairs, and waits until the ingress has
-    /// the deployment.
+    /// the deployment and knows the targets.
     pub async fn start(document: &str, targets: &[(&str, &Target)]) -> Self {
         let (control, folder) = start_control().await;
         Self::with_control(control, folder, document, targets).await
@@ -588,7 +640,7 @@
         for (n, (service, target)) in targets.iter().enumerate() {
             let heartbeat = serde_json::json!({
                 "service": service, "address": target.address, "zone": "z", "version": "v1",
-                "slots": 8, "state": "ready", "seq": 1, "born": 1000 + n
+                "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1000 + n
             });
             assert_eq!(
                 platform.send_heartbeat(&format!("t{n}"), &heartbeat).await,
@@ -596,6 +648,9 @@
             );
         }
         platform.wait_until_in_sync().await;
+        for (_, target) in targets {
+            platform.wait_until_known(target.address).await;
+        }
         platform
     }
 
@@ -630,9 +685,16 @@
     pub async fn register(&self, id: &str, service: &str, address: SocketAddr) {
         let heartbeat = serde_json::json!({
             "service": service, "address": address, "zone": "z", "version": "v1",
-            "slots": 8, "state": "ready", "seq": 1, "born": 1000
+            "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1000
         });
         assert_eq!(self.send_heartbeat(id, &heartbeat).await, 200);
+        self.wait_until_known(address).await;
+    }
+
+    /// Waits until the ingress has the registration of the target at `address`.
+    ///
+    /// The registration isn't ordered with the deployment, which may arrive first.
+    async fn wait_until_known(&self, address: SocketAddr) {
         let shared = self.ingress.shared();
         let known = async {
             while shared.targets().at_address(address).is_none() {
@@ -652,7 +714,7 @@
     ) {
         let heartbeat = serde_json::json!({
             "service": "model", "address": address, "zone": zone, "version": "v1",
-            "slots": 8, "state": "ready", "seq": 1, "born": 1000, "kind": "card",
+            "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1000, "kind": "card",
             "layers": { "from": layers.start, "target": layers.end, "version": 1 }
         });
         assert_eq!(self.send_heartbeat(id, &heartbeat).await, 200);
@@ -719,14 +781,20 @@
 
 /// Returns the settings of an ingress that connects to control instances at `seeds`.
 fn ingress_settings(name: &str, seeds: &[&str], link_port: u16) -> IngressSettings {
+    let text = ingress_settings_text(name, seeds, link_port);
+    toucanshelf_runtime::settings::parse("ingress.toml", &text).unwrap()
+}
+
+/// Returns the text of a settings file for [`ingress_settings`].
+pub fn ingress_settings_text(name: &str, seeds: &[&str], link_port: u16) -> String {
     let seeds: Vec<_> = seeds.iter().map(|ip| format!("'{ip}:1'")).collect();
-    let settings = format!(
+    format!(
         "name = '{name}'\nzone = 'z'\nlisten = '127.0.0.1:0'\nready-listen = '127.0.0.1:0'\n\
-         metrics-listen = '127.0.0.1:0'\nrelay-listen = '127.0.0.1:0'\nlink-key = '{LINK_KEY}'\nseeds = [{}]\n\
+         metrics-listen = '127.0.0.1:0'\nrelay-listen = '127.0.0.1:0'\n\
+         link-listen = '127.0.0.1:0'\nlink-key = '{LINK_KEY}'\nseeds = [{}]\n\
          link-port = {link_port}\nrepeat-slack = 100.0\n",
         seeds.join(", ")
-    );
-    toucanshelf_runtime::settings::parse("ingress.toml", &settings).unwrap()
+    )
 }
 
 /// Starts a control instance, and returns it with its data folder.
@@ -738,12 +806,26 @@
 
 /// Starts a control instance whose replica keeps its state in the store that `opener` opens.
 pub async fn start_control_on(opener: Arc<dyn OpenStore>) -> Control {
+    start_control_at("127.0.0.1:0".parse().unwrap(), &["127.0.0.1"], opener).await
+}
+
+/// Starts one of several control instances, which accepts links at `link_listen`.
+///
+/// The others accept them at the IP addresses `seeds`, on the same port.
+pub async fn start_control_at(
+    link_listen: SocketAddr,
+    seeds: &[&str],
+    opener: Arc<dyn OpenStore>,
+) -> Control {
+    let seeds: Vec<_> = seeds.iter().map(|ip| format!("'{ip}:0'")).collect();
     let settings = format!(
-        "name = '127.0.0.1'\nzone = 'z'\nlisten = '127.0.0.1:0'\nlink-listen = '127.0.0.1:0'\n\
+        "name = '{}'\nzone = 'z'\nlisten = '127.0.0.1:0'\nlink-listen = '{link_listen}'\n\
              link-key = '{LINK_KEY}'\ndata-folder = 'unused'\n\
              operator-token-digests = ['{OPERATOR_TOKEN_DIGEST}']\n\
-             [deployment]\nlisten = '127.0.0.1:0'\nseeds = ['127.0.0.1:0']\nbootstrap = true\n\
+             [deployment]\nlisten = '127.0.0.1:0'\nseeds = [{}]\nbootstrap = true\n\
              tolerated-losses = 0\n",
+        link_listen.ip(),
+        seeds.join(", ")
     );
     let settings = toucanshelf_runtime::settings::parse("control.toml", &settings).unwrap();
     let dialect = Arc::new(PlatformDialect);
