Count a stream as served once it has ended

A crash before the end of a stream is a finding, also in an attempt that resumes it; an answer clears its content at its end.

--- a/crates/toucanshelf-core/src/crash.rs
+++ b/crates/toucanshelf-core/src/crash.rs
@@ -32,16 +32,16 @@
 /// What happened to a request with some content.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Outcome {
-    /// A target crashed before it had answered the request.
+    /// A target crashed before it had answered the request to the end.
     Crashed {
         /// The crash, which other requests at the target report as well.
         crash: CrashId,
         /// Whether the request was a trial of the content.
         in_trial: bool,
     },
-    /// A target answered the request.
+    /// A target answered the request to the end.
     Served {
-        /// Crashes that were known when the request was sent, and that the content didn't cause.
+        /// Crashes that were known by then, and that the content didn't cause.
         despite: Vec<CrashId>,
     },
     /// A request is sent as a trial, while others with the content wait.
--- a/crates/toucanshelf-ingress/src/content_guard.rs
+++ b/crates/toucanshelf-ingress/src/content_guard.rs
@@ -1,8 +1,8 @@
 //! Limits the number of targets that requests with the same content can crash.
 //!
-//! Each attempt to send a request reports whether the target answered it or crashed. The findings
-//! are shared with the other ingresses, and a [`CrashLedgers`] decides from all of them which
-//! requests are sent, tried one at a time, or refused.
+//! Each attempt to send a request reports whether the target answered it to the end or crashed.
+//! The findings are shared with the other ingresses, and a [`CrashLedgers`] decides from all of
+//! them which requests are sent, tried one at a time, or refused.
 
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -135,14 +135,12 @@
 pub struct ContentAttempt {
     shared: Arc<Shared>,
     service: Box<str>,
-    /// Content with crashes that were known when the attempt began.
-    ///
-    /// An answer proves that the content has not caused these crashes.
-    known: Vec<(PositionedContent, Vec<CrashId>)>,
     /// Content that the attempt tries, the most specific one first.
     trial: Vec<PositionedContent>,
     /// Receiver of a counter that is raised by each new finding.
     changes: watch::Receiver<u64>,
+    /// Whether the target has begun to answer.
+    has_begun: bool,
     /// Whether the outcome of the attempt is recorded.
     settled: bool,
 }
@@ -177,11 +175,21 @@
     }
 }
 
-/// Waits until the content of `req` is refused, if its attempt reports on the content.
-pub async fn refused(content: Option<&mut ContentAttempt>, req: &CallerRequest) {
-    match content {
-        Some(content) => content.refused(req).await,
-        None => std::future::pending().await,
+/// Begins an attempt that continues a stream, of which the caller has events.
+///
+/// The stream doesn't wait while another request with suspected content is on trial.
+///
+/// # Errors
+///
+/// If the request must not be sent, returns the time after which it may be sent again.
+pub fn begin_resumed_attempt(
+    shared: &Arc<Shared>,
+    req: &CallerRequest,
+) -> Result<ContentAttempt, Duration> {
+    match decide(shared, req) {
+        Decision::Send(attempt) => Ok(attempt),
+        Decision::Refuse { until } => Err(time_until(shared, until)),
+        Decision::Wait { .. } => Ok(ContentAttempt::new(shared, req)),
     }
 }
 
@@ -209,10 +217,6 @@
                 }
                 Handling::Normal => {}
             }
-            let crashes = ledger.unexplained(content);
-            if !crashes.is_empty() {
-                attempt.known.push(((content, position), crashes));
-            }
         }
     }
     if now < busy_until {
@@ -231,18 +235,18 @@
         Self {
             shared: Arc::clone(shared),
             service: req.service.clone(),
-            known: Vec::new(),
             trial: Vec::new(),
             changes: shared.content.changed.subscribe(),
+            has_begun: false,
             settled: false,
         }
     }
 
     /// Waits until requests with the content of `req`, the request of this attempt, are refused.
     ///
-    /// Once the target has answered, the future never completes. It is cancel safe.
+    /// Once the target has begun to answer, the future never completes. It is cancel safe.
     pub async fn refused(&mut self, req: &CallerRequest) {
-        while !self.settled && self.changes.changed().await.is_ok() {
+        while !self.has_begun && !self.settled && self.changes.changed().await.is_ok() {
             let now = self.shared.now();
             let ledgers = self.shared.content.ledgers();
             let ledger = ledgers.get(&self.service);
@@ -259,19 +263,38 @@
         std::future::pending::<()>().await;
     }
 
-    /// Records that the target answered the request.
+    /// Records that the target has begun to answer the request.
     ///
-    /// Calls after the first outcome have no effect.
-    pub fn record_served(&mut self) {
+    /// The attempt is then not cancelled any more, but its target may still crash.
+    pub fn record_begun(&mut self) {
+        self.has_begun = true;
+    }
+
+    /// Records that the target answered `req`, the request of this attempt, to the end.
+    ///
+    /// The content of the request has then not caused the crashes that are known by now. Calls after
+    /// the first outcome have no effect.
+    pub fn record_served(&mut self, req: &CallerRequest) {
         if std::mem::replace(&mut self.settled, true) {
             return;
         }
-        for (content, despite) in std::mem::take(&mut self.known) {
-            self.publish(content, Outcome::Served { despite });
+        let trial = std::mem::take(&mut self.trial);
+        for content in contents(req) {
+            let despite = {
+                let ledgers = self.shared.content.ledgers();
+                let ledger = ledgers.get(&self.service);
+                ledger.map_or_else(Vec::new, |ledger| ledger.unexplained(content.0))
+            };
+            if !despite.is_empty() {
+                self.publish(content, Outcome::Served { despite });
+            } else if trial.contains(&content) {
+                self.publish(content, Outcome::TrialEnded);
+            }
         }
     }
 
-    /// Records that the target crashed before it answered `req`, the request of this attempt.
+    /// Records that the target crashed before the end of its answer to `req`, the request of this
+    /// attempt.
     ///
     /// Calls after the first outcome have no effect.
     pub fn record_crash(&mut self, req: &CallerRequest, crash: CrashId) {
@@ -284,11 +307,12 @@
         tracing::info!(
             event = "TS4310",
             request = req.id(),
+            has_begun = self.has_begun,
             service = %self.service,
             crash = crash.0,
             parts = %req.shared_parts(),
             tried = tried.map(|content| content.to_string()),
-            "target crashed before it answered"
+            "target crashed before the end of its answer"
         );
         for content in contents {
             let in_trial = tried == Some(content.0);
--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -212,7 +212,7 @@
         };
         self.ledger.settle(attempt, state);
         match (&response, crash) {
-            (Ok(_), _) => content.record_served(),
+            (Ok(_), _) => content.record_served(req),
             (Err(AttemptError::Disconnected(_)), Some(crash)) => content.record_crash(req, crash),
             _ => {}
         }
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -22,7 +22,7 @@
 use toucanshelf_runtime::in_flight::InFlightGuard;
 
 use crate::attempt::ReusableConnection;
-use crate::content_guard::{ContentAttempt, refused};
+use crate::content_guard::ContentAttempt;
 use crate::events::EventSplitter;
 use crate::live_route::{LiveRoute, StreamFailure};
 use crate::relay::{self, History};
@@ -151,24 +151,20 @@
     has_event: bool,
     /// Identifier under which a crash of the first engine is reported.
     crash: CrashId,
-    /// Report on the request's content; `None` if the caller had events when the attempt began.
-    content: Option<ContentAttempt>,
+    /// Report on the request's content.
+    content: ContentAttempt,
 }
 
 impl Upstream {
-    /// Records that the first engine has sent an event or a complete response.
-    fn record_served(&mut self) {
+    /// Records that the first engine has sent an event.
+    fn record_event(&mut self) {
         self.has_event = true;
-        if let Some(content) = &mut self.content {
-            content.record_served();
-        }
+        self.content.record_begun();
     }
 
-    /// Reports that the first engine crashed, unless it had sent an event.
+    /// Reports that the first engine crashed.
     fn record_crash(&mut self, req: &CallerRequest) {
-        if let Some(content) = &mut self.content {
-            content.record_crash(req, self.crash);
-        }
+        self.content.record_crash(req, self.crash);
     }
 
     /// Returns the connection to the pool once the stream has ended.
@@ -249,7 +245,7 @@
                     let cause = "the engine sent bytes that are no event";
                     return StreamItem::Failed(StreamFailure::Broken(cause.into()));
                 }
-                upstream.record_served();
+                upstream.record_event();
                 if event.id.is_some_and(|id| self.has_delivered(id)) {
                     continue;
                 }
@@ -281,12 +277,16 @@
                         ));
                     }
                     None => {
-                        upstream.record_served();
+                        // A resumed stream without an event doesn't show that the engine would
+                        // have survived one.
+                        if upstream.has_event || self.events == 0 {
+                            upstream.content.record_served(&self.req);
+                        }
                         return StreamItem::End;
                     }
                 },
                 () = caller_disconnected(caller) => return StreamItem::CallerDisconnected,
-                () = refused(upstream.content.as_mut(), &self.req) => {
+                () = upstream.content.refused(&self.req) => {
                     return StreamItem::Failed(StreamFailure::Cancelled);
                 }
                 failure = upstream.route.watch() => {
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -8,7 +8,7 @@
 use toucanshelf_routing::runs::{AttemptKey, AttemptState};
 
 use crate::attempt::{AttemptError, Destination, OpenResponse, send};
-use crate::content_guard::{ContentAttempt, begin_attempt, refused};
+use crate::content_guard::{ContentAttempt, begin_attempt, begin_resumed_attempt};
 use crate::events::EventSplitter;
 use crate::live_route::{LiveRoute, StreamFailure, mark_down_and_report};
 use crate::permits;
@@ -54,14 +54,14 @@
     }
 
     /// Waits until the request may be sent.
-    ///
-    /// Returns `None` for a stream of which the caller has events: its content is sound.
-    async fn begin_attempt(&mut self) -> Result<Option<ContentAttempt>, Refusal> {
-        if self.events > 0 {
-            return Ok(None);
-        }
-        match begin_attempt(&self.shared, &self.req).await {
-            Ok(attempt) => Ok(Some(attempt)),
+    async fn begin_attempt(&mut self) -> Result<ContentAttempt, Refusal> {
+        let begun = if self.events > 0 {
+            begin_resumed_attempt(&self.shared, &self.req)
+        } else {
+            begin_attempt(&self.shared, &self.req).await
+        };
+        match begun {
+            Ok(attempt) => Ok(attempt),
             Err(retry_after) => {
                 self.retry_after = retry_after;
                 Err(if self.ledger.may_have_run() {
@@ -94,7 +94,7 @@
         &mut self,
         route: Vec<RouteHop>,
         attempt: AttemptKey,
-        mut content: Option<ContentAttempt>,
+        mut content: ContentAttempt,
     ) -> Result<Opened, AttemptError> {
         let first = route[0];
         let (engine, crash) = {
@@ -118,12 +118,12 @@
         let sending = self.send_watched(&destination, &mut live_route);
         let result = tokio::select! {
             result = sending => result,
-            () = refused(content.as_mut(), &self.req) => Err(AttemptError::Cancelled),
+            () = content.refused(&self.req) => Err(AttemptError::Cancelled),
         };
         let open = match result {
             Ok(open) => open,
             Err(e) => {
-                if let (AttemptError::Disconnected(_), Some(content)) = (&e, &mut content) {
+                if let AttemptError::Disconnected(_) = &e {
                     content.record_crash(&self.req, crash);
                 }
                 self.record_attempt_error(&live_route, attempt, &e);
@@ -136,9 +136,7 @@
                 .await;
             self.ledger.settle(attempt, AttemptState::MayHaveRun);
             let response = read_result?;
-            if let Some(content) = &mut content {
-                content.record_served();
-            }
+            content.record_served(&self.req);
             let status = response.status().as_u16();
             self.finish("target-failure", status);
             return Ok(Opened::ErrorResponse(response.map(full_body)));
--- a/crates/toucanshelf-routing/src/crash_ledger.rs
+++ b/crates/toucanshelf-routing/src/crash_ledger.rs
@@ -2,8 +2,8 @@
 //!
 //! A crash ends all requests at the target, of which one may be its cause. Content that is common
 //! to the requests of several crashes becomes a suspect, unless other content explains these
-//! crashes better. Requests with a suspect are sent one at a time, as trials. A trial that is
-//! answered clears the suspect; after a trial that crashes another target, requests with the
+//! crashes better. Requests with a suspect are sent one at a time, as trials. A request that is
+//! answered to the end clears the suspect; after a trial that crashes another target, requests with the
 //! content are refused for some time.
 //!
 //! A ledger merges the findings of all ingresses. Crashes and answers are kept as sets, so that
--- a/tests/testsuite/crashing_content.rs
+++ b/tests/testsuite/crashing_content.rs
@@ -1,10 +1,12 @@
 //! Tests of requests whose content crashes the targets that run them.
 
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use toucanshelf_core::crash::{Content, Finding, Outcome};
 use toucanshelf_core::ids::{CrashId, PromptPart};
 use toucanshelf_ingress::Ingress;
+use toucanshelf_ingress::shared::Shared;
 
 use crate::ingress::{model_document, with_engines_on};
 use crate::platform_support::{
@@ -30,11 +32,20 @@
 async fn with_crashing_engines_on(
     document: &DeploymentBuilder,
     count: usize,
+) -> (Platform, Vec<Target>) {
+    with_engines_crashing_after(&[], document, count).await
+}
+
+/// Does the same with engines that send these chunks of a stream before they crash.
+async fn with_engines_crashing_after(
+    sent: &'static [&'static str],
+    document: &DeploymentBuilder,
+    count: usize,
 ) -> (Platform, Vec<Target>) {
     let mut engines = Vec::new();
     for _ in 0..count {
         let script = vec![TargetAction::Stream(&["id: 1\n\n"]); 64];
-        let engine = Target::start_crashing(script, |req| {
+        let engine = Target::start_crashing_after(sent, script, |req| {
             req.header("x-toucanshelf-prompt-prefix").contains(DEADLY)
         });
         engines.push(engine.await);
@@ -71,6 +82,22 @@
         .count()
 }
 
+/// Returns a finding about the part of a prompt at `position`.
+fn finding(part: u64, position: u8, outcome: Outcome) -> Finding {
+    Finding {
+        service: "model".into(),
+        content: Content::Part(PromptPart(part)),
+        position,
+        outcome,
+    }
+}
+
+/// Returns the finding that crash `id` ended a request with the part.
+fn crash_of(part: u64, position: u8, id: u64, in_trial: bool) -> Finding {
+    let crash = CrashId(id);
+    finding(part, position, Outcome::Crashed { crash, in_trial })
+}
+
 /// Guards against new requests with one part crashing engine after engine.
 #[tokio::test]
 async fn part_that_crashes_engines() {
@@ -100,6 +127,59 @@
     }
 }
 
+/// Guards against taking a request for sound as soon as its engine has sent an event.
+///
+/// The request is resumed after the first crash, and its second engine crashes as well.
+#[tokio::test]
+async fn part_that_crashes_engines_after_first_event() {
+    let document = model_document();
+    let started = with_engines_crashing_after(&["id: 1\n\n"], &document, 14);
+    let (platform, engines) = started.await;
+    let deadly = format!("aa:40,{DEADLY}:7");
+    for n in 0..10 {
+        let response = call_at(&platform.ingress, n, &deadly).await;
+        assert!(response.status == 503 || !response.is_complete);
+        assert_eq!(call_with_parts(&platform, 100 + n, "aa:40").await, 200);
+    }
+    let received = deadly_requests(&engines);
+    assert!(
+        received <= 5 + MAX_LATE_REQUESTS,
+        "{received} requests reached engines"
+    );
+}
+
+/// Guards against holding back sound requests until one that begins after the crashes has ended.
+///
+/// The crashes become known after the engine has received the request.
+#[tokio::test]
+async fn stream_under_way_clears_content() {
+    let shared = Arc::new(OnceLock::<Arc<Shared>>::new());
+    let known = Arc::clone(&shared);
+    let script = [TargetAction::Stream(&["id: 1\n\n"])];
+    let engine = Target::start_crashing(script, move |_| {
+        let shared = known.get().expect("set before the request is sent");
+        let findings: Vec<_> = [1, 2].map(|id| crash_of(0xaa, 0, id, false)).into();
+        assert!(shared.content.apply(shared.now(), &findings));
+        false
+    });
+    let engines = [engine.await, Target::start([]).await];
+    let placed = [("z", 0, 2), ("z", 2, 4)];
+    let engines: Vec<_> = engines.iter().collect();
+    let platform = with_engines_on(&model_document(), &engines, &placed).await;
+    assert!(shared.set(Arc::clone(platform.ingress.shared())).is_ok());
+    assert_eq!(call_with_parts(&platform, 1, "aa:40").await, 200);
+    let despite = vec![CrashId(1), CrashId(2)];
+    let served = finding(0xaa, 0, Outcome::Served { despite });
+    assert!(
+        platform
+            .ingress
+            .shared()
+            .content
+            .findings()
+            .contains(&served)
+    );
+}
+
 /// Guards against refusing sound requests of the caller whose other requests crash engines.
 ///
 /// They share its key and the first part. A few of them may wait while the deadly part is tried.
@@ -227,18 +307,8 @@
 #[tokio::test]
 async fn refusal_keeps_trial_of_others() {
     let (platform, engines) = with_crashing_engines(2).await;
-    let finding = |part, position, outcome| Finding {
-        service: "model".into(),
-        content: Content::Part(PromptPart(part)),
-        position,
-        outcome,
-    };
-    let crash = |part, position, id, in_trial| {
-        let crash = CrashId(id);
-        finding(part, position, Outcome::Crashed { crash, in_trial })
-    };
-    let mut findings: Vec<_> = (1..=4).map(|id| crash(0xaa, 0, id, id == 4)).collect();
-    findings.extend([11, 12].map(|id| crash(0xbb, 1, id, false)));
+    let mut findings: Vec<_> = (1..=4).map(|id| crash_of(0xaa, 0, id, id == 4)).collect();
+    findings.extend([11, 12].map(|id| crash_of(0xbb, 1, id, false)));
     findings.push(finding(0xbb, 1, Outcome::TrialStarted));
     let shared = platform.ingress.shared();
     assert!(shared.content.apply(shared.now(), &findings));
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -265,6 +265,15 @@
     pub async fn start_crashing(
         script: impl IntoIterator<Item = TargetAction>,
         crashes: impl Fn(&ReceivedRequest) -> bool + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_crashing_after(&[], script, crashes).await
+    }
+
+    /// Does the same with a target that sends these chunks of a stream before it crashes.
+    pub async fn start_crashing_after(
+        sent: &'static [&'static str],
+        script: impl IntoIterator<Item = TargetAction>,
+        crashes: impl Fn(&ReceivedRequest) -> bool + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
@@ -284,6 +293,7 @@
             headers: Arc::clone(&headers),
             script: Arc::clone(&script),
             crashes: Box::new(crashes),
+            sent_before_crash: sent,
             stop: Arc::downgrade(&stop),
         });
         let handler = move |req| {
@@ -381,6 +391,8 @@
     script: Arc<Mutex<VecDeque<TargetAction>>>,
     /// Whether a request crashes the target.
     crashes: Box<dyn Fn(&ReceivedRequest) -> bool + Send + Sync>,
+    /// Chunks of a stream that the target sends before it crashes.
+    sent_before_crash: &'static [&'static str],
     stop: Weak<watch::Sender<bool>>,
     /// Headers that the target adds to every answer.
     headers: Arc<Mutex<HeaderMap>>,
@@ -438,7 +450,7 @@
         if let Some(stop) = behaviour.stop.upgrade() {
             stop.send_replace(true);
         }
-        Some(TargetAction::Break(&[]))
+        Some(TargetAction::Break(behaviour.sent_before_crash))
     } else {
         behaviour.script.lock().unwrap().pop_front()
     };
