Share the set-up of the tests with replaced control instances

Cause: reading the diff as a newcomer: two process tests repeated their start and their end, and two comments were no longer true after the seeds could be read again.

--- a/crates/toucanshelf-control/src/address_book.rs
+++ b/crates/toucanshelf-control/src/address_book.rs
@@ -84,6 +84,7 @@
 /// Stores the addresses whenever they have changed, until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>) {
     let folder = shared.settings.data_folder.clone();
+    // The start has logged a file that can't be read; it is replaced.
     let mut stored = AddressBook::load(&folder).unwrap_or_default();
     let mut failure: Option<Box<str>> = None;
     loop {
--- a/crates/toucanshelf-ingress/src/discovery.rs
+++ b/crates/toucanshelf-ingress/src/discovery.rs
@@ -19,7 +19,6 @@
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::handshake::{Hello, PeerRole, SharedKey};
 use toucanshelf_link::link::{self, Link};
-
 use toucanshelf_runtime::settings::SettingsReader;
 use toucanshelf_runtime::shutdown;
 
--- a/crates/toucanshelf-ingress/src/settings.rs
+++ b/crates/toucanshelf-ingress/src/settings.rs
@@ -9,7 +9,7 @@
 use toucanshelf_runtime::program::DaemonSettings;
 use toucanshelf_runtime::settings::{LogSettings, SettingsFile, milliseconds};
 
-/// Settings of an ingress, which stay the same while it runs.
+/// Settings of an ingress, which stay the same while it runs, except that seeds may be added.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
 pub struct IngressSettings {
--- a/tests/testsuite/replaced_control.rs
+++ b/tests/testsuite/replaced_control.rs
@@ -87,6 +87,24 @@
         start("toucanshelf-ingress", &path)
     }
 
+    /// Starts the first control instances and an ingress, which serves the route `/first/` only.
+    fn start_deployed(&self) -> (Vec<Process>, Process) {
+        let controls: Vec<_> = (0..CONTROLS).map(|n| self.start_control(n)).collect();
+        let ingress = self.start_ingress("i1");
+        wait_until_voting(&controls);
+        let document = DeploymentBuilder::new(1).route("first", "a.example", "/first/", "plain");
+        self.deploy(0, &document.build());
+        wait_until_only(&ingress, "/first/", "/added/");
+        (controls, ingress)
+    }
+
+    /// Replaces the route by `/added/` at a successor, and waits until the ingress serves that only.
+    fn deploy_added_route(&self, ingress: &Process) {
+        let document = DeploymentBuilder::new(2).route("added", "a.example", "/added/", "plain");
+        self.deploy(CONTROLS, &document.build());
+        wait_until_only(ingress, "/added/", "/first/");
+    }
+
     /// Whether successor `n` has stored the addresses of all successors and of an ingress.
     fn knows_successors(&self, n: usize) -> bool {
         let folder = self.folder.path(&format!("data-{}", CONTROLS + n));
@@ -117,6 +135,14 @@
     text.split(' ').nth(1)?.parse().ok()
 }
 
+/// Waits until an ingress knows the route `known`, but not the route `unknown`.
+///
+/// The service has no targets, so that a request on a known route gets 503.
+fn wait_until_only(ingress: &Process, known: &str, unknown: &str) {
+    let caller = |path| status(ingress.address("address"), "GET", path, "");
+    wait_until(|| caller(unknown) == Some(404) && caller(known) == Some(503));
+}
+
 /// Waits until the control instances, and no others, are the voters of the replicated log.
 fn wait_until_voting(controls: &[Process]) {
     let addresses: Vec<_> = controls
@@ -163,23 +189,13 @@
 #[test]
 fn ingress_out_of_reach_while_all_replaced() {
     let platform = ProcessPlatform::new(10);
-    let mut controls: Vec<_> = (0..CONTROLS).map(|n| platform.start_control(n)).collect();
-    let ingress = platform.start_ingress("i1");
-    wait_until_voting(&controls);
-    let first = DeploymentBuilder::new(1).route("first", "a.example", "/first/", "plain");
-    platform.deploy(0, &first.build());
-    let caller = |path| status(ingress.address("address"), "GET", path, "");
-    // The service has no targets, so that a request on a known route gets 503.
-    wait_until(|| caller("/first/") == Some(503));
-    wait_until(|| caller("/added/") == Some(404));
+    let (mut controls, ingress) = platform.start_deployed();
 
     ingress.signal("-STOP").unwrap();
     replace_all(&platform, &mut controls);
     ingress.signal("-CONT").unwrap();
 
-    let second = DeploymentBuilder::new(2).route("added", "a.example", "/added/", "plain");
-    platform.deploy(CONTROLS, &second.build());
-    wait_until(|| caller("/added/") == Some(503) && caller("/first/") == Some(404));
+    platform.deploy_added_route(&ingress);
 }
 
 /// Guards against successors that find neither each other nor an ingress after a restart of all.
@@ -189,13 +205,7 @@
 #[test]
 fn all_successors_killed() {
     let platform = ProcessPlatform::new(30);
-    let mut controls: Vec<_> = (0..CONTROLS).map(|n| platform.start_control(n)).collect();
-    let ingress = platform.start_ingress("i1");
-    wait_until_voting(&controls);
-    let first = DeploymentBuilder::new(1).route("first", "a.example", "/first/", "plain");
-    platform.deploy(0, &first.build());
-    let caller = |path| status(ingress.address("address"), "GET", path, "");
-    wait_until(|| caller("/first/") == Some(503));
+    let (mut controls, ingress) = platform.start_deployed();
 
     ingress.signal("-STOP").unwrap();
     replace_all(&platform, &mut controls);
@@ -209,9 +219,7 @@
     wait_until_voting(&controls);
     ingress.signal("-CONT").unwrap();
 
-    let second = DeploymentBuilder::new(2).route("added", "a.example", "/added/", "plain");
-    platform.deploy(CONTROLS, &second.build());
-    wait_until(|| caller("/added/") == Some(503) && caller("/first/") == Some(404));
+    platform.deploy_added_route(&ingress);
 }
 
 /// Guards against a control instance that never reads its seeds again.
