Tell the content that crashes targets apart from sound content beside it

Of two parts in the same crashes the ledger blamed the later one; a trial counted against that one alone, an answer only against crashes known by then, and refused content got no trial that could clear it. Change: an ingress remembers the parts that its targets have answered on. Such a part isn't blamed beside one that never was answered and was in the same crashes or trials. A trial counts against all contents of its request that aren't known to be sound. Content is refused unless another part was in the same trials and the request lacks it.

--- a/crates/toucanshelf-ingress/src/content_guard.rs
+++ b/crates/toucanshelf-ingress/src/content_guard.rs
@@ -12,7 +12,7 @@
 use toucanshelf_core::crash::{Content, Finding, Outcome, WHOLE_REQUEST_POSITION};
 use toucanshelf_core::digest::Digest;
 use toucanshelf_core::ids::CrashId;
-use toucanshelf_routing::crash_ledger::{CrashLedgers, Handling};
+use toucanshelf_routing::crash_ledger::{Admission, CrashLedgers, Handling};
 
 use crate::request::CallerRequest;
 use crate::shared::Shared;
@@ -49,6 +49,17 @@
         self.ledgers().findings()
     }
 
+    /// Decides whether a request with these contents may be sent at the time `now`, in milliseconds.
+    fn admit(&self, service: &str, contents: &[PositionedContent], now: u64) -> Admission {
+        let contents = without_positions(contents);
+        let ledgers = self.ledgers();
+        let ledger = ledgers.get(service);
+        ledger.map_or_else(
+            || Admission::Send { trial: Vec::new() },
+            |ledger| ledger.admit(&contents, now),
+        )
+    }
+
     /// Forgets content without recent crashes; `now` is in milliseconds.
     pub fn prune(&self, now: u64) {
         self.ledgers().prune(now);
@@ -107,6 +118,10 @@
     parts.chain([whole]).rev().collect()
 }
 
+fn without_positions(contents: &[PositionedContent]) -> Vec<Content> {
+    contents.iter().map(|(content, _)| *content).collect()
+}
+
 /// Returns a hash of a request's caller, method, path, shared prompt parts and body.
 fn fingerprint(req: &CallerRequest) -> u64 {
     let caller = req.organisation.as_deref().unwrap_or_default();
@@ -199,30 +214,14 @@
 
 /// Decides on an attempt, and starts a trial if one is needed.
 fn decide(shared: &Arc<Shared>, req: &CallerRequest) -> Decision {
-    let now = shared.now();
     let mut attempt = ContentAttempt::new(shared, req);
-    let mut suspects = Vec::new();
-    let mut busy_until = 0;
-    {
-        let ledgers = shared.content.ledgers();
-        let Some(ledger) = ledgers.get(&req.service) else {
-            return Decision::Send(attempt);
-        };
-        for (content, position) in contents(req) {
-            match ledger.handling(content, now) {
-                Handling::Refused { until } => return Decision::Refuse { until },
-                Handling::Trial { busy_until: until } => {
-                    busy_until = until.max(busy_until);
-                    suspects.push((content, position));
-                }
-                Handling::Normal => {}
-            }
-        }
-    }
-    if now < busy_until {
-        return Decision::Wait { busy_until };
-    }
-    for suspect in suspects {
+    let contents = contents(req);
+    let trial = match shared.content.admit(&req.service, &contents, shared.now()) {
+        Admission::Send { trial } => trial,
+        Admission::Wait { busy_until } => return Decision::Wait { busy_until },
+        Admission::Refuse { until } => return Decision::Refuse { until },
+    };
+    for suspect in contents.into_iter().filter(|(c, _)| trial.contains(c)) {
         tracing::info!(event = "TS4312", request = req.id(), content = %suspect.0, "trial started");
         attempt.publish(suspect, Outcome::TrialStarted);
         attempt.trial.push(suspect);
@@ -247,15 +246,9 @@
     /// Once the target has begun to answer, the future never completes. It is cancel safe.
     pub async fn refused(&mut self, req: &CallerRequest) {
         while !self.has_begun && !self.settled && self.changes.changed().await.is_ok() {
-            let now = self.shared.now();
-            let ledgers = self.shared.content.ledgers();
-            let ledger = ledgers.get(&self.service);
-            let is_refused = ledger.is_some_and(|ledger| {
-                let mut contents = contents(req).into_iter();
-                contents.any(|(content, _)| {
-                    matches!(ledger.handling(content, now), Handling::Refused { .. })
-                })
-            });
+            let guard = &self.shared.content;
+            let admission = guard.admit(&self.service, &contents(req), self.shared.now());
+            let is_refused = matches!(admission, Admission::Refuse { .. });
             if is_refused {
                 return;
             }
@@ -279,6 +272,12 @@
             return;
         }
         let trial = std::mem::take(&mut self.trial);
+        let now = self.shared.now();
+        let parts = &req.facts.shared_parts;
+        self.shared
+            .content
+            .ledgers()
+            .record_sound(&self.service, now, parts);
         for content in contents(req) {
             let despite = {
                 let ledgers = self.shared.content.ledgers();
@@ -301,9 +300,16 @@
         if std::mem::replace(&mut self.settled, true) {
             return;
         }
-        let trial = std::mem::take(&mut self.trial);
-        let tried = trial.first().map(|(content, _)| *content);
+        let trial = without_positions(&std::mem::take(&mut self.trial));
         let contents = contents(req);
+        let tried = {
+            let ledgers = self.shared.content.ledgers();
+            let ledger = ledgers.get(&self.service);
+            let request = without_positions(&contents);
+            ledger.map_or_else(Vec::new, |ledger| {
+                ledger.tried(&request, &trial, self.shared.now())
+            })
+        };
         tracing::info!(
             event = "TS4310",
             request = req.id(),
@@ -311,16 +317,13 @@
             service = %self.service,
             crash = crash.0,
             parts = %req.shared_parts(),
-            tried = tried.map(|content| content.to_string()),
+            tried = tried.iter().map(Content::to_string).collect::<Vec<_>>().join(","),
             "target crashed before the end of its answer"
         );
         for content in contents {
-            let in_trial = tried == Some(content.0);
+            let in_trial = tried.contains(&content.0);
             self.publish(content, Outcome::Crashed { crash, in_trial });
         }
-        for content in trial.into_iter().skip(1) {
-            self.publish(content, Outcome::TrialEnded);
-        }
     }
 
     /// Adds a finding to those of this ingress and sends it to the control instances.
--- a/crates/toucanshelf-routing/src/crash_ledger.rs
+++ b/crates/toucanshelf-routing/src/crash_ledger.rs
@@ -6,13 +6,18 @@
 //! answered to the end clears the suspect; after a trial that crashes another target, requests with the
 //! content are refused for some time.
 //!
+//! Content that a target answers on crashes none, so that parts of requests answered lately are
+//! remembered as sound. A sound part isn't blamed for crashes that another content explains as well.
+//! Without such an answer, parts that were in the same crashes are told apart by a request that lacks
+//! one of them: it is sent as a trial, and only requests with all of these parts are refused.
+//!
 //! A ledger merges the findings of all ingresses. Crashes and answers are kept as sets, so that
-//! findings may arrive in any order and more than once.
+//! findings may arrive in any order and more than once. Sound parts are known to one ingress only.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use toucanshelf_core::crash::{Content, Finding, Outcome};
-use toucanshelf_core::ids::CrashId;
+use toucanshelf_core::ids::{CrashId, PromptPart};
 
 /// Number of crashes from which requests with the content are sent as trials only.
 pub const MIN_SUSPECT_CRASHES: usize = 2;
@@ -32,6 +37,10 @@
 const CLEARED_RETENTION_MS: u64 = 60_000;
 /// Maximum number of contents of one service that are remembered.
 pub const MAX_CONTENTS: usize = 8_192;
+/// Time for which a part counts as sound after a request with it was answered, in milliseconds.
+pub const SOUND_RETENTION_MS: u64 = 10 * 60 * 1_000;
+/// Maximum number of sound parts of one service that are remembered.
+pub const MAX_SOUND_PARTS: usize = 4_096;
 /// Maximum number of crashes that are remembered for one content.
 const MAX_CRASHES: usize = 64;
 
@@ -63,6 +72,26 @@
     }
 }
 
+/// Whether and how a request may be sent.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// It may be sent now.
+    Send {
+        /// Contents of which it is a trial; none for a request without suspects.
+        trial: Vec<Content>,
+    },
+    /// Another request with the same suspect is on trial.
+    Wait {
+        /// Time until which that trial lasts at most, in milliseconds.
+        busy_until: u64,
+    },
+    /// It must not be sent.
+    Refuse {
+        /// Time at which the next trial may start, in milliseconds.
+        until: u64,
+    },
+}
+
 /// What is known of one content.
 #[derive(Clone, Debug, Default)]
 struct Entry {
@@ -89,9 +118,28 @@
 
     /// Returns the number of crashes in trials that the content may have caused.
     fn trial_crashes(&self) -> u32 {
-        let in_trial = self.crashes.iter();
-        let in_trial = in_trial.filter(|(id, in_trial)| **in_trial && !self.cleared.contains(id));
-        in_trial.count() as u32
+        let crashes = self.unexplained();
+        crashes.filter(|id| self.is_tried_in(*id)).count() as u32
+    }
+
+    /// Returns the number of crashes that this content may have caused, and `other` may not.
+    fn crashes_without(&self, other: &Self) -> usize {
+        let own = self.unexplained();
+        own.filter(|id| !other.may_have_caused(*id)).count()
+    }
+
+    /// Returns whether `other` was tried as well in each trial of this content that crashed a target.
+    fn trials_are_shared_with(&self, other: &Self) -> bool {
+        let mut trials = self.unexplained().filter(|id| self.is_tried_in(*id));
+        trials.all(|id| other.may_have_caused(id) && other.is_tried_in(id))
+    }
+
+    fn is_tried_in(&self, crash: CrashId) -> bool {
+        self.crashes.get(&crash) == Some(&true)
+    }
+
+    fn may_have_caused(&self, crash: CrashId) -> bool {
+        self.crashes.contains_key(&crash) && !self.cleared.contains(&crash)
     }
 
     /// Returns whether `other` explains the crashes better than this content.
@@ -107,11 +155,7 @@
         let others = other.unexplained().count();
         let more_specific = both_parts && other.position > self.position;
         let better = others > own || (others == own && more_specific);
-        let includes_all = || {
-            let mut own = self.unexplained();
-            own.all(|id| other.crashes.contains_key(&id) && !other.cleared.contains(&id))
-        };
-        better && includes_all()
+        better && self.crashes_without(other) == 0
     }
 
     /// Adds a crash and returns whether that changed anything.
@@ -146,6 +190,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashLedger {
     entries: BTreeMap<Content, Entry>,
+    /// Parts of requests that targets of this ingress have answered, with the time of the last answer
+    /// in milliseconds.
+    sound: BTreeMap<PromptPart, u64>,
 }
 
 impl CrashLedger {
@@ -156,7 +203,34 @@
 
     /// Returns whether no content is remembered.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.entries.is_empty() && self.sound.is_empty()
+    }
+
+    /// Remembers that a target has answered a request with these parts to the end.
+    ///
+    /// `now` is in milliseconds. Of more than [`MAX_SOUND_PARTS`], those answered last are kept.
+    pub fn record_sound(&mut self, now: u64, parts: &[PromptPart]) {
+        for part in parts {
+            self.sound.insert(*part, now);
+        }
+        while self.sound.len() > MAX_SOUND_PARTS {
+            let oldest = self.sound.iter().min_by_key(|(_, time)| **time);
+            let Some(oldest) = oldest.map(|(part, _)| *part) else {
+                return;
+            };
+            self.sound.remove(&oldest);
+        }
+    }
+
+    /// Returns whether a target has lately answered a request with `content`.
+    ///
+    /// `now` is in milliseconds. Only parts of requests to this ingress are known as sound.
+    pub fn is_sound(&self, content: Content, now: u64) -> bool {
+        let Content::Part(part) = content else {
+            return false;
+        };
+        let answered = self.sound.get(&part);
+        answered.is_some_and(|time| now < time + SOUND_RETENTION_MS)
     }
 
     /// Adds a finding at the time `now`, in milliseconds.
@@ -208,8 +282,52 @@
         entry.map_or_else(Vec::new, |entry| entry.unexplained().collect())
     }
 
-    /// Returns how requests with `content` are handled at the time `now`, in milliseconds.
+    /// Decides whether a request with these contents may be sent at the time `now`, in milliseconds.
+    pub fn admit(&self, request: &[Content], now: u64) -> Admission {
+        let mut trial = Vec::new();
+        let mut latest = 0;
+        for content in request {
+            match self.handling_in(request, *content, now) {
+                Handling::Refused { until } => return Admission::Refuse { until },
+                Handling::Trial { busy_until } => {
+                    latest = busy_until.max(latest);
+                    trial.push(*content);
+                }
+                Handling::Normal => {}
+            }
+        }
+        if now < latest {
+            Admission::Wait { busy_until: latest }
+        } else {
+            Admission::Send { trial }
+        }
+    }
+
+    /// Returns the contents of a request that its trial counts against if its target crashes.
+    ///
+    /// These are the contents in `trial`, and those that are not known to be sound: any of them may be
+    /// the cause. `now` is in milliseconds.
+    pub fn tried(&self, request: &[Content], trial: &[Content], now: u64) -> Vec<Content> {
+        if trial.is_empty() {
+            return Vec::new();
+        }
+        let contents = request.iter().copied();
+        contents
+            .filter(|content| trial.contains(content) || !self.is_sound(*content, now))
+            .collect()
+    }
+
+    /// Returns how a request with no other content than `content` is handled.
+    ///
+    /// `now` is in milliseconds.
     pub fn handling(&self, content: Content, now: u64) -> Handling {
+        self.handling_in(&[content], content, now)
+    }
+
+    /// Returns how a request with the contents `request` is handled because of one of them.
+    ///
+    /// `now` is in milliseconds.
+    pub fn handling_in(&self, request: &[Content], content: Content, now: u64) -> Handling {
         let Some(entry) = self.entries.get(&content) else {
             return Handling::Normal;
         };
@@ -219,29 +337,30 @@
             busy_until: entry.trial_until_ms,
         };
         if crashes < MIN_SUSPECT_CRASHES {
+            return Handling::Normal;
+        }
+        let suspects = Suspects {
+            ledger: self,
+            content,
+            entry,
+            now,
+        };
+        if suspects.exonerate_content() {
             Handling::Normal
         } else if crashes >= MIN_REFUSED_CRASHES && trial_crashes > 0 {
             let until = entry.last_crash_ms + refusal_ms(trial_crashes);
-            if now < until {
+            if now < until && !suspects.share_trials(request) {
                 Handling::Refused { until }
             } else {
                 trial
             }
-        } else if self.is_explained_by_other(content, entry) {
+        } else if suspects.explain_better() {
             Handling::Normal
         } else {
             trial
         }
     }
 
-    fn is_explained_by_other(&self, content: Content, entry: &Entry) -> bool {
-        let mut others = self.entries.iter().filter(|(other, _)| **other != content);
-        others.any(|(other, other_entry)| {
-            let both_parts = matches!((content, other), (Content::Part(_), Content::Part(_)));
-            entry.is_explained_better_by(other_entry, both_parts)
-        })
-    }
-
     /// Returns the findings from which another ledger of `service` reaches the same state.
     ///
     /// Trials in progress are left out.
@@ -274,6 +393,66 @@
     /// Forgets content without recent crashes; `now` is in milliseconds.
     pub fn prune(&mut self, now: u64) {
         self.entries.retain(|_, entry| !entry.is_expired(now));
+        self.sound
+            .retain(|_, time| now < *time + SOUND_RETENTION_MS);
+    }
+}
+
+/// Other contents that may have caused the crashes of one content.
+struct Suspects<'a> {
+    ledger: &'a CrashLedger,
+    content: Content,
+    entry: &'a Entry,
+    /// Current time, in milliseconds.
+    now: u64,
+}
+
+impl Suspects<'_> {
+    /// Returns the other contents, except those that are sound while this one is not known to be.
+    fn others(&self) -> impl Iterator<Item = (Content, &Entry)> {
+        let is_sound = self.is_sound(self.content);
+        let others = self.ledger.entries.iter();
+        others
+            .map(|(other, entry)| (*other, entry))
+            .filter(move |(other, _)| *other != self.content)
+            .filter(move |(other, _)| is_sound || !self.is_sound(*other))
+    }
+
+    fn is_sound(&self, content: Content) -> bool {
+        self.ledger.is_sound(content, self.now)
+    }
+
+    /// Whether the content is sound, and one that isn't known to be was in all of its crashes.
+    fn exonerate_content(&self) -> bool {
+        self.is_sound(self.content)
+            && self.others().any(|(other, entry)| {
+                !self.is_sound(other) && self.entry.crashes_without(entry) == 0
+            })
+    }
+
+    /// Whether another content explains the crashes better.
+    fn explain_better(&self) -> bool {
+        self.others().any(|(other, entry)| {
+            let both_parts = matches!((self.content, other), (Content::Part(_), Content::Part(_)));
+            self.entry.is_explained_better_by(entry, both_parts)
+        })
+    }
+
+    /// Whether another part explains the crashes in trials of the content as well.
+    ///
+    /// The other one was tried in all of these trials. It counts if the content is sound and it isn't,
+    /// or if it was in all crashes but one at most and `request` lacks it, so that the outcome of that
+    /// request tells the two apart.
+    fn share_trials(&self, request: &[Content]) -> bool {
+        let is_sound = self.is_sound(self.content);
+        self.others().any(|(other, entry)| {
+            let both_parts = matches!((self.content, other), (Content::Part(_), Content::Part(_)));
+            let is_alternative = || {
+                let is_likely = self.entry.crashes_without(entry) < MIN_SUSPECT_CRASHES;
+                (is_sound && !self.is_sound(other)) || (is_likely && !request.contains(&other))
+            };
+            both_parts && self.entry.trials_are_shared_with(entry) && is_alternative()
+        })
     }
 }
 
@@ -303,12 +482,24 @@
 
     /// Adds a finding at the time `now`, in milliseconds, and returns whether it was new.
     pub fn apply(&mut self, now: u64, finding: &Finding) -> bool {
-        if !self.by_service.contains_key(&finding.service) {
-            self.by_service
-                .insert(finding.service.clone(), CrashLedger::new());
+        self.ledger(&finding.service).apply(now, finding)
+    }
+
+    /// Remembers that a target of `service` has answered a request with these parts to the end.
+    ///
+    /// `now` is in milliseconds.
+    pub fn record_sound(&mut self, service: &str, now: u64, parts: &[PromptPart]) {
+        if !parts.is_empty() {
+            self.ledger(service).record_sound(now, parts);
+        }
+    }
+
+    fn ledger(&mut self, service: &str) -> &mut CrashLedger {
+        if !self.by_service.contains_key(service) {
+            self.by_service.insert(service.into(), CrashLedger::new());
         }
-        let ledger = self.by_service.get_mut(&finding.service);
-        ledger.is_some_and(|ledger| ledger.apply(now, finding))
+        let ledger = self.by_service.get_mut(service);
+        ledger.expect("the ledger was inserted if it was missing")
     }
 
     /// Returns the findings from which other ledgers reach the same state.
--- a/tests/testsuite/crashing_content.rs
+++ b/tests/testsuite/crashing_content.rs
@@ -127,6 +127,42 @@
     }
 }
 
+/// Guards against refusing sound requests because of a part that they share with deadly ones.
+///
+/// The deadly part is the first one of the prompt. Three such requests come at once, so that the first
+/// crashes are in requests with both parts.
+#[tokio::test]
+async fn sound_part_behind_deadly_one() {
+    let (platform, engines) = with_crashing_engines(16).await;
+    // The requests differ in more than their last part, or each would be a copy of the first one.
+    let call = async |n: usize, shared: &str| {
+        let (path, id) = (format!("/draft/{n}"), format!("r{n}"));
+        let prefix = format!("{shared},f{n:x}:9");
+        let headers = [
+            ("x-toucanshelf-request-id", &*id),
+            ("x-toucanshelf-prompt-prefix", &*prefix),
+        ];
+        platform.call("POST", &path, &headers).await.status
+    };
+    let deadly = format!("{DEADLY}:40,bb:7");
+    let at_once = (0..3).map(|n| call(n, &deadly));
+    for status in futures_util::future::join_all(at_once).await {
+        assert_ne!(status, 200);
+    }
+    let mut served = 0;
+    for n in 10..40 {
+        let sound = call(100 + n, "aa:40,bb:7").await;
+        served += usize::from(sound == 200);
+        assert_ne!(call(n, &deadly).await, 200);
+    }
+    assert!(served >= 15, "{served} of 30 sound requests were served");
+    let received = deadly_requests(&engines);
+    assert!(
+        received <= 6 + MAX_LATE_REQUESTS,
+        "{received} requests reached engines"
+    );
+}
+
 /// Guards against taking a request for sound as soon as its engine has sent an event.
 ///
 /// The request is resumed after the first crash, and its second engine crashes as well.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod claims;
 mod control;
 mod control_discovery;
+mod crash_exploration;
 mod crash_ledger;
 mod crashing_content;
 mod delivery;
