Accept links at the address for relayed requests

Change: links are accepted by HTTP upgrade at relay-listen; link-listen remains for those who want another address. The template needs one internal port again. A relayed request can't be taken for a link: relays strip the upgrade header. The new tests can't pass before: there was no address for links without link-listen.

--- a/crates/toucanshelf-ingress/src/discovery.rs
+++ b/crates/toucanshelf-ingress/src/discovery.rs
@@ -11,7 +11,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::future::join_all;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
 use rand::seq::IteratorRandom as _;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -23,6 +26,7 @@
 use toucanshelf_runtime::shutdown;
 
 use crate::control::connect_new;
+use crate::response::{ProxyResponse, full_body};
 use crate::settings::IngressSettings;
 use crate::shared::Shared;
 
@@ -126,28 +130,51 @@
     }
 }
 
-/// Accepts links of control instances and other ingresses on `listener` until the process ends.
-///
-/// # Errors
-///
-/// Fails if the listener has no local address.
-pub(crate) fn accept_links(
-    shared: &Arc<Shared>,
-    listener: TcpListener,
-    key: &SharedKey,
-) -> Result<(), Box<str>> {
-    let address = listener.local_addr().map_err(|e| e.to_string())?;
-    shared.control.set_own_address(address);
-    let hello = Hello::for_ingress(shared.settings.name.clone(), shared.settings.zone.clone());
-    let (tx, mut rx) = mpsc::channel(MAX_WAITING_LINKS);
-    tokio::spawn(link::serve(listener, hello, key.clone(), tx));
-    let (shared, key) = (Arc::clone(shared), key.clone());
-    tokio::spawn(async move {
-        while let Some(link) = rx.recv().await {
-            tokio::spawn(serve(Arc::clone(&shared), key.clone(), link));
+/// Accepts links of control instances and other ingresses.
+#[derive(Clone, Debug)]
+pub(crate) struct LinkAcceptor {
+    hello: Hello,
+    key: SharedKey,
+    links: mpsc::Sender<Link>,
+}
+
+impl LinkAcceptor {
+    /// Creates an acceptor, whose links are served until it and its clones are dropped.
+    pub(crate) fn new(shared: &Arc<Shared>, key: &SharedKey) -> Self {
+        let hello = Hello::for_ingress(shared.settings.name.clone(), shared.settings.zone.clone());
+        let (links, mut rx) = mpsc::channel(MAX_WAITING_LINKS);
+        let (shared, own_key) = (Arc::clone(shared), key.clone());
+        tokio::spawn(async move {
+            while let Some(link) = rx.recv().await {
+                tokio::spawn(serve(Arc::clone(&shared), own_key.clone(), link));
+            }
+        });
+        Self {
+            hello,
+            key: key.clone(),
+            links,
         }
-    });
-    Ok(())
+    }
+
+    /// Accepts links on `listener` until the process ends.
+    pub(crate) fn listen(&self, listener: TcpListener) {
+        let Self { hello, key, links } = self.clone();
+        tokio::spawn(link::serve(listener, hello, key, links));
+    }
+
+    /// Accepts the link that an HTTP request opens, and returns the response.
+    pub(crate) fn accept(&self, req: Request<Incoming>) -> ProxyResponse {
+        let Self { hello, key, links } = self.clone();
+        match link::accept_upgrade(req, hello, key, links) {
+            Ok(response) => response.map(|()| full_body(Bytes::new())),
+            Err(e) => {
+                tracing::warn!(event = "TS1101", cause = %e, "link rejected");
+                let mut response = ProxyResponse::new(full_body(Bytes::new()));
+                *response.status_mut() = StatusCode::BAD_REQUEST;
+                response
+            }
+        }
+    }
 }
 
 /// Reads from a control instance which ones run, or tells it to another ingress.
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -51,9 +51,11 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use toucanshelf_link::dialect::Dialect;
+use toucanshelf_link::link;
 use toucanshelf_runtime::in_flight::STOP_POLL_INTERVAL;
 use toucanshelf_runtime::serve::{ConnectionLimits, serve};
 
+use crate::discovery::LinkAcceptor;
 use crate::pool::{Connector, TcpConnector};
 use crate::settings::IngressSettings;
 use crate::shared::Shared;
@@ -153,18 +155,20 @@
         let context = Arc::clone(&shared);
         let handler = move |req| front::handle(Arc::clone(&context), req);
         let callers = StoppableServer::new(front, &shared, handler);
+        let acceptor = LinkAcceptor::new(&shared, &key);
         let relay = match relay {
             Some(listener) => {
                 let address = listener.local_addr().map_err(|e| e.to_string())?;
                 shared.relays.set_own_address(address);
-                let context = Arc::clone(&shared);
-                let handler = move |req| front::handle_relayed(Arc::clone(&context), req);
-                Some(StoppableServer::new(listener, &shared, handler))
+                shared.control.set_own_address(address);
+                Some(serve_other_instances(listener, &shared, &acceptor))
             }
             None => None,
         };
         if let Some(listener) = links {
-            discovery::accept_links(&shared, listener, &key)?;
+            let address = listener.local_addr().map_err(|e| e.to_string())?;
+            shared.control.set_own_address(address);
+            acceptor.listen(listener);
         }
         control::start(&shared, &key);
         tokio::spawn(discovery::run(Arc::clone(&shared), key));
@@ -234,6 +238,25 @@
     }
 }
 
+/// Serves the requests that other ingresses relay, and links of all instances, on one address.
+fn serve_other_instances(
+    listener: TcpListener,
+    shared: &Arc<Shared>,
+    acceptor: &LinkAcceptor,
+) -> StoppableServer {
+    let (context, acceptor) = (Arc::clone(shared), acceptor.clone());
+    let handler = move |req| {
+        let (context, acceptor) = (Arc::clone(&context), acceptor.clone());
+        async move {
+            if link::is_link_request(&req) {
+                return acceptor.accept(req);
+            }
+            front::handle_relayed(context, req).await
+        }
+    };
+    StoppableServer::new(listener, shared, handler)
+}
+
 fn start_probes(shared: &Arc<Shared>, ready: TcpListener, metrics: TcpListener) {
     let context = Arc::clone(shared);
     let handler = move |req| std::future::ready(front::probe(&context, &req));
--- a/crates/toucanshelf-link/src/link.rs
+++ b/crates/toucanshelf-link/src/link.rs
@@ -7,6 +7,11 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt as _, StreamExt as _};
+use http::header::UPGRADE;
+use http::{Request, Response};
+use hyper::body::Incoming;
+use hyper::upgrade::OnUpgrade;
+use hyper_util::rt::TokioIo;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
@@ -14,7 +19,8 @@
 use tokio::time::{Instant, timeout};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
-use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
+use tokio_tungstenite::tungstenite::handshake::server::create_response;
+use tokio_tungstenite::tungstenite::protocol::{Role, WebSocketConfig};
 
 use crate::activity::CountedStream;
 use crate::frame::{Frame, PROTOCOL_VERSION};
@@ -35,6 +41,8 @@
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 /// Time to write a frame from which on the write is logged as slow.
 const SLOW_WRITE: Duration = Duration::from_millis(500);
+/// Start of the path of the HTTP request that opens a link.
+const PATH_PREFIX: &str = "/link/v";
 /// Time limit for connecting to a peer and completing the handshake.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Maximum size of a handshake message, in bytes.
@@ -98,7 +106,7 @@
             .await
             .map_err(|e| unreachable(e.to_string()))?;
         let _ = stream.set_nodelay(true);
-        let url = format!("ws://{address}/link/v{PROTOCOL_VERSION}");
+        let url = format!("ws://{address}{PATH_PREFIX}{PROTOCOL_VERSION}");
         let config = Some(socket_config());
         let stream = CountedStream::new(stream);
         let (mut socket, _) = tokio_tungstenite::client_async_with_config(url, stream, config)
@@ -126,17 +134,79 @@
             continue;
         };
         let (hello, key, links) = (hello.clone(), key.clone(), links.clone());
-        tokio::spawn(async move {
-            match timeout(HANDSHAKE_TIMEOUT, accept(stream, &hello, &key)).await {
-                Ok(Ok(link)) => drop(links.send(link).await),
-                Ok(Err(e)) => {
-                    tracing::warn!(event = "TS1101", %address, cause = %e, "link rejected");
-                }
-                Err(_) => {
-                    tracing::warn!(event = "TS1101", %address, cause = "timeout", "link rejected");
-                }
+        tokio::spawn(async move { pass_on(address, accept(stream, &hello, &key), &links).await });
+    }
+}
+
+/// Returns whether an HTTP request opens a link, and isn't one that is served otherwise.
+pub fn is_link_request<B>(req: &Request<B>) -> bool {
+    req.headers().contains_key(UPGRADE) && req.uri().path().starts_with(PATH_PREFIX)
+}
+
+/// Accepts a link on an HTTP connection, for which `req` has asked, and returns the response.
+///
+/// Once the handshake is complete, the link is passed to `links`.
+///
+/// # Errors
+///
+/// Fails if the request doesn't open a `WebSocket`.
+pub fn accept_upgrade(
+    mut req: Request<Incoming>,
+    hello: Hello,
+    key: SharedKey,
+    links: mpsc::Sender<Link>,
+) -> Result<Response<()>, LinkError> {
+    let upgrade = hyper::upgrade::on(&mut req);
+    let response = create_response(&req.map(|_| ()));
+    let response = response.map_err(|e| LinkError::Handshake(e.to_string().into()))?;
+    tokio::spawn(async move {
+        let stream = match upgraded_stream(upgrade).await {
+            Ok(stream) => stream,
+            Err(cause) => {
+                tracing::warn!(event = "TS1101", cause, "link rejected");
+                return;
             }
-        });
+        };
+        let Ok(address) = stream.peer_addr() else {
+            return;
+        };
+        let accepted = async {
+            let config = Some(socket_config());
+            let stream = CountedStream::new(stream);
+            let mut socket = WebSocketStream::from_raw_socket(stream, Role::Server, config).await;
+            let peer = accept_handshake(&mut socket, &hello, &key).await?;
+            Ok(spawn_link(socket, peer))
+        };
+        pass_on(address, accepted, &links).await;
+    });
+    Ok(response)
+}
+
+/// Returns the TCP connection of an HTTP request once its response has been sent.
+async fn upgraded_stream(upgrade: OnUpgrade) -> Result<TcpStream, Box<str>> {
+    let upgraded = upgrade.await.map_err(|e| e.to_string())?;
+    let parts = upgraded.downcast::<TokioIo<TcpStream>>();
+    let parts = parts.map_err(|_| "the connection isn't a TCP connection")?;
+    if !parts.read_buf.is_empty() {
+        return Err("the peer didn't wait for the response".into());
+    }
+    Ok(parts.io.into_inner())
+}
+
+/// Passes an accepted link to `links`, or logs why there is none.
+async fn pass_on(
+    address: SocketAddr,
+    accepted: impl Future<Output = Result<Link, LinkError>>,
+    links: &mpsc::Sender<Link>,
+) {
+    match timeout(HANDSHAKE_TIMEOUT, accepted).await {
+        Ok(Ok(link)) => drop(links.send(link).await),
+        Ok(Err(e)) => {
+            tracing::warn!(event = "TS1101", %address, cause = %e, "link rejected");
+        }
+        Err(_) => {
+            tracing::warn!(event = "TS1101", %address, cause = "timeout", "link rejected");
+        }
     }
 }
 
--- a/crates/toucanshelf-runtime/src/serve.rs
+++ b/crates/toucanshelf-runtime/src/serve.rs
@@ -115,7 +115,8 @@
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout)
         .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(stream), service)
+        .with_upgrades();
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
--- a/tests/testsuite/control_discovery.rs
+++ b/tests/testsuite/control_discovery.rs
@@ -107,6 +107,32 @@
     wait_until_linked(&ingress, control.link_address()).await;
 }
 
+/// Guards against an ingress that needs an address of its own for links.
+#[tokio::test]
+async fn called_by_control_at_relay_address() {
+    let (control, _folder) = start_control().await;
+    let port = control.link_address().port();
+    let text = ingress_settings_text("i1", &["127.9.9.9"], port);
+    let text = text.replace("link-listen = '127.0.0.1:0'\n", "");
+    let settings = toucanshelf_runtime::settings::parse("ingress.toml", &text).unwrap();
+    let ingress = Ingress::start(settings, Arc::new(PlatformDialect))
+        .await
+        .unwrap();
+    let key = SharedKey::new(LINK_KEY).unwrap();
+    let address = ingress.link_address().unwrap();
+    assert_eq!(ingress.shared().relays.own_address(), Some(address));
+    let link = connect(address, &control_hello(), &key).await.unwrap();
+    let links = vec![control.link_address()];
+    link.tx
+        .send(Frame::ControlInstances { links })
+        .await
+        .unwrap();
+    wait_until_linked(&ingress, control.link_address()).await;
+    let other_key = SharedKey::new("another key of sixteen bytes").unwrap();
+    let refused = connect(address, &control_hello(), &other_key).await;
+    assert!(refused.is_err(), "a process with another key was linked");
+}
+
 /// Guards against an ingress that never reads its seeds again.
 ///
 /// Its only seed is gone, and nobody else knows it.
--- a/tests/testsuite/platform_templates.rs
+++ b/tests/testsuite/platform_templates.rs
@@ -151,3 +151,13 @@
     let cfg = ingress(&fields).expect("the ingress starts");
     assert_eq!(&*cfg.name, "instance \"1\" \\");
 }
+
+/// Guards against an ingress that needs more ports than one that the platform's older settings fill in.
+#[test]
+fn ingress_template_with_one_internal_port() {
+    let mut fields = platform_settings(&json!([0.2, 1, 10, 1_200]));
+    fields["internal_ports"] = json!([7340]);
+    let cfg = ingress(&fields).expect("the ingress starts");
+    assert_eq!(cfg.check(), Ok(()));
+    assert_eq!(cfg.link_port, 7340);
+}
