--- a/review/stand-in/system.rs
+++ b/review/stand-in/system.rs
@@ -151,7 +151,6 @@
             .replace("{{listen.ready|json}}", &format!("\"{ip}:{}\"", self.ready_port))
             .replace("{{ip}}:9464", &format!("{ip}:{}", self.metrics_port))
             .replace("{{ip}}:{{internal_ports.0}}", &format!("{ip}:{}", self.link_port))
-            .replace("{{ip}}:{{internal_ports.1}}", &format!("{ip}:0"))
             .replace("{{seeds|json}}", &format!("[{}]", self.seeds()))
             .replace("{{internal_ports.0}}", &self.link_port.to_string())
             .replace("{{#bounds.retry_ratio}}repeat-ratio = {{bounds.retry_ratio}}{{/bounds.retry_ratio}}", "repeat-ratio = 0.2")
