Take only whole, framed, successful answers as proof that content is sound

An engine that rejected such a request with an error, without running it, cleared the part of all crashes known by then; so did an unframed answer that ended with its connection after a whole event, which is what a crash of its engine looks like, and a stream without an event. Change: an answer is proof if its status is a success, its end is stated by a length or chunks, and, for a stream, an event has come. Anything else ends a trial without a result. Measured: crashing_content::error_response_clears_nothing and crashing_content::unframed_stream_clears_nothing failed before (the findings held Served despite both crashes) and pass now; the other tests of crashing_content and unframed pass.

--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -212,7 +212,8 @@
         };
         self.ledger.settle(attempt, state);
         match (&response, crash) {
-            (Ok(_), _) => content.record_served(req),
+            // An error may be sent without running the request.
+            (Ok(response), _) if response.status().is_success() => content.record_served(req),
             (Err(AttemptError::Disconnected(_)), Some(crash)) => content.record_crash(req, crash),
             _ => {}
         }
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -277,9 +277,9 @@
                         ));
                     }
                     None => {
-                        // A resumed stream without an event doesn't show that the engine would
-                        // have survived one.
-                        if upstream.has_event || self.events == 0 {
+                        // A stream without an event doesn't show that the engine would have survived
+                        // one, and a connection may also end because the engine crashed.
+                        if upstream.has_event && !upstream.ends_with_connection {
                             upstream.content.record_served(&self.req);
                         }
                         return StreamItem::End;
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -136,7 +136,6 @@
                 .await;
             self.ledger.settle(attempt, AttemptState::MayHaveRun);
             let response = read_result?;
-            content.record_served(&self.req);
             let status = response.status().as_u16();
             self.finish("target-failure", status);
             return Ok(Opened::ErrorResponse(response.map(full_body)));
--- a/tests/testsuite/crash_exploration.rs
+++ b/tests/testsuite/crash_exploration.rs
@@ -28,7 +28,7 @@
 /// Time for which a crashed target is gone, in milliseconds.
 const RECOVERY_MS: u64 = 3_000;
 /// Part that crashes targets. The other ones are numbered from 1.
-const DEADLY: Content = Content::Part(PromptPart(99));
+const DEADLY: Content = Content::Part(PromptPart(9_999));
 
 /// What differs between explorations.
 #[derive(Clone, Copy)]
@@ -183,7 +183,13 @@
         let is_alive = |n: &usize| self.targets[*n].back_at <= self.now;
         let alive: Vec<_> = (0..self.targets.len()).filter(is_alive).collect();
         let target = alive.choose(&mut self.rng).copied();
-        let (Admission::Send { trial }, Some(target)) = (admission, target) else {
+        // A stream that the caller has events of doesn't wait for the trials of others.
+        let trial = match admission {
+            Admission::Send { trial } => trial,
+            Admission::Wait { .. } if !may_repeat => Vec::new(),
+            Admission::Wait { .. } | Admission::Refuse { .. } => return false,
+        };
+        let Some(target) = target else {
             return false;
         };
         for content in &trial {
@@ -423,8 +429,13 @@
 /// Guards against requests that crash targets long after their first event.
 #[test]
 fn deadly_part_that_crashes_late() {
-    explore(Setup {
-        written_ms: 1_500,
-        ..BUSY
-    });
+    for written_ms in [1_500, 4_000] {
+        explore(Setup { written_ms, ..BUSY });
+    }
+}
+
+/// Guards against blaming parts that an ingress has not seen answered yet.
+#[test]
+fn deadly_part_among_rare_ones() {
+    explore(Setup { parts: 400, ..BUSY });
 }
--- a/tests/testsuite/crashing_content.rs
+++ b/tests/testsuite/crashing_content.rs
@@ -8,11 +8,12 @@
 use toucanshelf_ingress::Ingress;
 use toucanshelf_ingress::shared::Shared;
 
-use crate::ingress::{model_document, with_engines_on};
+use crate::ingress::{model_document, with_engines_at, with_engines_on};
 use crate::platform_support::{
     CallerResponse, DeploymentBuilder, Platform, ReceivedRequest, Target, TargetAction,
     call_ingress, start_ingress,
 };
+use crate::raw_target::{RawAnswer, RawTarget};
 
 /// Identifier of the prompt part that crashes engines.
 const DEADLY: &str = "deadbeef";
@@ -216,6 +217,49 @@
     );
 }
 
+/// Returns the outcomes that `platform`'s ingress has found for the part 0xaa.
+fn outcomes(platform: &Platform) -> Vec<Outcome> {
+    let findings = platform.ingress.shared().content.findings();
+    let about_part = |finding: &Finding| finding.content == Content::Part(PromptPart(0xaa));
+    let findings = findings.into_iter().filter(about_part);
+    findings.map(|finding| finding.outcome).collect()
+}
+
+/// Lets the ingress know two crashes in which the part 0xaa was, and sends it a request with that part.
+async fn call_suspect(platform: &Platform) -> u16 {
+    let shared = platform.ingress.shared();
+    let findings = [1, 2].map(|id| crash_of(0xaa, 0, id, false));
+    assert!(shared.content.apply(shared.now(), &findings));
+    call_with_parts(platform, 1, "aa:40").await
+}
+
+/// Guards against clearing a deadly part because an engine rejects a request with it.
+#[tokio::test]
+async fn error_response_clears_nothing() {
+    let engine = Target::start([TargetAction::Answer(500, "")]).await;
+    let later = Target::start([]).await;
+    let placed = [("z", 0, 2), ("z", 2, 4)];
+    let platform = with_engines_on(&model_document(), &[&engine, &later], &placed).await;
+    assert_eq!(call_suspect(&platform).await, 500);
+    let outcomes = outcomes(&platform);
+    let served = |outcome: &Outcome| matches!(outcome, Outcome::Served { .. });
+    assert!(!outcomes.iter().any(served), "{outcomes:?}");
+}
+
+/// Guards against clearing a deadly part because a crash looks like the end of an unframed answer.
+#[tokio::test]
+async fn unframed_stream_clears_nothing() {
+    let engine = RawTarget::start(RawAnswer::Unframed("id: 1\n\n")).await;
+    let later = Target::start([]).await;
+    let addresses = [engine.address, later.address];
+    let placed = [("z", 0, 2), ("z", 2, 4)];
+    let platform = with_engines_at(&model_document(), &addresses, &placed).await;
+    assert_eq!(call_suspect(&platform).await, 200);
+    let outcomes = outcomes(&platform);
+    let served = |outcome: &Outcome| matches!(outcome, Outcome::Served { .. });
+    assert!(!outcomes.iter().any(served), "{outcomes:?}");
+}
+
 /// Guards against refusing sound requests of the caller whose other requests crash engines.
 ///
 /// They share its key and the first part. A few of them may wait while the deadly part is tried.
