Count a crash as a finding whoever learns that the engine has ended

A stream whose engine had ended moved to another one as soon as a request beside it was refused a connection, and no finding told that its content had been in the crash. Which came first, the refused connection or the end of the stream's own one, depended on the order in which tasks ran: a busy machine loses more findings.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -58,6 +58,17 @@
         matches!(self, Self::NotSent(_) | Self::NotRun { .. })
     }
 
+    /// Returns whether the target crashed in the attempt.
+    ///
+    /// `has_ended` tells whether its process has ended. Another request may learn that first.
+    pub fn shows_crash(&self, has_ended: bool) -> bool {
+        match self {
+            Self::Disconnected(_) => true,
+            Self::Lost(_) | Self::TimedOut => has_ended,
+            Self::NotSent(_) | Self::NotRun { .. } | Self::Cancelled => false,
+        }
+    }
+
     /// Returns the name of the error in the `outcome` label of the attempts metric.
     pub fn name(&self) -> &'static str {
         match self {
--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -211,10 +211,11 @@
             _ => AttemptState::MayHaveRun,
         };
         self.ledger.settle(attempt, state);
+        let has_ended = shared.targets().has_ended(target.key);
         match (&response, crash) {
             // An error may be sent without running the request.
             (Ok(response), _) if response.status().is_success() => content.record_served(req),
-            (Err(AttemptError::Disconnected(_)), Some(crash)) => content.record_crash(req, crash),
+            (Err(e), Some(crash)) if e.shows_crash(has_ended) => content.record_crash(req, crash),
             _ => {}
         }
         self.record_result(target, &response);
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -341,8 +341,13 @@
     }
 
     /// Logs that a stream failed on its route, and settles the attempt.
-    fn record_failure(&mut self, upstream: &Upstream, failure: &StreamFailure) {
-        self.settle_run(upstream.attempt, upstream.route.hops()[0].key);
+    fn record_failure(&mut self, upstream: &mut Upstream, failure: &StreamFailure) {
+        let first = upstream.route.hops()[0].key;
+        // Another request may learn that the process has ended before this stream's connection ends.
+        if self.shared.targets().has_ended(first) {
+            upstream.record_crash(&self.req);
+        }
+        self.settle_run(upstream.attempt, first);
         tracing::info!(
             event = "TS4305",
             request = self.req.id(),
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -123,7 +123,8 @@
         let open = match result {
             Ok(open) => open,
             Err(e) => {
-                if let AttemptError::Disconnected(_) = &e {
+                let has_ended = self.shared.targets().has_ended(first.key);
+                if e.shows_crash(has_ended) {
                     content.record_crash(&self.req, crash);
                 }
                 self.record_attempt_error(&live_route, attempt, &e);
--- a/tests/testsuite/crashing_content.rs
+++ b/tests/testsuite/crashing_content.rs
@@ -260,6 +260,28 @@
     assert!(!outcomes.iter().any(served), "{outcomes:?}");
 }
 
+/// Guards against a crash that is no finding because another request learns first that the engine ended.
+#[tokio::test]
+async fn crash_learned_from_other_request() {
+    let first = RawTarget::start(RawAnswer::LastEvents("id: 1\n\n")).await;
+    let second = Target::start(vec![TargetAction::Stream(&["id: 2\n\n"]); 2]).await;
+    let later = Target::start([]).await;
+    let addresses = [first.address, second.address, later.address];
+    let placed = [("z", 0, 2), ("y", 0, 2), ("z", 2, 4)];
+    let platform = with_engines_at(&model_document(), &addresses, &placed).await;
+    let (stream, ()) = tokio::join!(call_with_parts(&platform, 1, "aa:40"), async {
+        while first.requests() == 0 {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        // Its connection to the first engine is refused.
+        assert_eq!(call_with_parts(&platform, 2, "bb:40").await, 200);
+    });
+    assert_eq!(stream, 200);
+    let outcomes = outcomes(&platform);
+    let crashed = |outcome: &Outcome| matches!(outcome, Outcome::Crashed { .. });
+    assert!(outcomes.iter().any(crashed), "{outcomes:?}");
+}
+
 /// Guards against refusing sound requests of the caller whose other requests crash engines.
 ///
 /// They share its key and the first part. A few of them may wait while the deadly part is tried.
--- a/tests/testsuite/raw_target.rs
+++ b/tests/testsuite/raw_target.rs
@@ -6,12 +6,16 @@
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 /// What the target writes in response to a caller's request.
 #[derive(Clone, Copy, Debug)]
 pub enum RawAnswer {
     /// A head that states no length, then this text; the connection ends with the answer.
     Unframed(&'static str),
+    /// A chunked head and this text in a chunk. The target then listens no more, as if its process had
+    /// ended, but the connection stays open.
+    LastEvents(&'static str),
     /// A head without an end: it repeats this text until the connection closes.
     EndlessHead(&'static str),
     /// A head that states no length, then this text again and again until the connection closes.
@@ -44,7 +48,14 @@
         let (requests, endless_bytes) = (target.requests.clone(), target.endless_bytes.clone());
         let closed = target.closed.clone();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            let ended = Arc::new(Notify::new());
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    () = ended.notified() => return,
+                };
+                let Ok((stream, _)) = accepted else { return };
+                let ended = Arc::clone(&ended);
                 let (requests, endless_bytes) = (requests.clone(), endless_bytes.clone());
                 let closed = closed.clone();
                 tokio::spawn(async move {
@@ -63,6 +74,12 @@
                     if stream.write_all(start.as_bytes()).await.is_err() {
                         return;
                     }
+                    if matches!(answer, RawAnswer::LastEvents(_)) {
+                        ended.notify_one();
+                        // The receiver closes the connection.
+                        let _ = stream.read(&mut [0]).await;
+                        return;
+                    }
                     let Some(endless) = endless else { return };
                     let block = endless.repeat(4_096 / endless.len() + 1);
                     while stream.write_all(block.as_bytes()).await.is_ok() {
@@ -124,6 +141,11 @@
     );
     match answer {
         RawAnswer::Unframed(body) => (format!("{start}\r\n{body}"), None),
+        RawAnswer::LastEvents(text) => {
+            let length = text.len();
+            let head = format!("{start}transfer-encoding: chunked\r\n\r\n");
+            (format!("{head}{length:x}\r\n{text}\r\n"), None)
+        }
         RawAnswer::EndlessHead(text) => (start, Some(text)),
         RawAnswer::EndlessBody(text) => (format!("{start}\r\n"), Some(text)),
     }
