Count the silence of a lost leader from its last message

A voter is replaced after 6 s without an acknowledgement, but a new leader counted from its own election. Where that took 3 s, the next loss came before the lost leader had been replaced. Change: a new leader counts the silence of the leader before it from the last message that it had from it, once that one has had the election timeout to answer.

--- a/crates/toucanshelf-coordination/src/replica/election.rs
+++ b/crates/toucanshelf-coordination/src/replica/election.rs
@@ -104,6 +104,7 @@
 
     fn become_leader(&mut self) {
         self.role = Role::Leader;
+        self.leads_since = self.now;
         self.leader = Some(self.config.id);
         self.heartbeat_due = self.now + HEARTBEAT_MS;
         self.progress.clear();
--- a/crates/toucanshelf-coordination/src/replica/mod.rs
+++ b/crates/toucanshelf-coordination/src/replica/mod.rs
@@ -69,6 +69,10 @@
     ///
     /// After a restart it is the time of the restart.
     last_leader_contact: u64,
+    /// Leader from which a message was last received.
+    last_leader: Option<ReplicaId>,
+    /// Time from which this replica leads, in milliseconds, while it does.
+    leads_since: u64,
     /// Time at which this replica starts its next election, in milliseconds.
     election_due: u64,
     /// Time at which the leader sends the next heartbeat, in milliseconds.
@@ -118,6 +122,8 @@
             // restart therefore counts as contact with a leader: the voter grants no vote to
             // another candidate before that lease has ended.
             last_leader_contact: if stored.term > Term(0) { now.max(1) } else { 0 },
+            last_leader: None,
+            leads_since: 0,
             election_due: 0,
             heartbeat_due: 0,
             votes: BTreeSet::new(),
@@ -417,10 +423,22 @@
 
     /// Returns the age of the latest message that a follower has acknowledged, in milliseconds.
     ///
-    /// Returns `None` if this replica is not the leader or does not know the follower.
+    /// The leader of an earlier term that has acknowledged nothing since counts as silent from its last
+    /// message on, once it has had time to answer this leader. Returns `None` if this replica is not the
+    /// leader or does not know the follower.
     pub fn time_since_ack(&self, id: ReplicaId) -> Option<u64> {
         let progress = self.progress.get(&id)?;
-        (self.role == Role::Leader).then(|| self.now.saturating_sub(progress.acked_sent))
+        if self.role != Role::Leader {
+            return None;
+        }
+        let is_silent = progress.acked_sent <= self.leads_since
+            && self.now >= self.leads_since + ELECTION_TIMEOUT_MS;
+        let last_heard = if is_silent && self.last_leader == Some(id) {
+            self.last_leader_contact
+        } else {
+            progress.acked_sent
+        };
+        Some(self.now.saturating_sub(last_heard))
     }
 
     fn is_voter(&self) -> bool {
--- a/crates/toucanshelf-coordination/src/replica/replication.rs
+++ b/crates/toucanshelf-coordination/src/replica/replication.rs
@@ -171,6 +171,7 @@
         self.role = Role::Follower;
         self.leader = Some(from);
         self.last_leader_contact = self.now;
+        self.last_leader = Some(from);
         self.reset_election_timer();
     }
 
--- a/crates/toucanshelf-coordination/tests/replica/main.rs
+++ b/crates/toucanshelf-coordination/tests/replica/main.rs
@@ -6,8 +6,9 @@
 
 use cluster::{Cluster, Faults};
 use toucanshelf_coordination::replica::{
-    Entry, EntryBody, Index, LogSnapshot, MAX_VOTERS, Message, MessageBody, Persisted, Replica,
-    ReplicaConfig, ReplicaId, Role, Term, VoterPolicy, next_membership,
+    ELECTION_TIMEOUT_MS, Entry, EntryBody, HEARTBEAT_MS, Index, LogSnapshot, MAX_VOTERS, Message,
+    MessageBody, Persisted, Replica, ReplicaConfig, ReplicaId, Role, Term, VoterPolicy,
+    next_membership,
 };
 
 /// Reliable network without node faults.
@@ -463,6 +464,66 @@
     }
 }
 
+/// Guards against a lost leader that is replaced too late because a slow election hid its silence.
+///
+/// Its followers can't reach each other for some seconds after its last message.
+#[test]
+fn lost_leader_silent_since_last_message() {
+    for seed in 0..50 {
+        let (mut cluster, lost) = elected_cluster(3, seed);
+        let followers: Vec<_> = cluster.ids().into_iter().filter(|id| *id != lost).collect();
+        cluster.crash(lost);
+        let lost_at = cluster.now;
+        cluster.isolate(followers[0]);
+        cluster.run(3_000);
+        cluster.rejoin(followers[0]);
+        cluster.run(NEW_LEADER_MS);
+        let leader = cluster.leader().expect("the followers elect a leader");
+        let silence = |cluster: &Cluster, id| cluster.replica(leader).unwrap().time_since_ack(id);
+        let since_lost = cluster.now - lost_at;
+        let counted = silence(&cluster, lost).unwrap();
+        assert!(
+            counted + 2 * HEARTBEAT_MS >= since_lost,
+            "seed {seed}: {counted} ms of {since_lost} ms"
+        );
+        cluster.start(lost);
+        cluster.run(1_000);
+        let counted = silence(&cluster, lost).unwrap();
+        assert!(
+            counted <= 1_000,
+            "seed {seed}: alive, but silent for {counted} ms"
+        );
+    }
+}
+
+/// Guards against replacing a former leader that had no time to answer its successor.
+#[test]
+fn former_leader_has_time_to_answer() {
+    for seed in 0..50 {
+        let (mut cluster, former) = elected_cluster(3, seed);
+        let others: Vec<_> = cluster
+            .ids()
+            .into_iter()
+            .filter(|id| *id != former)
+            .collect();
+        cluster.crash(former);
+        cluster.isolate(others[0]);
+        cluster.run(8_000);
+        cluster.rejoin(others[0]);
+        let leader = loop {
+            cluster.step();
+            if let Some(leader) = cluster.leader().filter(|id| *id != former) {
+                break leader;
+            }
+        };
+        let silence = cluster.replica(leader).unwrap().time_since_ack(former);
+        assert!(
+            silence.unwrap() < ELECTION_TIMEOUT_MS,
+            "seed {seed}: {silence:?}"
+        );
+    }
+}
+
 /// Checks that no acknowledged command is lost when voters lose their disks in turn.
 ///
 /// Network and node faults are injected between the disk losses.
