--- a/crates/toucanshelf-ingress/src/settings.rs
+++ b/crates/toucanshelf-ingress/src/settings.rs
@@ -25,12 +25,14 @@
     pub metrics_listen: SocketAddr,
     /// Address on which requests of other ingresses are served, which reach no target themselves.
     ///
-    /// Links are accepted there, too. Without it, this ingress serves no requests of others, but still sends its own to them.
+    /// Links are accepted there, too. Without it, this ingress serves no requests of others, but still
+    /// sends its own to them.
     #[serde(default)]
     pub relay_listen: Option<SocketAddr>,
     /// Address on which links of control instances and other ingresses are accepted.
     ///
-    /// Without it, they are accepted at `relay_listen`. Through it, this ingress learns which control instances run if it has lost all it knows.
+    /// Without it, they are accepted at `relay_listen`. Through links, this ingress learns which control
+    /// instances run if it has lost all it knows.
     #[serde(default)]
     pub link_listen: Option<SocketAddr>,
     /// Secret key shared by all processes of the system to authenticate their connections.
