Keep tests from talking to the processes of other tests

Cause: two tests failed once each, none of them for a fault of the product. findings_restarts::all_orders_of_restarts: two copies of the suite ran at once, then three copies of a part of it; an ingress knew a finding before it was made, or had more links than control instances. Suspected, not shown: a target of another test had crashed, and its ingress sent to the same port. Change: each test process has a link key of its own, and so has each system of findings_restarts. A target that has ended keeps its port bound until its test ends. stalled_run_counts_while_replaced tells which requests came; its check is as before. In a deployment, all who know the key belong to it.

--- a/tests/testsuite/control_discovery.rs
+++ b/tests/testsuite/control_discovery.rs
@@ -18,7 +18,7 @@
 use toucanshelf_runtime::settings::SettingsFile;
 
 use crate::platform_support::{
-    DeploymentBuilder, LINK_KEY, WAIT_TIMEOUT, call_ingress, ingress_settings_text, start_control,
+    DeploymentBuilder, WAIT_TIMEOUT, call_ingress, ingress_settings_text, link_key, start_control,
     start_ingress, start_linked_ingress,
 };
 use crate::processes::TestFolder;
@@ -45,7 +45,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let port = listener.local_addr().unwrap().port();
         let (tx, links) = mpsc::channel(4);
-        let key = SharedKey::new(LINK_KEY).unwrap();
+        let key = SharedKey::new(link_key()).unwrap();
         tokio::spawn(serve(listener, control_hello(), key, tx));
         Self { links, port }
     }
@@ -96,7 +96,7 @@
 async fn called_by_control() {
     let (control, _folder) = start_control().await;
     let ingress = start_linked_ingress("i1", &["127.9.9.9"], control.link_address().port()).await;
-    let key = SharedKey::new(LINK_KEY).unwrap();
+    let key = SharedKey::new(link_key()).unwrap();
     let address = ingress.link_address().unwrap();
     let link = connect(address, &control_hello(), &key).await.unwrap();
     let links = vec![control.link_address()];
@@ -118,7 +118,7 @@
     let ingress = Ingress::start(settings, Arc::new(PlatformDialect))
         .await
         .unwrap();
-    let key = SharedKey::new(LINK_KEY).unwrap();
+    let key = SharedKey::new(link_key()).unwrap();
     let address = ingress.link_address().unwrap();
     assert_eq!(ingress.shared().relays.own_address(), Some(address));
     let link = connect(address, &control_hello(), &key).await.unwrap();
--- a/tests/testsuite/deployment_distribution.rs
+++ b/tests/testsuite/deployment_distribution.rs
@@ -12,7 +12,7 @@
 use toucanshelf_link::link;
 
 use crate::platform_support::{
-    DeploymentBuilder, LINK_KEY, Platform, WAIT_TIMEOUT, start_control, start_linked_ingress,
+    DeploymentBuilder, Platform, WAIT_TIMEOUT, link_key, start_control, start_linked_ingress,
 };
 
 /// Starts a proxy in front of `target` and returns its port and the number of bytes from the target.
@@ -94,7 +94,7 @@
     let address = listener.local_addr().unwrap();
     let (tx, mut links) = mpsc::channel(4);
     let hello = Hello::for_control(ip, "z", ReplicaId(1));
-    let key = SharedKey::new(LINK_KEY).unwrap();
+    let key = SharedKey::new(link_key()).unwrap();
     tokio::spawn(link::serve(listener, hello, key, tx));
     tokio::spawn(async move {
         while let Some(mut link) = links.recv().await {
--- a/tests/testsuite/findings_restarts.rs
+++ b/tests/testsuite/findings_restarts.rs
@@ -12,7 +12,9 @@
 use toucanshelf_core::ids::{CrashId, PromptPart};
 use toucanshelf_ingress::Ingress;
 
-use crate::platform_support::{WAIT_TIMEOUT, start_control_at, start_linked_ingress};
+use crate::platform_support::{
+    WAIT_TIMEOUT, link_key, start_control_with_key, start_ingress_with_key,
+};
 
 /// Number of ingresses in each system.
 const INGRESSES: usize = 2;
@@ -53,6 +55,11 @@
     /// IP addresses of the control instances.
     ips: Vec<String>,
     link_port: u16,
+    /// Key of the links.
+    ///
+    /// Each system has another one: a restarted ingress leaves its port, which an ingress of another
+    /// system may take, and control calls ingresses at the ports that they had.
+    key: Box<str>,
     /// Findings that have been made so far.
     findings: Vec<Finding>,
 }
@@ -72,6 +79,7 @@
             ingresses: (0..INGRESSES).map(|_| None).collect(),
             ips,
             link_port,
+            key: format!("{} of system {n}", link_key()).into(),
             findings: Vec::new(),
         };
         for member in system.members() {
@@ -94,14 +102,14 @@
                 let folder = tempfile::tempdir().unwrap();
                 let opener = Arc::new(DataFolder::new(folder.path()));
                 let control = async {
-                    let control = start_control_at(listen, &seeds, opener).await;
+                    let control = start_control_with_key(&self.key, listen, &seeds, opener).await;
                     (control, folder)
                 };
                 self.controls[n] = Some(Process::start(control));
             }
             Member::Ingress(n) => {
                 let name = format!("i{n}");
-                let ingress = start_linked_ingress(&name, &seeds, self.link_port);
+                let ingress = start_ingress_with_key(&self.key, &name, &seeds, self.link_port);
                 self.ingresses[n] = Some(Process::start(ingress));
             }
         }
--- a/tests/testsuite/ingress.rs
+++ b/tests/testsuite/ingress.rs
@@ -426,11 +426,12 @@
     let platform = with_engines(&engines, &placed).await;
     let response = platform.call("POST", "/draft/", &[ID]).await;
     assert!(!response.is_complete);
-    let runs: usize = others.iter().map(|t| t.received_requests().len()).sum();
+    let runs: Vec<_> = others.iter().flat_map(Target::received_requests).collect();
     assert_eq!(stalled.received_requests().len(), 1);
     assert_eq!(
-        runs, 1,
-        "the route allows two runs, and no engine has ended"
+        runs.len(),
+        1,
+        "the route allows two runs, and no engine has ended: {runs:?}"
     );
 }
 
--- a/tests/testsuite/ingress_links.rs
+++ b/tests/testsuite/ingress_links.rs
@@ -16,7 +16,7 @@
 use toucanshelf_link::link::{Link, connect};
 
 use crate::platform_support::{
-    DeploymentBuilder, LINK_KEY, Platform, Target, WAIT_TIMEOUT, call_ingress, send, start_control,
+    DeploymentBuilder, Platform, Target, WAIT_TIMEOUT, call_ingress, link_key, send, start_control,
     start_ingress,
 };
 
@@ -27,7 +27,7 @@
 
 /// Does the same as [`open_link`], and returns whether the ingress is asked for all findings.
 async fn open_asked_link(control: &Control, name: &str, zone: &str) -> (Link, bool) {
-    let key = SharedKey::new(LINK_KEY).unwrap();
+    let key = SharedKey::new(link_key()).unwrap();
     let hello = Hello::for_ingress(name, zone);
     let mut link = connect(control.link_address(), &hello, &key).await.unwrap();
     let members = next(&mut link, |frame| match frame {
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -18,7 +18,7 @@
 use hyper::body::{Frame, Incoming};
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 use toucanshelf_control::Control;
 use toucanshelf_coordination::store::{DataFolder, OpenStore};
@@ -30,8 +30,12 @@
 use toucanshelf_platform::PlatformDialect;
 use toucanshelf_runtime::serve::{ConnectionLimits, serve};
 
-/// Shared key of the link between the control instance and the ingress.
-pub const LINK_KEY: &str = "a key for the links of these tests";
+/// Returns the key of the links between control instances and ingresses.
+///
+/// Another test process has another one, so that no link leads to a process that has taken over a port.
+pub fn link_key() -> Box<str> {
+    format!("a key for the links of test process {}", std::process::id()).into()
+}
 /// SHA-256 digest of the operator token `example-operator-token`.
 const OPERATOR_TOKEN_DIGEST: &str =
     "cadaee6d96cfc6f48b78f8783c9493f48be29ff3e90ac85c219f014cb73b1eae";
@@ -215,6 +219,28 @@
     AnswerOtherRequest,
 }
 
+/// Keeps the port of a target that has ended until the test ends.
+///
+/// Otherwise a target of another test could listen there and receive this test's requests.
+async fn reserve_after(mut stop: watch::Receiver<bool>, address: SocketAddr) {
+    if stop.wait_for(|stop| *stop).await.is_ok() {
+        reserve_port(address).await;
+    }
+}
+
+/// Binds a socket to `address` once it is free, and never listens or returns.
+pub async fn reserve_port(address: SocketAddr) {
+    loop {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.set_reuseaddr(true).unwrap();
+        if socket.bind(address).is_ok() {
+            let _reserved = socket;
+            return std::future::pending().await;
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+}
+
 /// A target that takes one action of its script per request.
 ///
 /// After the end of the script it answers every request with status 200.
@@ -308,7 +334,9 @@
         };
         tokio::spawn(async move {
             let (_limits, limits) = watch::channel(ConnectionLimits::default());
+            let reserved = tokio::spawn(reserve_after(stop_rx.clone(), address));
             serve(listener, limits, stop_rx, handler).await;
+            let _ = reserved.await;
         });
         Self {
             address,
@@ -779,6 +807,20 @@
     Ingress::start(settings, dialect).await.unwrap()
 }
 
+/// Does the same with an ingress that has its own link key.
+pub async fn start_ingress_with_key(
+    key: &str,
+    name: &str,
+    seeds: &[&str],
+    link_port: u16,
+) -> Ingress {
+    let text = ingress_settings_text(name, seeds, link_port).replace(&*link_key(), key);
+    let settings = toucanshelf_runtime::settings::parse("ingress.toml", &text).unwrap();
+    Ingress::start(settings, Arc::new(PlatformDialect))
+        .await
+        .unwrap()
+}
+
 /// Starts an ingress that is linked to `control` and connects to targets through `connector`.
 pub async fn start_ingress_with_connector(
     name: &str,
@@ -800,10 +842,11 @@
 /// Returns the text of a settings file for [`ingress_settings`].
 pub fn ingress_settings_text(name: &str, seeds: &[&str], link_port: u16) -> String {
     let seeds: Vec<_> = seeds.iter().map(|ip| format!("'{ip}:1'")).collect();
+    let key = link_key();
     format!(
         "name = '{name}'\nzone = 'z'\nlisten = '127.0.0.1:0'\nready-listen = '127.0.0.1:0'\n\
          metrics-listen = '127.0.0.1:0'\nrelay-listen = '127.0.0.1:0'\n\
-         link-listen = '127.0.0.1:0'\nlink-key = '{LINK_KEY}'\nseeds = [{}]\n\
+         link-listen = '127.0.0.1:0'\nlink-key = '{key}'\nseeds = [{}]\n\
          link-port = {link_port}\nrepeat-slack = 100.0\n",
         seeds.join(", ")
     )
@@ -828,11 +871,21 @@
     link_listen: SocketAddr,
     seeds: &[&str],
     opener: Arc<dyn OpenStore>,
+) -> Control {
+    start_control_with_key(&link_key(), link_listen, seeds, opener).await
+}
+
+/// Does the same with a control instance that has its own link key.
+pub async fn start_control_with_key(
+    key: &str,
+    link_listen: SocketAddr,
+    seeds: &[&str],
+    opener: Arc<dyn OpenStore>,
 ) -> Control {
     let seeds: Vec<_> = seeds.iter().map(|ip| format!("'{ip}:0'")).collect();
     let settings = format!(
         "name = '{}'\nzone = 'z'\nlisten = '127.0.0.1:0'\nlink-listen = '{link_listen}'\n\
-             link-key = '{LINK_KEY}'\ndata-folder = 'unused'\n\
+             link-key = '{key}'\ndata-folder = 'unused'\n\
              operator-token-digests = ['{OPERATOR_TOKEN_DIGEST}']\n\
              [deployment]\nlisten = '127.0.0.1:0'\nseeds = [{}]\nbootstrap = true\n\
              tolerated-losses = 0\n",
--- a/tests/testsuite/raw_target.rs
+++ b/tests/testsuite/raw_target.rs
@@ -8,6 +8,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
 
+use crate::platform_support::reserve_port;
+
 /// What the target writes in response to a caller's request.
 #[derive(Clone, Copy, Debug)]
 pub enum RawAnswer {
@@ -52,7 +54,10 @@
             loop {
                 let accepted = tokio::select! {
                     accepted = listener.accept() => accepted,
-                    () = ended.notified() => return,
+                    () = ended.notified() => {
+                        drop(listener);
+                        return reserve_port(address).await;
+                    }
                 };
                 let Ok((stream, _)) = accepted else { return };
                 let ended = Arc::clone(&ended);
