Hash a request once for each attempt, not for each change of findings

Cause: reading the change again. Deciding on a request hashed its whole body for each attempt, also where no crash was known, and again for each finding that arrived while it waited and at its end. Decision repeated Admission with the attempt in it. Change: an attempt computes the contents of its request once and keeps them; Decision is gone, and what served, crashed and refused need of the request comes from the attempt. An answer takes the ledgers' lock once. The ledger asks in one place whether two contents are parts. Behaviour stays. What it saves was not measured.

--- a/crates/toucanshelf-ingress/src/content_guard.rs
+++ b/crates/toucanshelf-ingress/src/content_guard.rs
@@ -11,7 +11,7 @@
 use tokio::time::{Instant, timeout_at};
 use toucanshelf_core::crash::{Content, Finding, Outcome, WHOLE_REQUEST_POSITION};
 use toucanshelf_core::digest::Digest;
-use toucanshelf_core::ids::CrashId;
+use toucanshelf_core::ids::{CrashId, PromptPart};
 use toucanshelf_routing::crash_ledger::{Admission, CrashLedgers, Handling};
 
 use crate::request::CallerRequest;
@@ -131,27 +131,15 @@
     Digest::of(&text).prefix()
 }
 
-/// Whether and how an attempt may be made now.
-enum Decision {
-    Send(ContentAttempt),
-    /// Another request with the same content is on trial.
-    Wait {
-        /// Time until which the trial lasts at most, in milliseconds.
-        busy_until: u64,
-    },
-    Refuse {
-        /// Time at which the next trial may start, in milliseconds.
-        until: u64,
-    },
-}
-
 /// An attempt to send a request, which reports what happened to its target.
 #[derive(Debug)]
 pub struct ContentAttempt {
     shared: Arc<Shared>,
     service: Box<str>,
-    /// Content that the attempt tries, the most specific one first.
-    trial: Vec<PositionedContent>,
+    /// Contents of the request, the most specific one first.
+    contents: Vec<PositionedContent>,
+    /// Contents that the attempt tries.
+    trial: Vec<Content>,
     /// Receiver of a counter that is raised by each new finding.
     changes: watch::Receiver<u64>,
     /// Whether the target has begun to answer.
@@ -173,12 +161,16 @@
     req: &CallerRequest,
 ) -> Result<ContentAttempt, Duration> {
     let wait_until = (Instant::now() + req.objective).min(req.response_due());
+    let mut attempt = ContentAttempt::new(shared, req);
     let mut changes = shared.content.changed.subscribe();
     loop {
-        let wait = match decide(shared, req) {
-            Decision::Send(attempt) => return Ok(attempt),
-            Decision::Refuse { until } => return Err(time_until(shared, until)),
-            Decision::Wait { busy_until } => time_until(shared, busy_until),
+        let wait = match attempt.admission() {
+            Admission::Send { trial } => {
+                attempt.start_trial(req, trial);
+                return Ok(attempt);
+            }
+            Admission::Refuse { until } => return Err(time_until(shared, until)),
+            Admission::Wait { busy_until } => time_until(shared, busy_until),
         };
         if Instant::now() >= wait_until {
             return Err(wait);
@@ -201,39 +193,25 @@
     shared: &Arc<Shared>,
     req: &CallerRequest,
 ) -> Result<ContentAttempt, Duration> {
-    match decide(shared, req) {
-        Decision::Send(attempt) => Ok(attempt),
-        Decision::Refuse { until } => Err(time_until(shared, until)),
-        Decision::Wait { .. } => Ok(ContentAttempt::new(shared, req)),
+    let mut attempt = ContentAttempt::new(shared, req);
+    match attempt.admission() {
+        Admission::Send { trial } => attempt.start_trial(req, trial),
+        Admission::Refuse { until } => return Err(time_until(shared, until)),
+        Admission::Wait { .. } => {}
     }
+    Ok(attempt)
 }
 
 fn time_until(shared: &Shared, time: u64) -> Duration {
     Duration::from_millis(time.saturating_sub(shared.now()))
 }
 
-/// Decides on an attempt, and starts a trial if one is needed.
-fn decide(shared: &Arc<Shared>, req: &CallerRequest) -> Decision {
-    let mut attempt = ContentAttempt::new(shared, req);
-    let contents = contents(req);
-    let trial = match shared.content.admit(&req.service, &contents, shared.now()) {
-        Admission::Send { trial } => trial,
-        Admission::Wait { busy_until } => return Decision::Wait { busy_until },
-        Admission::Refuse { until } => return Decision::Refuse { until },
-    };
-    for suspect in contents.into_iter().filter(|(c, _)| trial.contains(c)) {
-        tracing::info!(event = "TS4312", request = req.id(), content = %suspect.0, "trial started");
-        attempt.publish(suspect, Outcome::TrialStarted);
-        attempt.trial.push(suspect);
-    }
-    Decision::Send(attempt)
-}
-
 impl ContentAttempt {
     fn new(shared: &Arc<Shared>, req: &CallerRequest) -> Self {
         Self {
             shared: Arc::clone(shared),
             service: req.service.clone(),
+            contents: contents(req),
             trial: Vec::new(),
             changes: shared.content.changed.subscribe(),
             has_begun: false,
@@ -241,15 +219,29 @@
         }
     }
 
-    /// Waits until requests with the content of `req`, the request of this attempt, are refused.
+    /// Decides whether the request may be sent now.
+    fn admission(&self) -> Admission {
+        let guard = &self.shared.content;
+        guard.admit(&self.service, &self.contents, self.shared.now())
+    }
+
+    /// Makes the attempt a trial of the contents in `trial`, if there are any.
+    fn start_trial(&mut self, req: &CallerRequest, trial: Vec<Content>) {
+        self.trial = trial;
+        for suspect in &self.contents {
+            if self.trial.contains(&suspect.0) {
+                tracing::info!(event = "TS4312", request = req.id(), content = %suspect.0, "trial started");
+                self.publish(*suspect, Outcome::TrialStarted);
+            }
+        }
+    }
+
+    /// Waits until requests with the content of this one are refused.
     ///
     /// Once the target has begun to answer, the future never completes. It is cancel safe.
-    pub async fn refused(&mut self, req: &CallerRequest) {
+    pub async fn refused(&mut self) {
         while !self.has_begun && !self.settled && self.changes.changed().await.is_ok() {
-            let guard = &self.shared.content;
-            let admission = guard.admit(&self.service, &contents(req), self.shared.now());
-            let is_refused = matches!(admission, Admission::Refuse { .. });
-            if is_refused {
+            if matches!(self.admission(), Admission::Refuse { .. }) {
                 return;
             }
         }
@@ -263,35 +255,43 @@
         self.has_begun = true;
     }
 
-    /// Records that the target answered `req`, the request of this attempt, to the end.
+    /// Records that the target answered the request to the end.
     ///
     /// The content of the request has then not caused the crashes that are known by now. Calls after
     /// the first outcome have no effect.
-    pub fn record_served(&mut self, req: &CallerRequest) {
+    pub fn record_served(&mut self) {
         if std::mem::replace(&mut self.settled, true) {
             return;
         }
         let trial = std::mem::take(&mut self.trial);
-        let now = self.shared.now();
-        let parts = &req.facts.shared_parts;
-        self.shared
-            .content
-            .ledgers()
-            .record_sound(&self.service, now, parts);
-        for content in contents(req) {
-            let despite = {
-                let ledgers = self.shared.content.ledgers();
-                let ledger = ledgers.get(&self.service);
-                ledger.map_or_else(Vec::new, |ledger| ledger.unexplained(content.0))
+        let unexplained = {
+            let mut ledgers = self.shared.content.ledgers();
+            ledgers.record_sound(&self.service, self.shared.now(), &self.parts());
+            let ledger = ledgers.get(&self.service);
+            let unexplained = |(content, _): &PositionedContent| {
+                ledger.map_or_else(Vec::new, |ledger| ledger.unexplained(*content))
             };
+            self.contents.iter().map(unexplained).collect::<Vec<_>>()
+        };
+        for (content, despite) in self.contents.iter().zip(unexplained) {
             if !despite.is_empty() {
-                self.publish(content, Outcome::Served { despite });
-            } else if trial.contains(&content) {
-                self.publish(content, Outcome::TrialEnded);
+                self.publish(*content, Outcome::Served { despite });
+            } else if trial.contains(&content.0) {
+                self.publish(*content, Outcome::TrialEnded);
             }
         }
     }
 
+    /// Returns the prompt parts that the request shares with others.
+    fn parts(&self) -> Vec<PromptPart> {
+        let contents = self.contents.iter();
+        let part = |(content, _): &PositionedContent| match content {
+            Content::Part(part) => Some(*part),
+            Content::Request(_) => None,
+        };
+        contents.filter_map(part).collect()
+    }
+
     /// Records that the target crashed before the end of its answer to `req`, the request of this
     /// attempt.
     ///
@@ -300,12 +300,11 @@
         if std::mem::replace(&mut self.settled, true) {
             return;
         }
-        let trial = without_positions(&std::mem::take(&mut self.trial));
-        let contents = contents(req);
+        let trial = std::mem::take(&mut self.trial);
         let tried = {
             let ledgers = self.shared.content.ledgers();
             let ledger = ledgers.get(&self.service);
-            let request = without_positions(&contents);
+            let request = without_positions(&self.contents);
             ledger.map_or_else(Vec::new, |ledger| {
                 ledger.tried(&request, &trial, self.shared.now())
             })
@@ -320,9 +319,9 @@
             tried = tried.iter().map(Content::to_string).collect::<Vec<_>>().join(","),
             "target crashed before the end of its answer"
         );
-        for content in contents {
+        for content in &self.contents {
             let in_trial = tried.contains(&content.0);
-            self.publish(content, Outcome::Crashed { crash, in_trial });
+            self.publish(*content, Outcome::Crashed { crash, in_trial });
         }
     }
 
@@ -347,8 +346,9 @@
 impl Drop for ContentAttempt {
     fn drop(&mut self) {
         if !self.settled {
-            for content in std::mem::take(&mut self.trial) {
-                self.publish(content, Outcome::TrialEnded);
+            let trial = std::mem::take(&mut self.trial);
+            for content in self.contents.iter().filter(|(c, _)| trial.contains(c)) {
+                self.publish(*content, Outcome::TrialEnded);
             }
         }
     }
--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -203,7 +203,7 @@
         };
         let response = tokio::select! {
             response = answer => response,
-            () = content.refused(req) => Err(AttemptError::Cancelled),
+            () = content.refused() => Err(AttemptError::Cancelled),
         };
         let state = match &response {
             Err(AttemptError::NotSent(_)) => AttemptState::NotSent,
@@ -214,7 +214,7 @@
         let has_ended = shared.targets().has_ended(target.key);
         match (&response, crash) {
             // An error may be sent without running the request.
-            (Ok(response), _) if response.status().is_success() => content.record_served(req),
+            (Ok(response), _) if response.status().is_success() => content.record_served(),
             (Err(e), Some(crash)) if e.shows_crash(has_ended) => content.record_crash(req, crash),
             _ => {}
         }
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -280,13 +280,13 @@
                         // A stream without an event doesn't show that the engine would have survived
                         // one, and a connection may also end because the engine crashed.
                         if upstream.has_event && !upstream.ends_with_connection {
-                            upstream.content.record_served(&self.req);
+                            upstream.content.record_served();
                         }
                         return StreamItem::End;
                     }
                 },
                 () = caller_disconnected(caller) => return StreamItem::CallerDisconnected,
-                () = upstream.content.refused(&self.req) => {
+                () = upstream.content.refused() => {
                     return StreamItem::Failed(StreamFailure::Cancelled);
                 }
                 failure = upstream.route.watch() => {
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -118,7 +118,7 @@
         let sending = self.send_watched(&destination, &mut live_route);
         let result = tokio::select! {
             result = sending => result,
-            () = content.refused(&self.req) => Err(AttemptError::Cancelled),
+            () = content.refused() => Err(AttemptError::Cancelled),
         };
         let open = match result {
             Ok(open) => open,
--- a/crates/toucanshelf-routing/src/crash_ledger.rs
+++ b/crates/toucanshelf-routing/src/crash_ledger.rs
@@ -422,6 +422,11 @@
         self.ledger.is_sound(content, self.now)
     }
 
+    /// Whether this content and `other` are both parts of prompts.
+    fn are_parts_with(&self, other: Content) -> bool {
+        matches!((self.content, other), (Content::Part(_), Content::Part(_)))
+    }
+
     /// Whether the content is sound, and one that isn't known to be was in all of its crashes.
     fn exonerate_content(&self) -> bool {
         self.is_sound(self.content)
@@ -433,7 +438,7 @@
     /// Whether another content explains the crashes better.
     fn explain_better(&self) -> bool {
         self.others().any(|(other, entry)| {
-            let both_parts = matches!((self.content, other), (Content::Part(_), Content::Part(_)));
+            let both_parts = self.are_parts_with(other);
             self.entry.is_explained_better_by(entry, both_parts)
         })
     }
@@ -446,12 +451,13 @@
     fn share_trials(&self, request: &[Content]) -> bool {
         let is_sound = self.is_sound(self.content);
         self.others().any(|(other, entry)| {
-            let both_parts = matches!((self.content, other), (Content::Part(_), Content::Part(_)));
             let is_alternative = || {
                 let is_likely = self.entry.crashes_without(entry) < MIN_SUSPECT_CRASHES;
                 (is_sound && !self.is_sound(other)) || (is_likely && !request.contains(&other))
             };
-            both_parts && self.entry.trials_are_shared_with(entry) && is_alternative()
+            self.are_parts_with(other)
+                && self.entry.trials_are_shared_with(entry)
+                && is_alternative()
         })
     }
 }
