Share the set-up that tests of links and of findings wrote twice

Cause: reading the change again: two tests called an ingress with the same lines, two ended with the same check, and an ingress with its own key got it by replacing text in its settings. Change: call_ingress_as_control, assert_not_cleared, and one function that takes the key. No check changes.

--- a/tests/testsuite/control_discovery.rs
+++ b/tests/testsuite/control_discovery.rs
@@ -91,20 +91,25 @@
     tokio::time::timeout(WAIT_TIMEOUT, linked).await.unwrap();
 }
 
-/// Guards against an ingress that takes no notice of a control instance that calls it.
-#[tokio::test]
-async fn called_by_control() {
-    let (control, _folder) = start_control().await;
-    let ingress = start_linked_ingress("i1", &["127.9.9.9"], control.link_address().port()).await;
+/// Calls an ingress at its link address, names `control`, and waits until the ingress is linked to it.
+async fn call_ingress_as_control(ingress: &Ingress, control: SocketAddr) {
     let key = SharedKey::new(link_key()).unwrap();
     let address = ingress.link_address().unwrap();
     let link = connect(address, &control_hello(), &key).await.unwrap();
-    let links = vec![control.link_address()];
+    let links = vec![control];
     link.tx
         .send(Frame::ControlInstances { links })
         .await
         .unwrap();
-    wait_until_linked(&ingress, control.link_address()).await;
+    wait_until_linked(ingress, control).await;
+}
+
+/// Guards against an ingress that takes no notice of a control instance that calls it.
+#[tokio::test]
+async fn called_by_control() {
+    let (control, _folder) = start_control().await;
+    let ingress = start_linked_ingress("i1", &["127.9.9.9"], control.link_address().port()).await;
+    call_ingress_as_control(&ingress, control.link_address()).await;
 }
 
 /// Guards against an ingress that needs an address of its own for links.
@@ -118,16 +123,9 @@
     let ingress = Ingress::start(settings, Arc::new(PlatformDialect))
         .await
         .unwrap();
-    let key = SharedKey::new(link_key()).unwrap();
     let address = ingress.link_address().unwrap();
     assert_eq!(ingress.shared().relays.own_address(), Some(address));
-    let link = connect(address, &control_hello(), &key).await.unwrap();
-    let links = vec![control.link_address()];
-    link.tx
-        .send(Frame::ControlInstances { links })
-        .await
-        .unwrap();
-    wait_until_linked(&ingress, control.link_address()).await;
+    call_ingress_as_control(&ingress, control.link_address()).await;
     let other_key = SharedKey::new("another key of sixteen bytes").unwrap();
     let refused = connect(address, &control_hello(), &other_key).await;
     assert!(refused.is_err(), "a process with another key was linked");
--- a/tests/testsuite/crashing_content.rs
+++ b/tests/testsuite/crashing_content.rs
@@ -225,6 +225,13 @@
     findings.map(|finding| finding.outcome).collect()
 }
 
+/// Checks that no answer has cleared the part 0xaa of a crash.
+fn assert_not_cleared(platform: &Platform) {
+    let outcomes = outcomes(platform);
+    let served = |outcome: &Outcome| matches!(outcome, Outcome::Served { .. });
+    assert!(!outcomes.iter().any(served), "{outcomes:?}");
+}
+
 /// Lets the ingress know two crashes in which the part 0xaa was, and sends it a request with that part.
 async fn call_suspect(platform: &Platform) -> u16 {
     let shared = platform.ingress.shared();
@@ -241,9 +248,7 @@
     let placed = [("z", 0, 2), ("z", 2, 4)];
     let platform = with_engines_on(&model_document(), &[&engine, &later], &placed).await;
     assert_eq!(call_suspect(&platform).await, 500);
-    let outcomes = outcomes(&platform);
-    let served = |outcome: &Outcome| matches!(outcome, Outcome::Served { .. });
-    assert!(!outcomes.iter().any(served), "{outcomes:?}");
+    assert_not_cleared(&platform);
 }
 
 /// Guards against clearing a deadly part because a crash looks like the end of an unframed answer.
@@ -255,9 +260,7 @@
     let placed = [("z", 0, 2), ("z", 2, 4)];
     let platform = with_engines_at(&model_document(), &addresses, &placed).await;
     assert_eq!(call_suspect(&platform).await, 200);
-    let outcomes = outcomes(&platform);
-    let served = |outcome: &Outcome| matches!(outcome, Outcome::Served { .. });
-    assert!(!outcomes.iter().any(served), "{outcomes:?}");
+    assert_not_cleared(&platform);
 }
 
 /// Guards against a crash that is no finding because another request learns first that the engine ended.
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -802,9 +802,7 @@
 
 /// Starts an ingress that connects to control instances at the IP addresses `seeds`.
 pub async fn start_linked_ingress(name: &str, seeds: &[&str], link_port: u16) -> Ingress {
-    let settings = ingress_settings(name, seeds, link_port);
-    let dialect = Arc::new(PlatformDialect);
-    Ingress::start(settings, dialect).await.unwrap()
+    start_ingress_with_key(&link_key(), name, seeds, link_port).await
 }
 
 /// Does the same with an ingress that has its own link key.
@@ -814,11 +812,9 @@
     seeds: &[&str],
     link_port: u16,
 ) -> Ingress {
-    let text = ingress_settings_text(name, seeds, link_port).replace(&*link_key(), key);
-    let settings = toucanshelf_runtime::settings::parse("ingress.toml", &text).unwrap();
-    Ingress::start(settings, Arc::new(PlatformDialect))
-        .await
-        .unwrap()
+    let settings = ingress_settings(key, name, seeds, link_port);
+    let dialect = Arc::new(PlatformDialect);
+    Ingress::start(settings, dialect).await.unwrap()
 }
 
 /// Starts an ingress that is linked to `control` and connects to targets through `connector`.
@@ -827,22 +823,26 @@
     control: &Control,
     connector: impl Connector + 'static,
 ) -> Ingress {
-    let settings = ingress_settings(name, &["127.0.0.1"], control.link_address().port());
+    let link_port = control.link_address().port();
+    let settings = ingress_settings(&link_key(), name, &["127.0.0.1"], link_port);
     let dialect = Arc::new(PlatformDialect);
     let started = Ingress::start_with_connector(settings, dialect, Arc::new(connector));
     started.await.unwrap()
 }
 
 /// Returns the settings of an ingress that connects to control instances at `seeds`.
-fn ingress_settings(name: &str, seeds: &[&str], link_port: u16) -> IngressSettings {
-    let text = ingress_settings_text(name, seeds, link_port);
+fn ingress_settings(key: &str, name: &str, seeds: &[&str], link_port: u16) -> IngressSettings {
+    let text = settings_text_with_key(key, name, seeds, link_port);
     toucanshelf_runtime::settings::parse("ingress.toml", &text).unwrap()
 }
 
-/// Returns the text of a settings file for [`ingress_settings`].
+/// Returns the text of a settings file for an ingress with the key of this test process.
 pub fn ingress_settings_text(name: &str, seeds: &[&str], link_port: u16) -> String {
+    settings_text_with_key(&link_key(), name, seeds, link_port)
+}
+
+fn settings_text_with_key(key: &str, name: &str, seeds: &[&str], link_port: u16) -> String {
     let seeds: Vec<_> = seeds.iter().map(|ip| format!("'{ip}:1'")).collect();
-    let key = link_key();
     format!(
         "name = '{name}'\nzone = 'z'\nlisten = '127.0.0.1:0'\nready-listen = '127.0.0.1:0'\n\
          metrics-listen = '127.0.0.1:0'\nrelay-listen = '127.0.0.1:0'\n\
