Place enough first engines for the requests that memory can hold

Cause: a crowd filled the slots of the few engines that hold layer 0 while most memory was unused. Placement adds up the costs of all layers, so that a shortage of slots in one layer weighed a eightieth, although every request holds a slot for as long as it runs. With it, the slots of a zone match the requests that its memory holds.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -95,6 +95,7 @@
         token_layer_mb: 0.007_375,
         slots: 192,
         typical_tokens: 1_000.0,
+        entry_weight: 1.0,
     };
     let accelerators = [(72_000.0, 2.4), (14_400.0, 5.3), (21_600.0, 16.0)];
     let profiles = (0..engines).map(|n| {
--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -75,6 +75,8 @@
     whole_document: Mutex<Option<Arc<DeploymentPatch>>>,
     /// Expected interval between a target's heartbeats, in milliseconds.
     heartbeat_ms: u64,
+    /// Weight of a shortage of slots on the first engines of routes.
+    entry_weight: f64,
     started: Instant,
 }
 
@@ -93,6 +95,7 @@
             decoded_deployment: Mutex::default(),
             whole_document: Mutex::default(),
             heartbeat_ms: settings.heartbeat_ms,
+            entry_weight: settings.entry_weight,
             started: Instant::now(),
         }
     }
--- a/crates/toucanshelf-control/src/directory/reconciler.rs
+++ b/crates/toucanshelf-control/src/directory/reconciler.rs
@@ -148,6 +148,7 @@
             token_layer_mb: model.token_layer_mb(),
             slots: model.slots,
             typical_tokens: model.mean_prompt_tokens + model.mean_answer_tokens,
+            entry_weight: directory.entry_weight,
         };
         let assignments = reconciler.assignments(&service.name, shape, &profiles, now);
         update_gap(reconciler, &profiles, &assignments, model.layers, now);
--- a/crates/toucanshelf-control/src/settings.rs
+++ b/crates/toucanshelf-control/src/settings.rs
@@ -10,6 +10,11 @@
 use toucanshelf_runtime::program::DaemonSettings;
 use toucanshelf_runtime::settings::{LogSettings, SettingsFile, milliseconds};
 
+/// Upper limit of the setting `entry-weight`.
+///
+/// Above it, placement would give up memory of later layers for slots that no request could use.
+const MAX_ENTRY_WEIGHT: f64 = 100.0;
+
 /// Settings of a control instance.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -73,6 +78,15 @@
     /// Interval at which every target sends heartbeats, in milliseconds.
     #[serde(default = "default_heartbeat", deserialize_with = "milliseconds")]
     pub heartbeat_ms: u64,
+    /// Weight of a shortage of slots on the first engines of routes when layers are placed.
+    ///
+    /// It is relative to a shortage of memory on the other engines.
+    #[serde(default = "default_entry_weight")]
+    pub entry_weight: f64,
+}
+
+fn default_entry_weight() -> f64 {
+    1.0
 }
 
 fn default_losses() -> usize {
@@ -128,6 +142,10 @@
         if self.operator_token_digests.is_empty() {
             return Err("operator-token-digests: at least one digest is needed".into());
         }
+        let weight = self.deployment.as_ref().map(|cfg| cfg.entry_weight);
+        if weight.is_some_and(|weight| !(1.0..=MAX_ENTRY_WEIGHT).contains(&weight)) {
+            return Err("deployment.entry-weight: must lie in 1..=100".into());
+        }
         if self.replicas.len() > 4 {
             return Err("replicas: at most 4 other control instances".into());
         }
--- a/crates/toucanshelf-routing/src/placement/coverage.rs
+++ b/crates/toucanshelf-routing/src/placement/coverage.rs
@@ -143,11 +143,18 @@
         (token_capacity / self.desired_capacity + SHORTAGE_OFFSET).powi(-3)
     }
 
-    /// Cost of a layer whose holders have this combined capacity.
-    fn cost(&self, capacity: &LayerCapacity) -> f64 {
+    /// Cost of `layer` if its holders have this combined capacity.
+    fn cost(&self, layer: usize, capacity: &LayerCapacity) -> f64 {
+        // A request holds a slot of its first engine for as long as it runs, so that a shortage in
+        // layer 0 leaves the memory of all other engines unused.
+        let weight = if layer == 0 {
+            self.shape.entry_weight
+        } else {
+            1.0
+        };
         let remaining = (capacity.token_capacity - capacity.largest_capacity).max(0.0);
         let loss = LOSS_COST / f64::from(capacity.largest_holder_layers);
-        self.shortage(capacity.token_capacity)
+        weight * self.shortage(capacity.token_capacity)
             + loss / (1.0 + remaining / self.half_loss_capacity)
             + SPEED_WEIGHT * capacity.min_step_factor / self.mean_step_factor
     }
@@ -203,12 +210,18 @@
         }
     }
 
+    /// Cost of each layer.
+    fn costs(&self, capacities: &[LayerCapacity]) -> Vec<f64> {
+        let layers = capacities.iter().enumerate();
+        layers
+            .map(|(layer, capacity)| self.cost(layer, capacity))
+            .collect()
+    }
+
     /// Cost of a placement: the sum of the costs of its layers.
     pub(super) fn total(&self, assignments: &[Option<LayerRange>]) -> f64 {
-        let layer_capacities = self.layer_capacities(assignments, None);
-        layer_capacities
+        self.costs(&self.layer_capacities(assignments, None))
             .iter()
-            .map(|capacity| self.cost(capacity))
             .sum()
     }
 
@@ -223,10 +236,11 @@
         covering: Option<u32>,
     ) -> Option<Candidate> {
         let others = self.layer_capacities(assignments, Some(i));
-        let costs_without: Vec<_> = others.iter().map(|capacity| self.cost(capacity)).collect();
+        let costs_without = self.costs(&others);
         let gain_in = |layer: u32, count: u32| {
             let capacity = &others[layer as usize];
-            costs_without[layer as usize] - self.cost(&self.with_engine(capacity, i, count, layer))
+            let with_engine = self.with_engine(capacity, i, count, layer);
+            costs_without[layer as usize] - self.cost(layer as usize, &with_engine)
         };
         let held_gain = assignments[i].map_or(0.0, |range| {
             let layers = range.from()..range.to().min(self.shape.layers);
--- a/crates/toucanshelf-routing/src/placement/mod.rs
+++ b/crates/toucanshelf-routing/src/placement/mod.rs
@@ -19,6 +19,7 @@
 //!     layer_mb: 10.0,
 //!     token_layer_mb: 0.01,
 //!     slots: 64,
+//!     entry_weight: 1.0,
 //!     typical_tokens: 1_000.0,
 //! };
 //! let engine = |memory_mb| EngineProfile {
@@ -69,6 +70,10 @@
     pub slots: u32,
     /// Number of tokens that a request typically keeps in memory.
     pub typical_tokens: f64,
+    /// Weight of a shortage of slots on first engines, relative to one of memory on others.
+    ///
+    /// The higher it is, the more engines hold the first layers. At 1 both weigh the same.
+    pub entry_weight: f64,
 }
 
 /// Memory, speed and current layers of an engine.
--- a/tests/testsuite/placement.rs
+++ b/tests/testsuite/placement.rs
@@ -11,6 +11,7 @@
     token_layer_mb: 0.007_375,
     slots: 192,
     typical_tokens: 1_000.0,
+    entry_weight: 1.0,
 };
 
 /// Share of the first plan's token capacity that must remain after the loss of one engine.
@@ -321,3 +322,101 @@
         }
     }
 }
+
+/// Returns how many requests the engines of zone 0 can run at once.
+///
+/// The first number is that of slots of the engines that hold layer 0. The second is that of typical
+/// requests for which there is memory in the scarcest layer.
+fn request_capacity(engines: &[EngineProfile]) -> (u32, f64) {
+    let entries = engines.iter().filter_map(|engine| engine.held);
+    let entries = entries.filter(|range| range.from() == 0).count();
+    let memory = |layer| {
+        let holders = engines.iter().filter_map(|engine| {
+            let range = engine.held?;
+            (range.from() <= layer && layer < range.to()).then_some((engine, range))
+        });
+        let tokens = holders.map(|(engine, range)| {
+            let layers = f64::from(range.len());
+            (engine.memory_mb - layers * SHAPE.layer_mb) / layers / SHAPE.token_layer_mb
+        });
+        tokens.sum::<f64>() / SHAPE.typical_tokens
+    };
+    let scarcest = (0..SHAPE.layers).map(memory).fold(f64::MAX, f64::min);
+    (entries as u32 * SHAPE.slots, scarcest)
+}
+
+/// Places a zone of `[72, 43.2, 21.6, 14.4]` GB accelerators with an entry weight.
+fn place_zone(counts: [usize; 4], entry_weight: f64) -> Vec<EngineProfile> {
+    let kinds = [
+        (72_000.0, 2.4),
+        (43_200.0, 5.6),
+        (21_600.0, 16.0),
+        (14_400.0, 5.3),
+    ];
+    let kinds = counts.iter().zip(kinds);
+    let mut engines: Vec<_> = kinds
+        .flat_map(|(count, (memory_mb, step_factor))| {
+            vec![engine(0, memory_mb, step_factor); *count]
+        })
+        .collect();
+    let shape = ModelShape {
+        entry_weight,
+        ..SHAPE
+    };
+    let assignments = plan(&shape, &engines, Repartitioning::Deferred);
+    for (engine, assigned) in engines.iter_mut().zip(assignments) {
+        engine.held = assigned;
+    }
+    engines
+}
+
+const CROWDED_ZONES: [[usize; 4]; 5] = [
+    [2, 15, 12, 0],
+    [4, 6, 14, 0],
+    [2, 9, 22, 0],
+    [4, 0, 11, 10],
+    [2, 0, 9, 24],
+];
+
+// A crowd of short requests fills the slots of the first engines while the memory of all other
+// engines idles. Every request after that waits for a slot.
+#[test]
+fn crowded_entries_match_memory() {
+    for counts in CROWDED_ZONES {
+        let (_, memory_before) = request_capacity(&place_zone(counts, 1.0));
+        let (slots, memory) = request_capacity(&place_zone(counts, 10.0));
+        assert!(
+            f64::from(slots) >= memory,
+            "{counts:?}: {slots} slots, memory for {memory:.0} requests"
+        );
+        assert!(
+            memory >= 0.75 * memory_before,
+            "{counts:?}: memory for {memory:.0} requests, {memory_before:.0} before"
+        );
+    }
+}
+
+// With few engines that hold layer 0, the loss of one takes a third of the zone's entries.
+#[test]
+fn crowded_entries_survive_loss_of_one() {
+    for counts in CROWDED_ZONES {
+        let engines = place_zone(counts, 10.0);
+        let (slots, _) = request_capacity(&engines);
+        assert!(
+            slots >= 4 * SHAPE.slots,
+            "{counts:?}: {slots} slots in all, so that a loss takes more than a quarter"
+        );
+    }
+}
+
+#[test]
+fn entries_unweighted_stay_fewer_than_weighted() {
+    for counts in CROWDED_ZONES {
+        let (before, _) = request_capacity(&place_zone(counts, 1.0));
+        let (after, _) = request_capacity(&place_zone(counts, 10.0));
+        assert!(
+            before < after,
+            "{counts:?}: {before} slots, {after} with weight"
+        );
+    }
+}
