Decode the longest pause that a stream's route allows

Cause: admission will weigh a stream's pauses against its route's objective, but the decoder only checked the type of that field. Change: Route::gap_objective and CallerRequest::gap_objective; nothing reads them yet.

--- a/crates/toucanshelf-core/src/deployment.rs
+++ b/crates/toucanshelf-core/src/deployment.rs
@@ -53,6 +53,8 @@
     ///
     /// A response that takes longer is of less value to the caller.
     pub objective: Duration,
+    /// Longest pause between two events of a stream that is on time, if the route states one.
+    pub gap_objective: Option<Duration>,
     /// Priority of the requests; 0 is the most urgent.
     pub priority: u8,
     /// Services among which the requests are divided.
--- a/crates/toucanshelf-ingress/src/front.rs
+++ b/crates/toucanshelf-ingress/src/front.rs
@@ -153,6 +153,7 @@
         route: route.name.clone(),
         kind: route.kind,
         objective: route.objective,
+        gap_objective: route.gap_objective,
         max_attempts: route.max_attempts,
         service: found.service(rand::rng().random()).into(),
         organisation: found.organisation.map(Into::into),
