Rank the requests of a service by organisation and route

Cause: priorities were decoded and not used, so that the most urgent requests wait as long as all others (docs/design/overload.md); a caller's own priority header reached the engines, which admit by it. Change: toucanshelf_core::rank numbers the pairs of an organisation's and a route's priority of each service once for each deployment; RouteMatch::rank, RouteTable::ranks, CallerRequest::rank and ranks. Targets get the rank in the priority header in place of the caller's, in first sends, retries and resumptions; relays derive it anew. A service whose routes have one priority stays unranked, and its requests keep their headers. A null priority of an organisation stays valid, as stored documents may have it. Ranks from 9 on share the header's last value; pairs after the 256th share the last rank.

--- a/crates/toucanshelf-core/src/deployment.rs
+++ b/crates/toucanshelf-core/src/deployment.rs
@@ -150,6 +150,11 @@
     pub name: Box<str>,
     /// API keys that the callers may send.
     pub keys: Vec<Box<str>>,
+    /// Priority of the organisation's requests; 0 is the most urgent.
+    ///
+    /// It is compared before the priority of the route. `None` counts as the least urgent priority
+    /// that any organisation states.
+    pub priority: Option<u8>,
 }
 
 /// Routes, services, limits and organisations that operators replace as one document.
--- a/crates/toucanshelf-core/src/lib.rs
+++ b/crates/toucanshelf-core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod layers;
 pub mod names;
 pub mod outcome;
+pub mod rank;
 pub mod registration;
 pub mod registry;
 pub mod state;
--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -294,6 +294,7 @@
         target: to.id,
         deadline_ms,
         organisation: req.organisation.as_deref(),
+        rank: req.rank,
         hops: to.hops,
         last_event: to.last_event,
     };
--- a/crates/toucanshelf-ingress/src/front.rs
+++ b/crates/toucanshelf-ingress/src/front.rs
@@ -145,6 +145,7 @@
     };
     let body = read_body(&table, body).await?;
     strip_connection_headers(&mut parts.headers);
+    let service = found.service(rand::rng().random());
     Ok(CallerRequest {
         method: parts.method,
         uri: parts.uri,
@@ -155,7 +156,9 @@
         objective: route.objective,
         gap_objective: route.gap_objective,
         max_attempts: route.max_attempts,
-        service: found.service(rand::rng().random()).into(),
+        service: service.into(),
+        rank: found.rank(service),
+        ranks: table.ranks(service),
         organisation: found.organisation.map(Into::into),
         version: table.deployment().version,
         started,
--- a/crates/toucanshelf-ingress/src/request.rs
+++ b/crates/toucanshelf-ingress/src/request.rs
@@ -13,6 +13,7 @@
 use http_body_util::Full;
 use tokio::time::Instant;
 use toucanshelf_core::deployment::RequestKind;
+use toucanshelf_core::rank::Rank;
 use toucanshelf_link::dialect::RequestMetadata;
 
 use crate::shared::Shared;
@@ -53,6 +54,10 @@
     pub max_attempts: u32,
     /// Name of the service that handles the request.
     pub service: Box<str>,
+    /// Rank among the service's requests, the same in all attempts; `None` if they have no ranks.
+    pub rank: Option<Rank>,
+    /// Number of ranks of the service's requests, or 0 if they have none.
+    pub ranks: usize,
     /// Organisation (customer) of the caller.
     ///
     /// `None` on public routes or if no organisation is configured.
--- a/crates/toucanshelf-link/src/dialect.rs
+++ b/crates/toucanshelf-link/src/dialect.rs
@@ -17,6 +17,7 @@
 use toucanshelf_core::deployment::{Deployment, DeploymentError};
 use toucanshelf_core::ids::{Incarnation, PromptPart};
 use toucanshelf_core::layers::LayerRange;
+use toucanshelf_core::rank::Rank;
 use toucanshelf_core::registration::Registration;
 
 /// A call to the platform's API on a control instance.
@@ -70,6 +71,11 @@
     pub deadline_ms: u64,
     /// Organisation of the caller, if API keys are in use.
     pub organisation: Option<&'a str>,
+    /// Rank among the requests of the same service.
+    ///
+    /// With `None`, the service's requests have no ranks, and the headers by which the caller may
+    /// have stated a priority are forwarded.
+    pub rank: Option<Rank>,
     /// Engines of the route in order, each with the layers that it runs.
     ///
     /// Empty if the target is a plain service.
--- a/crates/toucanshelf-routing/src/matcher.rs
+++ b/crates/toucanshelf-routing/src/matcher.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 
 use toucanshelf_core::deployment::{Deployment, Route};
+use toucanshelf_core::rank::{Rank, RankTable};
 
 /// The settings of a deployment, indexed by host and by API key.
 #[derive(Debug)]
@@ -15,6 +16,7 @@
     hosts: HashMap<Box<str>, Vec<usize>>,
     /// Index in `deployment.organisations` of the holder of each API key.
     keys: HashMap<Box<str>, usize>,
+    ranks: RankTable,
 }
 
 /// Reason why a request has no route or no organisation.
@@ -33,6 +35,9 @@
     pub route: &'a Route,
     /// Organisation of the caller; `None` on public routes or if no organisation is configured.
     pub organisation: Option<&'a str>,
+    /// Priority of the organisation; 0 is the most urgent.
+    organisation_priority: Option<u8>,
+    ranks: &'a RankTable,
 }
 
 impl RouteTable {
@@ -51,6 +56,7 @@
             keys.extend(organisation.keys.iter().map(|key| (key.clone(), i)));
         }
         Self {
+            ranks: RankTable::new(&deployment),
             deployment,
             hosts,
             keys,
@@ -84,16 +90,25 @@
             return Ok(RouteMatch {
                 route,
                 organisation: None,
+                organisation_priority: None,
+                ranks: &self.ranks,
             });
         }
         let organisation = key.and_then(|key| self.keys.get(key));
         let organisation = organisation.ok_or(MatchError::UnknownKey)?;
-        let organisation = Some(&*self.deployment.organisations[*organisation].name);
+        let organisation = &self.deployment.organisations[*organisation];
         Ok(RouteMatch {
             route,
-            organisation,
+            organisation: Some(&organisation.name),
+            organisation_priority: organisation.priority,
+            ranks: &self.ranks,
         })
     }
+
+    /// Returns the number of ranks of a service's requests, or 0 if the service isn't ranked.
+    pub fn ranks(&self, service: &str) -> usize {
+        self.ranks.ranks(service)
+    }
 }
 
 impl RouteMatch<'_> {
@@ -115,4 +130,13 @@
             .expect("a validated route has a service with a positive weight")
             .service
     }
+
+    /// Returns the rank of the request among those for `service`, one of the route's services.
+    ///
+    /// Returns `None` if the routes to the service don't differ in priority.
+    pub fn rank(&self, service: &str) -> Option<Rank> {
+        let route_priority = self.route.priority;
+        self.ranks
+            .rank(service, self.organisation_priority, route_priority)
+    }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -36,6 +36,7 @@
 mod platform_templates;
 mod processes;
 mod quarantine;
+mod rank;
 mod raw_target;
 mod registry;
 mod relay;
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -82,6 +82,11 @@
         self
     }
 
+    /// Adds a route for the host `a.example`, whose fields `overrides` replaces or adds.
+    pub fn custom_route(self, name: &str, prefix: &str, overrides: &serde_json::Value) -> Self {
+        self.push_route(name, "a.example", prefix, overrides)
+    }
+
     /// Adds an idempotent route to `service`.
     pub fn route(self, name: &str, host: &str, prefix: &str, service: &str) -> Self {
         self.push_route(
@@ -160,6 +165,16 @@
         self
     }
 
+    /// Adds an organisation with its API keys and its priority, which may be absent.
+    pub fn ranked_organisation(self, name: &str, keys: &[&str], priority: Option<u8>) -> Self {
+        let mut document = self.organisation(name, keys);
+        let organisation = document.organisations.last_mut().unwrap();
+        if let Some(priority) = priority {
+            organisation["priority"] = priority.into();
+        }
+        document
+    }
+
     /// Returns the document as JSON text.
     pub fn build(&self) -> String {
         let limits = serde_json::json!({
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -69,11 +69,16 @@
 
 impl CutPlatform {
     async fn start() -> Self {
-        let targets = [Target::start([]).await, Target::start([]).await];
         let document = DeploymentBuilder::new(1)
             .route("read", "a.example", "/read/", "plain")
-            .route_of_kind("book", "/book/", "plain", "non_idempotent")
-            .build();
+            .route_of_kind("book", "/book/", "plain", "non_idempotent");
+        Self::start_on(&document).await
+    }
+
+    /// Starts the platform with a deployment in which callers may `GET` from `/read/` without a key.
+    async fn start_on(document: &DeploymentBuilder) -> Self {
+        let targets = [Target::start([]).await, Target::start([]).await];
+        let document = document.build();
         let (control, folder) = start_control().await;
         let connector = CutConnector::default();
         let ingress = start_ingress_with_connector("i1", &control, connector.clone()).await;
@@ -550,6 +555,44 @@
     assert_eq!(response.body, "id: 1\ndata: x\n\nid: 2\n\n");
 }
 
+/// Guards against relayed requests that lose their rank, or get the one that the caller has sent.
+#[tokio::test(flavor = "multi_thread")]
+async fn relayed_request_ranked() {
+    let read = serde_json::json!({ "service": "plain", "priority": 1, "public": true });
+    let buy = serde_json::json!({ "service": "plain", "priority": 0 });
+    let document = DeploymentBuilder::new(1)
+        .custom_route("read", "/read/", &read)
+        .custom_route("buy", "/buy/", &buy)
+        .ranked_organisation("crew", &["k1"], Some(0))
+        .ranked_organisation("guests", &["k2"], Some(4));
+    let cut_platform = CutPlatform::start_on(&document).await;
+    let _other = cut_platform.start_other_ingress("i2").await;
+    cut_platform.cut(Cut::Refused);
+    let ingress = &cut_platform.platform.ingress;
+    served(ingress, "GET", "/read/").await;
+    let cases = [
+        ("ranked-1", "/buy/", "k1", "0"),
+        ("ranked-2", "/buy/", "k2", "2"),
+        ("ranked-3", "/read/", "-", "3"),
+    ];
+    for (id, path, key, rank) in cases {
+        let headers = [
+            ("x-toucanshelf-request-id", id),
+            ("x-toucanshelf-request-priority", "1"),
+            ("api-key", key),
+        ];
+        let response = call_ingress(ingress, "GET", path, &headers).await;
+        assert_eq!(response.status, 200, "{id}");
+        let targets = cut_platform.targets.iter();
+        let received = targets.flat_map(Target::received_requests);
+        let ranks: Vec<_> = received
+            .filter(|req| req.header("x-toucanshelf-request-id") == id)
+            .map(|req| req.header("x-toucanshelf-request-priority").to_owned())
+            .collect();
+        assert_eq!(ranks, [rank], "{id}");
+    }
+}
+
 /// Guards against streams that end with the connections of their ingress, or repeat events.
 #[tokio::test(flavor = "multi_thread")]
 async fn stream_silent_since_cut() {
