--- a/crates/toucanshelf-core/src/deployment.rs
+++ b/crates/toucanshelf-core/src/deployment.rs
@@ -53,6 +53,8 @@
     ///
     /// A response that takes longer is of less value to the caller.
     pub objective: Duration,
+    /// Longest pause between two events of a stream that is on time, if the route states one.
+    pub gap_objective: Option<Duration>,
     /// Priority of the requests; 0 is the most urgent.
     pub priority: u8,
     /// Services among which the requests are divided.
@@ -148,6 +150,11 @@
     pub name: Box<str>,
     /// API keys that the callers may send.
     pub keys: Vec<Box<str>>,
+    /// Priority of the organisation's requests; 0 is the most urgent.
+    ///
+    /// It is compared before the priority of the route. `None` counts as the least urgent priority
+    /// that any organisation states.
+    pub priority: Option<u8>,
 }
 
 /// Routes, services, limits and organisations that operators replace as one document.
