Exchange the loads of engines between ingresses

Cause: an ingress knows only its own 10 to 15 requests at the engines, and multiplies them by the ingresses of its zone to guess the rest. Change: with load-exchange-ms, an ingress reports its requests at the engines of a zone to a control instance, the zone's collector, which answers each report with the sums of all ingresses. The ingress subtracts its own part; the age counts from the report that was answered, so that sums from a stalled link aren't taken for new. A message states the loads of a range of tags, so that an engine without an entry has no load, and more than 36 engines take turns. A restarted ingress replaces what it reported on its earlier link. A new collector answers from the third report of an ingress on, since others may not have reported to it before. The interval is at most 1,000 ms, because loads older than 1,500 ms don't count.

--- a/crates/toucanshelf-control/src/directory/ingresses.rs
+++ b/crates/toucanshelf-control/src/directory/ingresses.rs
@@ -421,6 +421,7 @@
         calls_ingresses: true,
         hears_leader: shared.driver.status().current,
         wants_all_findings,
+        collects_loads: true,
     }
 }
 
@@ -484,6 +485,16 @@
                     // A full queue drops the answer, and the ingress takes it for a denial.
                     let _ = link.tx.try_send(Frame::Permit { id, wait_ms });
                 }
+                Frame::LoadReport {
+                    zone,
+                    sequence,
+                    entries,
+                } => {
+                    let now = directory.now();
+                    directory
+                        .loads
+                        .handle_report(&link, id, now, zone, sequence, &entries);
+                }
                 Frame::CrashFindings { findings } => {
                     let new = directory.apply_findings(findings);
                     directory.ingresses.queue_findings(Some(id), new);
@@ -496,6 +507,7 @@
         }
     }
     directory.ingresses.close(id);
+    directory.loads.forget(&link.peer.name, id);
     tracing::warn!(event = "TS2507", ingress = %link.peer.name, "link to ingress closed");
 }
 
--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -14,6 +14,7 @@
 pub mod ingress_addresses;
 mod ingress_calls;
 pub mod ingresses;
+mod loads;
 pub mod orders;
 pub mod reconciler;
 
@@ -41,6 +42,7 @@
 use crate::settings::DeploymentSettings;
 use ingress_addresses::IngressAddresses;
 use ingresses::Ingresses;
+use loads::ZoneCollectors;
 
 /// Time for which an ingress's suspicion of a target is kept, in milliseconds.
 const SUSPICION_RETENTION_MS: u64 = 5_000;
@@ -69,6 +71,8 @@
     crash_ledgers: Mutex<CrashLedgers>,
     /// Permits for targets that have named a limit, by the target's id.
     permits: Mutex<BTreeMap<Box<str>, PermitBucket>>,
+    /// Loads of engines that the ingresses report.
+    loads: ZoneCollectors,
     /// Deployment that was decoded last, kept to avoid decoding the same version again.
     decoded_deployment: Mutex<Option<Arc<Deployment>>>,
     /// Whole document that was compressed last, for ingresses that have no earlier version.
@@ -90,6 +94,7 @@
             ingress_addresses: Mutex::default(),
             crash_ledgers: Mutex::default(),
             permits: Mutex::default(),
+            loads: ZoneCollectors::default(),
             decoded_deployment: Mutex::default(),
             whole_document: Mutex::default(),
             heartbeat_ms: settings.heartbeat_ms,
--- a/crates/toucanshelf-control/src/peers.rs
+++ b/crates/toucanshelf-control/src/peers.rs
@@ -355,6 +355,7 @@
                     calls_ingresses: false,
                     hears_leader: shared.driver.status().current,
                     wants_all_findings: false,
+                    collects_loads: false,
                 };
                 if link.tx.try_send(frame).is_err() {
                     return;
--- a/crates/toucanshelf-ingress/src/control.rs
+++ b/crates/toucanshelf-ingress/src/control.rs
@@ -13,6 +13,7 @@
 use tokio::sync::mpsc;
 use toucanshelf_core::crash::Finding;
 use toucanshelf_core::digest::Digest;
+use toucanshelf_core::registration::Registration;
 use toucanshelf_core::state::DeploymentDocument;
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::handshake::{Hello, SharedKey};
@@ -21,6 +22,7 @@
 use toucanshelf_routing::permits::Permit;
 
 use crate::deployments::{self, DeploymentSource};
+use crate::loads;
 use crate::shared::Shared;
 
 /// Delay between attempts to connect to a control instance.
@@ -54,6 +56,10 @@
     calls_ingresses: bool,
     /// Whether the control instance hears a leader.
     hears_leader: bool,
+    /// Whether the control instance accepts [`Frame::LoadReport`].
+    collects_loads: bool,
+    /// Availability zone of the control instance.
+    zone: Box<str>,
 }
 
 #[derive(Debug, Default)]
@@ -199,8 +205,7 @@
     pub fn send_to_responsible(&self, target: &str, frame: Frame) -> bool {
         let links = self.links();
         let issuers = links.open.iter().filter(|(_, link)| link.issues_permits);
-        let responsible =
-            issuers.max_by_key(|(address, _)| Digest::of(format!("{address}/{target}").as_bytes()));
+        let responsible = issuers.max_by_key(|(address, _)| rendezvous(**address, target));
         let Some((_, link)) = responsible else {
             return false;
         };
@@ -209,6 +214,18 @@
         true
     }
 
+    /// Sends a report of loads to the control instance that collects those of `zone`.
+    ///
+    /// It is one of that zone if possible. All ingresses with the same links choose the same instance.
+    /// Returns `false` if no linked instance collects loads, or the queue of its link is full.
+    pub(crate) fn send_to_collector(&self, zone: &str, frame: Frame) -> bool {
+        let links = self.links();
+        let collectors = links.open.iter().filter(|(_, link)| link.collects_loads);
+        let collector = collectors
+            .max_by_key(|(address, link)| (*link.zone == *zone, rendezvous(**address, zone)));
+        collector.is_some_and(|(_, link)| link.tx.try_send(frame).is_ok())
+    }
+
     /// Returns the linked control instances in the order in which the ingress `name` asks them.
     ///
     /// Each ingress has another order, which is the same as long as the links are.
@@ -276,6 +293,12 @@
         }
     }
 
+    fn record_collector(&self, address: SocketAddr, collects_loads: bool) {
+        if let Some(link) = self.links().open.get_mut(&address) {
+            link.collects_loads = collects_loads;
+        }
+    }
+
     /// Marks a link as one to an instance that accepts subscriptions, and tells it what is wanted.
     fn subscribe(&self, address: SocketAddr) {
         let mut links = self.links();
@@ -318,6 +341,13 @@
     }
 }
 
+/// Returns the rank of a control instance among those that could be responsible for `key`.
+///
+/// The instance with the highest rank is.
+fn rendezvous(address: SocketAddr, key: &str) -> Digest {
+    Digest::of(format!("{address}/{key}").as_bytes())
+}
+
 impl LinkTable {
     /// Chooses the control instance that sends findings, unless there is one; one nearby is preferred.
     fn choose_findings_source(&mut self) {
@@ -390,6 +420,8 @@
         accepts_subscriptions: false,
         calls_ingresses: false,
         hears_leader: true,
+        collects_loads: false,
+        zone: link.peer.zone.clone(),
     };
     shared.control.links().open.insert(address, open);
     shared.metrics.control_links.inc();
@@ -425,6 +457,7 @@
             calls_ingresses,
             hears_leader,
             wants_all_findings,
+            collects_loads,
         } => {
             let own = ingress_zones.iter();
             let own = own.filter(|zone| **zone == shared.settings.zone).count();
@@ -437,6 +470,7 @@
                 shared.control.add_caller(address);
             }
             shared.control.record_issuer(address, issues_permits);
+            shared.control.record_collector(address, collects_loads);
             let is_new = shared.control.record_source(address, sends_patches);
             if let Some(version) = shared.version().filter(|_| is_new && sends_patches) {
                 // A full queue drops the report, and the next version replaces it.
@@ -480,6 +514,14 @@
             shared.permits.answer(id, denied.unwrap_or(Permit::Granted));
             true
         }
+        Frame::ZoneLoads {
+            zone,
+            sequence_seen,
+            entries,
+        } => {
+            loads::handle_sums(shared, &zone, sequence_seen, &entries);
+            true
+        }
         Frame::CrashFindings { findings } => {
             shared.content.apply(shared.now(), &findings);
             true
@@ -499,20 +541,24 @@
             true
         }
         Frame::Registrations { push, records } => {
-            let now = shared.now();
-            {
-                let mut targets = shared.targets();
-                for record in records {
-                    targets.apply(record, now);
-                }
-            }
-            shared.notify_failure();
+            apply_registrations(shared, records);
             push == 0 || tx.try_send(Frame::RegistrationsSeen { push }).is_ok()
         }
         _ => true,
     }
 }
 
+fn apply_registrations(shared: &Shared, records: Vec<Registration>) {
+    let now = shared.now();
+    {
+        let mut targets = shared.targets();
+        for record in records {
+            targets.apply(record, now);
+        }
+    }
+    shared.notify_failure();
+}
+
 /// Sends findings on a new link; returns `false` if its queue is full.
 ///
 /// `all_wanted` tells whether the control instance has asked for those of other ingresses as well.
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod front;
 pub mod isolation;
 pub mod live_route;
+pub mod loads;
 pub mod metrics;
 pub mod permits;
 pub mod plain;
@@ -173,6 +174,7 @@
         control::start(&shared, &key);
         tokio::spawn(discovery::run(Arc::clone(&shared), key));
         tokio::spawn(isolation::run(Arc::clone(&shared)));
+        loads::start(&shared);
         start_probes(&shared, ready, metrics);
         tracing::info!(event = "TS4001", %address, "ingress listens");
         Ok(Self {
--- a/crates/toucanshelf-ingress/src/metrics.rs
+++ b/crates/toucanshelf-ingress/src/metrics.rs
@@ -7,6 +7,9 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1.0, 2.0, 5.0, 20.0,
 ];
 
+/// Upper bounds of the buckets for the age of known loads, in seconds.
+const LOAD_AGE_BUCKETS: [f64; 7] = [0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5];
+
 /// Metrics exported by an ingress.
 #[derive(Debug)]
 pub struct Metrics {
@@ -20,6 +23,10 @@
     pub repeated_sends: IntCounterVec,
     /// Time from a request to its complete response or first stream event, in seconds.
     pub latency: Histogram,
+    /// Age of the loads by other ingresses that decided on the engines of a route, in seconds.
+    pub load_age: Histogram,
+    /// Number of reports of loads sent and of answers received (report or answer).
+    pub load_messages: IntCounterVec,
     /// Number of open connections to control instances.
     pub control_links: IntGauge,
     /// Time for which no control instance has been linked, in seconds; 0 while one is.
@@ -63,6 +70,17 @@
         );
         let latency = latency.buckets(LATENCY_BUCKETS.to_vec());
         let latency = Histogram::with_opts(latency).expect("valid options");
+        let load_age = HistogramOpts::new(
+            "toucanshelf_load_age_seconds",
+            "Age of the known load of an engine when it is chosen",
+        );
+        let load_age = load_age.buckets(LOAD_AGE_BUCKETS.to_vec());
+        let load_age = Histogram::with_opts(load_age).expect("valid options");
+        let load_messages = Opts::new(
+            "toucanshelf_load_messages_total",
+            "Reports of loads sent, and answers received",
+        );
+        let load_messages = IntCounterVec::new(load_messages, &["kind"]).expect("valid options");
         let gauge = |name: &str, help: &str| IntGauge::new(name, help).expect("valid options");
         let control_links = gauge("toucanshelf_control_links", "Open links to control");
         let unlinked_seconds = gauge(
@@ -74,11 +92,13 @@
             "Version of the deployment in force",
         );
         let isolated = gauge("toucanshelf_isolated", "1 while no target can be reached");
-        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(repeated_sends.clone()),
             Box::new(latency.clone()),
+            Box::new(load_age.clone()),
+            Box::new(load_messages.clone()),
             Box::new(control_links.clone()),
             Box::new(unlinked_seconds.clone()),
             Box::new(deployment_version.clone()),
@@ -93,6 +113,8 @@
             attempts,
             repeated_sends,
             latency,
+            load_age,
+            load_messages,
             control_links,
             unlinked_seconds,
             isolated,
--- a/crates/toucanshelf-ingress/src/settings.rs
+++ b/crates/toucanshelf-ingress/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of an ingress, read from its settings file.
 
 use std::net::SocketAddr;
+use std::ops::RangeInclusive;
 
 use serde::Deserialize;
 use toucanshelf_core::target::check_text;
@@ -9,6 +10,11 @@
 use toucanshelf_runtime::program::DaemonSettings;
 use toucanshelf_runtime::settings::{LogSettings, SettingsFile, milliseconds};
 
+/// Range of the setting `load_exchange_ms`.
+///
+/// Loads that are older than 1,500 ms don't count, so that a longer interval would leave gaps.
+const LOAD_EXCHANGE_MS: RangeInclusive<u64> = 100..=1_000;
+
 /// Settings of an ingress, which stay the same while it runs, except that seeds may be added.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -67,6 +73,12 @@
     /// Length of the sliding window in which repeated sends are counted, in milliseconds.
     #[serde(default = "default_repeat_window", deserialize_with = "milliseconds")]
     pub repeat_window_ms: u64,
+    /// Interval between reports of this ingress's requests at engines, in milliseconds.
+    ///
+    /// The control instances add up the reports of all ingresses. Without it, this ingress reports
+    /// nothing and guesses the load of engines from its own requests.
+    #[serde(default)]
+    pub load_exchange_ms: Option<u64>,
     /// Settings of logs and traces.
     #[serde(default)]
     pub log: LogSettings,
@@ -136,6 +148,10 @@
         if !(1_000..=600_000).contains(&self.repeat_window_ms) {
             return Err("repeat-window-ms: must lie in 1000..=600000".into());
         }
+        let exchange = self.load_exchange_ms;
+        if exchange.is_some_and(|interval_ms| !LOAD_EXCHANGE_MS.contains(&interval_ms)) {
+            return Err("load-exchange-ms: must lie in 100..=1000".into());
+        }
         Ok(())
     }
 
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -98,6 +98,8 @@
         dialect: Arc<dyn Dialect>,
         connector: Arc<dyn Connector>,
     ) -> Self {
+        let metrics = Metrics::new();
+        let targets = Targets::new(&settings.zone).with_load_ages(metrics.load_age.clone());
         Self {
             control: ControlLinks::new(),
             deployments: Deployments::new(),
@@ -108,11 +110,11 @@
             permits: PendingPermits::default(),
             pool: Pool::new(connector),
             reports: Reports::new(),
-            metrics: Metrics::new(),
+            metrics,
             table: RwLock::default(),
             configured: watch::Sender::new(false),
             limits: watch::Sender::new(ConnectionLimits::default()),
-            targets: Mutex::new(Targets::new(&settings.zone)),
+            targets: Mutex::new(targets),
             budgets: Mutex::default(),
             ingresses: Mutex::default(),
             failures: watch::Sender::new(0),
--- /dev/null
+++ b/crates/toucanshelf-ingress/src/targets/loads.rs
@@ -0,0 +1,152 @@
+//! Load of engines by the requests of all ingresses.
+
+use prometheus::Histogram;
+use toucanshelf_routing::load_exchange::{
+    EngineLoad, EngineTag, KnownLoads, LoadPage, LoadReport, OthersLoad,
+};
+
+use super::{Target, TargetKey, Targets};
+
+/// Loads of engines by other ingresses, and the reports of this one.
+#[derive(Debug, Default)]
+pub(super) struct LoadExchange {
+    /// State by zone, in the order of [`Targets::zones`].
+    zones: Vec<ZoneExchange>,
+    /// Metric of the age of loads, in seconds.
+    ages: Option<Histogram>,
+}
+
+#[derive(Debug, Default)]
+struct ZoneExchange {
+    known: KnownLoads,
+    /// Whether the latest report named engines, so that another must follow.
+    has_reported_load: bool,
+}
+
+/// Load of an engine that decisions are based on.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AssumedLoad {
+    /// Requests that have the engine as the first of their route.
+    pub(super) first_requests: f64,
+    /// Requests that use the engine.
+    #[expect(dead_code, reason = "admission reads it")]
+    pub(super) requests: f64,
+    /// Tokens of each request times the layers that the engine runs for it.
+    pub(super) token_layers: f64,
+    /// Age of what is known of other ingresses, in milliseconds; `None` if it is guessed.
+    #[expect(dead_code, reason = "admission reads it")]
+    pub(super) age_ms: Option<u64>,
+}
+
+impl Target {
+    /// Returns the load by the requests of this ingress.
+    fn own_load(&self) -> EngineLoad {
+        EngineLoad {
+            first_requests: self.first_hop_requests,
+            requests: self.in_flight_requests,
+            token_layers: self.reserved_token_layers,
+        }
+    }
+}
+
+impl Targets {
+    /// Observes the age of the loads that routes are chosen by, in seconds.
+    #[must_use]
+    pub fn with_load_ages(mut self, ages: Histogram) -> Self {
+        self.loads.ages = Some(ages);
+        self
+    }
+
+    /// Makes the reports of this ingress about its requests at engines, with the zones of the engines.
+    ///
+    /// The zone of this ingress is always reported, so that its sums are received. Another one is if it
+    /// has requests there, and once more after they have ended. `now` is in milliseconds.
+    pub fn begin_load_reports(&mut self, now: u64) -> Vec<(Box<str>, LoadReport)> {
+        let mut loads = vec![Vec::new(); self.zones.len()];
+        let engines = self.arena.iter().map(|(_, target)| target);
+        for engine in engines.filter(|target| target.record.layers.is_some()) {
+            if engine.in_flight_requests > 0 {
+                let tag = EngineTag::from(engine.crash);
+                loads[usize::from(engine.zone)].push((tag, engine.own_load()));
+            }
+        }
+        self.loads
+            .zones
+            .resize_with(self.zones.len(), ZoneExchange::default);
+        let mut reports = Vec::new();
+        let zones = self.zones.iter().zip(&mut self.loads.zones);
+        for (i, ((zone, exchange), loads)) in zones.zip(loads).enumerate() {
+            let has_load = !loads.is_empty();
+            if i == 0 || has_load || exchange.has_reported_load {
+                reports.push((zone.clone(), exchange.known.begin_report(now, loads)));
+            }
+            exchange.has_reported_load = has_load;
+        }
+        reports
+    }
+
+    /// Records the sums of a zone that contain the reports of this ingress up to `sequence`.
+    ///
+    /// Returns `false` if they are outdated.
+    pub fn record_zone_loads(
+        &mut self,
+        zone: &str,
+        now: u64,
+        sequence: u32,
+        page: &LoadPage,
+    ) -> bool {
+        let index = self.zones.iter().position(|known| **known == *zone);
+        let exchange = index.and_then(|index| self.loads.zones.get_mut(index));
+        exchange.is_some_and(|exchange| exchange.known.record_sums(now, sequence, page))
+    }
+
+    /// Returns whether the loads of all engines in the zone of this ingress are known and not outdated.
+    pub fn knows_zone_loads(&self, now: u64) -> bool {
+        let own = self.loads.zones.first();
+        own.is_some_and(|exchange| exchange.known.is_fresh(now))
+    }
+
+    /// Returns the load of an engine by the other ingresses, or `None` if it is unknown or outdated.
+    pub fn others_load(&self, key: TargetKey, now: u64) -> Option<OthersLoad> {
+        self.others_load_of(self.arena.get(key)?, now)
+    }
+
+    fn others_load_of(&self, target: &Target, now: u64) -> Option<OthersLoad> {
+        let exchange = self.loads.zones.get(usize::from(target.zone))?;
+        exchange.known.others(target.crash.into(), now)
+    }
+
+    /// Returns the load of an engine by all ingresses.
+    ///
+    /// It is that of this ingress and the others. If the latter is unknown, it is that of this ingress
+    /// times the number of ingresses in its zone.
+    pub(super) fn assumed_load(&self, target: &Target, now: u64) -> AssumedLoad {
+        let own = target.own_load();
+        if let Some(OthersLoad { mut load, age_ms }) = self.others_load_of(target, now) {
+            load += own;
+            return AssumedLoad {
+                first_requests: f64::from(load.first_requests),
+                requests: f64::from(load.requests),
+                token_layers: load.token_layers,
+                age_ms: Some(age_ms),
+            };
+        }
+        let ingresses = f64::from(self.zone_ingresses);
+        AssumedLoad {
+            first_requests: ingresses * f64::from(own.first_requests),
+            requests: ingresses * f64::from(own.requests),
+            token_layers: ingresses * own.token_layers,
+            age_ms: None,
+        }
+    }
+
+    /// Adds the ages of the known loads of chosen engines to the metric.
+    pub(super) fn observe_load_ages(&self, keys: impl IntoIterator<Item = TargetKey>, now: u64) {
+        let Some(ages) = &self.loads.ages else { return };
+        for key in keys {
+            if let Some(others) = self.others_load(key, now) {
+                ages.observe(others.age_ms as f64 / 1_000.0);
+            }
+        }
+    }
+}
--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -10,6 +10,7 @@
 //! restart, after which the target registers as a new incarnation, ends this early.
 
 mod limits;
+mod loads;
 mod marks;
 mod notices;
 mod probes;
@@ -30,6 +31,7 @@
 
 pub use limits::LimitChange;
 use limits::TargetLimit;
+use loads::LoadExchange;
 pub use marks::DownCause;
 use stages::stage;
 
@@ -191,6 +193,8 @@
     models: BTreeMap<Box<str>, ModelSpec>,
     /// Number of ingress instances in the zone of this ingress, itself included.
     zone_ingresses: u32,
+    /// Loads of engines by other ingresses.
+    loads: LoadExchange,
 }
 
 impl Targets {
@@ -204,6 +208,7 @@
             zones: vec![zone.into()],
             models: BTreeMap::new(),
             zone_ingresses: 1,
+            loads: LoadExchange::default(),
         }
     }
 
@@ -355,10 +360,11 @@
         });
         let stages: Vec<_> = usable
             .filter_map(|(key, target)| {
-                stage(model, key, target, now, f64::from(self.zone_ingresses))
+                stage(model, key, target, now, &self.assumed_load(target, now))
             })
             .collect();
         let hops = cheapest_route(&stages, model.layers, 0, &HOP_COSTS)?;
+        self.observe_load_ages(hops.iter().map(|hop| hop.key), now);
         let hops = hops.into_iter().filter_map(|hop| {
             let target = self.arena.get(hop.key)?;
             Some(RouteHop {
@@ -397,7 +403,7 @@
         });
         let mut stages: Vec<_> = usable
             .filter_map(|(key, target)| {
-                stage(model, key, target, now, f64::from(self.zone_ingresses))
+                stage(model, key, target, now, &self.assumed_load(target, now))
             })
             .collect();
         let mut repaired = Vec::new();
--- a/crates/toucanshelf-ingress/src/targets/stages.rs
+++ b/crates/toucanshelf-ingress/src/targets/stages.rs
@@ -7,6 +7,7 @@
 use toucanshelf_core::deployment::ModelSpec;
 use toucanshelf_routing::hops::CandidateStage;
 
+use super::loads::AssumedLoad;
 use super::{PROBATION_COST, Target, TargetKey};
 
 /// Factor by which an engine's layer cost rises with its memory in use.
@@ -36,14 +37,13 @@
 ///
 /// Returns `None` if the engine has no usable layers or the model doesn't list its accelerator.
 ///
-/// `zone_ingresses` is the number of ingress instances in this zone. The ingress knows only its own
-/// load on the engine and multiplies it by that number to estimate the load from all of them.
+/// `assumed` is the load of the engine by the requests of all ingresses.
 pub(super) fn stage(
     model: &ModelSpec,
     key: TargetKey,
     target: &Target,
     now: u64,
-    zone_ingresses: f64,
+    assumed: &AssumedLoad,
 ) -> Option<CandidateStage<TargetKey>> {
     let layers = target.record.layers?;
     if now < target.missing_layers_until {
@@ -52,11 +52,10 @@
     let accelerator = model.accelerator(target.record.accelerator.as_deref()?)?;
     let free_mb = accelerator.memory_mb - f64::from(layers.len()) * model.layer_mb;
     let capacity_token_layers = (free_mb / model.token_layer_mb()).max(1.0);
-    let memory_share = zone_ingresses * target.reserved_token_layers / capacity_token_layers;
+    let memory_share = assumed.token_layers / capacity_token_layers;
     let load =
         MEMORY_COST * memory_share + NEARLY_FULL_COST * (memory_share - NEARLY_FULL_SHARE).max(0.0);
-    let slot_share =
-        zone_ingresses * f64::from(target.first_hop_requests) / f64::from(model.slots.max(1));
+    let slot_share = assumed.first_requests / f64::from(model.slots.max(1));
     let step_ms = model.step_ms * accelerator.step_factor / f64::from(model.layers.max(1));
     Some(CandidateStage {
         key,
--- a/crates/toucanshelf-link/src/frame.rs
+++ b/crates/toucanshelf-link/src/frame.rs
@@ -186,6 +186,9 @@
         /// Otherwise the receiver sends those that it has made itself.
         #[serde(default)]
         wants_all_findings: bool,
+        /// Whether the sender accepts [`Frame::LoadReport`], which older programs don't know.
+        #[serde(default)]
+        collects_loads: bool,
     },
     /// Ingress to control: announces the address at which the sender accepts links.
     IngressAddress {
@@ -298,6 +301,24 @@
         /// Time after which the ingress may ask again, in milliseconds; `None` for a permit.
         wait_ms: Option<u64>,
     },
+    /// Ingress to control: reports the requests of the sender at the engines of a zone.
+    LoadReport {
+        /// Availability zone of the engines.
+        zone: Box<str>,
+        /// Number of the report among those of the sender for the zone, counted from 1.
+        sequence: u32,
+        /// Encoded page of loads.
+        entries: ByteBuf,
+    },
+    /// Control to ingress: answers [`Frame::LoadReport`] with the sums over all ingresses.
+    ZoneLoads {
+        /// Availability zone of the engines.
+        zone: Box<str>,
+        /// Number of the receiver's latest report that the sums include; 0 if they include none.
+        sequence_seen: u32,
+        /// Encoded page of loads.
+        entries: ByteBuf,
+    },
     /// Ingress to control: tells whether other ingresses may send it their requests.
     RelayStatus {
         /// Address at which the sender accepts requests of other ingresses.
--- a/crates/toucanshelf-routing/src/lib.rs
+++ b/crates/toucanshelf-routing/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod flow;
 pub mod hops;
 pub mod isolation;
+pub mod load_exchange;
 pub mod matcher;
 pub mod permits;
 pub mod placement;
--- a/tests/testsuite/control_discovery.rs
+++ b/tests/testsuite/control_discovery.rs
@@ -64,6 +64,7 @@
             calls_ingresses: true,
             hears_leader: true,
             wants_all_findings: false,
+            collects_loads: false,
         };
         link.tx.send(members).await.unwrap();
         link
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -141,6 +141,7 @@
         calls_ingresses,
         hears_leader,
         wants_all_findings,
+        collects_loads,
         ..
     } = decoded
     else {
@@ -148,7 +149,7 @@
     };
     assert!(!accepts_findings && !issues_permits && !sends_patches && !lists_relays);
     assert!(!accepts_subscriptions && !calls_ingresses && hears_leader);
-    assert!(!wants_all_findings);
+    assert!(!wants_all_findings && !collects_loads);
 }
 
 /// Guards against a log that a control instance of a build without patches can't read.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod ingress_stop;
 mod isolation;
 mod links;
+mod load_exchange;
 mod matcher;
 mod names;
 mod orders;
