Assume of the other ingresses what this one did since the last sums

Cause: with own load plus the others' last known load, all ingresses choose the engine that had the least load when the sums were made, and each corrects this only by its own requests. Change: AssumedLoad adds, for each other ingress of the zone, the change of the own load since the report that was answered. It is in the routing crate. Ruled out: the ratio of the others' load to the own one in place of the number of other ingresses; it made no difference.

--- a/crates/toucanshelf-ingress/src/targets/loads.rs
+++ b/crates/toucanshelf-ingress/src/targets/loads.rs
@@ -2,7 +2,7 @@
 
 use prometheus::Histogram;
 use toucanshelf_routing::load_exchange::{
-    EngineLoad, EngineTag, KnownLoads, LoadPage, LoadReport, OthersLoad,
+    AssumedLoad, EngineLoad, EngineTag, KnownLoads, LoadPage, LoadReport, OthersLoad,
 };
 
 use super::{Target, TargetKey, Targets};
@@ -23,21 +23,6 @@
     has_reported_load: bool,
 }
 
-/// Load of an engine that decisions are based on.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct AssumedLoad {
-    /// Requests that have the engine as the first of their route.
-    pub(super) first_requests: f64,
-    /// Requests that use the engine.
-    #[expect(dead_code, reason = "admission reads it")]
-    pub(super) requests: f64,
-    /// Tokens of each request times the layers that the engine runs for it.
-    pub(super) token_layers: f64,
-    /// Age of what is known of other ingresses, in milliseconds; `None` if it is guessed.
-    #[expect(dead_code, reason = "admission reads it")]
-    pub(super) age_ms: Option<u64>,
-}
-
 impl Target {
     /// Returns the load by the requests of this ingress.
     fn own_load(&self) -> EngineLoad {
@@ -116,28 +101,10 @@
         exchange.known.others(target.crash.into(), now)
     }
 
-    /// Returns the load of an engine by all ingresses.
-    ///
-    /// It is that of this ingress and the others. If the latter is unknown, it is that of this ingress
-    /// times the number of ingresses in its zone.
+    /// Returns the load of an engine by all ingresses, as far as it is known.
     pub(super) fn assumed_load(&self, target: &Target, now: u64) -> AssumedLoad {
-        let own = target.own_load();
-        if let Some(OthersLoad { mut load, age_ms }) = self.others_load_of(target, now) {
-            load += own;
-            return AssumedLoad {
-                first_requests: f64::from(load.first_requests),
-                requests: f64::from(load.requests),
-                token_layers: load.token_layers,
-                age_ms: Some(age_ms),
-            };
-        }
-        let ingresses = f64::from(self.zone_ingresses);
-        AssumedLoad {
-            first_requests: ingresses * f64::from(own.first_requests),
-            requests: ingresses * f64::from(own.requests),
-            token_layers: ingresses * own.token_layers,
-            age_ms: None,
-        }
+        let others = self.others_load_of(target, now);
+        AssumedLoad::new(target.own_load(), others, self.zone_ingresses)
     }
 
     /// Adds the ages of the known loads of chosen engines to the metric.
--- a/crates/toucanshelf-ingress/src/targets/stages.rs
+++ b/crates/toucanshelf-ingress/src/targets/stages.rs
@@ -6,8 +6,8 @@
 
 use toucanshelf_core::deployment::ModelSpec;
 use toucanshelf_routing::hops::CandidateStage;
+use toucanshelf_routing::load_exchange::AssumedLoad;
 
-use super::loads::AssumedLoad;
 use super::{PROBATION_COST, Target, TargetKey};
 
 /// Factor by which an engine's layer cost rises with its memory in use.
--- a/crates/toucanshelf-routing/src/load_exchange/known.rs
+++ b/crates/toucanshelf-routing/src/load_exchange/known.rs
@@ -18,6 +18,17 @@
     sent_ms: u64,
 }
 
+/// Load of an engine as of a report of this ingress.
+#[derive(Clone, Copy, Debug)]
+struct KnownLoad {
+    /// Load by the other ingresses.
+    others: EngineLoad,
+    /// Load by this ingress, as reported.
+    own: EngineLoad,
+    /// Time of the report, in milliseconds.
+    as_of_ms: u64,
+}
+
 /// Reports of one ingress for a zone, and the loads by other ingresses that it was told.
 ///
 /// Times are in milliseconds.
@@ -29,8 +40,8 @@
     sent: VecDeque<SentReport>,
     /// Highest number of a report that was answered.
     answered: u32,
-    /// Loads by the other ingresses, with the time of the report that was answered with each.
-    others: HashMap<EngineTag, (EngineLoad, u64)>,
+    /// Loads of the engines that the sums name.
+    loads: HashMap<EngineTag, KnownLoad>,
     /// Answers that began at the first tag: the time of the first one, and the last tag so far.
     sweep: Option<(u64, EngineTag)>,
     /// Time of the report that was answered with the first page of the latest complete sweep.
@@ -51,7 +62,7 @@
             cursor: PageCursor::new(),
             sent: VecDeque::new(),
             answered: 0,
-            others: HashMap::new(),
+            loads: HashMap::new(),
             sweep: None,
             complete_ms: None,
         }
@@ -99,10 +110,15 @@
             return false;
         }
         self.answered = sequence;
-        self.others.retain(|tag, _| !page.covers(*tag));
+        self.loads.retain(|tag, _| !page.covers(*tag));
         for (tag, sum) in page.entries() {
-            let load = sum.without(self.own_part(*tag, sequence));
-            self.others.insert(*tag, (load, as_of_ms));
+            let own = self.own_part(*tag, sequence);
+            let load = KnownLoad {
+                others: sum.without(own),
+                own,
+                as_of_ms,
+            };
+            self.loads.insert(*tag, load);
         }
         self.continue_sweep(as_of_ms, page);
         true
@@ -134,13 +150,21 @@
     ///
     /// Returns `None` if it is unknown or older than [`MAX_AGE_MS`].
     pub fn others(&self, tag: EngineTag, now: u64) -> Option<OthersLoad> {
-        let (load, as_of_ms) = match self.others.get(&tag) {
+        let known = match self.loads.get(&tag) {
             Some(known) => *known,
             // An engine that the sums don't name has no load.
-            None => (EngineLoad::default(), self.complete_ms?),
+            None => KnownLoad {
+                others: EngineLoad::default(),
+                own: EngineLoad::default(),
+                as_of_ms: self.complete_ms?,
+            },
         };
-        let age_ms = now.saturating_sub(as_of_ms);
-        (age_ms <= MAX_AGE_MS).then_some(OthersLoad { load, age_ms })
+        let age_ms = now.saturating_sub(known.as_of_ms);
+        (age_ms <= MAX_AGE_MS).then_some(OthersLoad {
+            load: known.others,
+            own: known.own,
+            age_ms,
+        })
     }
 
     /// Returns whether the loads of all engines are known and not older than [`MAX_AGE_MS`].
--- a/crates/toucanshelf-routing/src/load_exchange/mod.rs
+++ b/crates/toucanshelf-routing/src/load_exchange/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! Each ingress reports its requests at the engines of a zone to the zone's [`LoadCollector`], which
 //! adds up the reports and answers each with the sums. [`KnownLoads`] subtracts the part of the
-//! ingress itself from the sums. Messages carry a [`LoadPage`], which states the loads of all engines
+//! ingress itself from the sums, and [`AssumedLoad`] is what decisions are based on. Messages carry a [`LoadPage`], which states the loads of all engines
 //! of the zone or, if there are many, of some of them in turn.
 
+mod assumed;
 mod collector;
 mod known;
 mod page;
@@ -13,6 +14,7 @@
 
 use toucanshelf_core::ids::CrashId;
 
+pub use assumed::AssumedLoad;
 pub use collector::{LoadCollector, LoadSums};
 pub use known::KnownLoads;
 pub use page::{LoadPage, LoadPageError, MAX_ENTRIES};
@@ -66,6 +68,8 @@
 pub struct OthersLoad {
     /// Sum over the other ingresses.
     pub load: EngineLoad,
+    /// Load by this ingress at the same time.
+    pub own: EngineLoad,
     /// Time since this ingress sent the report that was answered with the sum, in milliseconds.
     ///
     /// The sum was made later than that, from the latest reports of the other ingresses.
--- a/tests/testsuite/load_exchange.rs
+++ b/tests/testsuite/load_exchange.rs
@@ -1,12 +1,16 @@
 //! Tests of the exchange of loads between ingresses, without a network.
 
+use std::collections::{BTreeSet, VecDeque};
+
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
 use toucanshelf_core::ids::CrashId;
 use toucanshelf_link::frame::Frame;
 use toucanshelf_routing::load_exchange::{
-    EngineLoad, EngineTag, KnownLoads, LoadCollector, LoadPage, LoadPageError, LoadReport,
-    MAX_AGE_MS, MAX_ENTRIES, OthersLoad,
+    AssumedLoad, EngineLoad, EngineTag, KnownLoads, LoadCollector, LoadPage, LoadPageError,
+    LoadReport, LoadSums, MAX_AGE_MS, MAX_ENTRIES, OthersLoad,
 };
 
 /// Interval between the reports of an ingress, in milliseconds.
@@ -113,6 +117,7 @@
     let now = exchange_all(&mut ingresses, &mut collector, 0, 4);
     let unnamed = OthersLoad {
         load: EngineLoad::default(),
+        own: EngineLoad::default(),
         age_ms: 5,
     };
     let others = ingresses[0].known.others(EngineTag(1), now + 5);
@@ -275,7 +280,7 @@
     };
     let told = others(known, now).expect("each engine was told");
     assert!(told.iter().all(|others| others.load == load(3)));
-    let ages: std::collections::BTreeSet<_> = told.iter().map(|others| others.age_ms).collect();
+    let ages: BTreeSet<_> = told.iter().map(|others| others.age_ms).collect();
     assert_eq!(
         ages,
         [0, 250, 500].into(),
@@ -357,7 +362,11 @@
     for load in impossible {
         let report = known.begin_report(0, [(ENGINE, load)]);
         let decoded = LoadPage::decode(&report.page.encode()).unwrap();
-        assert_eq!(decoded.load(ENGINE).unwrap().token_layers, 0.0);
+        let none = EngineLoad {
+            token_layers: 0.0,
+            ..load
+        };
+        assert_eq!(decoded.load(ENGINE), Some(none));
     }
 }
 
@@ -405,6 +414,146 @@
     );
 }
 
+fn assumed(requests: u32, age_ms: Option<u64>) -> AssumedLoad {
+    AssumedLoad {
+        first_requests: f64::from(requests),
+        requests: f64::from(requests),
+        token_layers: load(requests).token_layers,
+        age_ms,
+    }
+}
+
+/// Guards against a decision that differs from before without the exchange.
+#[test]
+fn load_guessed_without_exchange() {
+    let guess = |ingresses| AssumedLoad::new(load(3), None, ingresses);
+    assert_eq!(guess(20), assumed(60, None));
+    assert_eq!(guess(0), assumed(3, None));
+}
+
+#[test]
+fn load_assumed_from_old_sums() {
+    let of = |own, others| {
+        let others = OthersLoad {
+            load: load(others),
+            own: load(3),
+            age_ms: 1_000,
+        };
+        AssumedLoad::new(load(own), Some(others), 5)
+    };
+    let age_ms = Some(1_000);
+    assert_eq!(of(3, 40), assumed(43, age_ms));
+    assert_eq!(of(4, 40), assumed(48, age_ms), "the others began one each");
+    assert_eq!(of(1, 40), assumed(33, age_ms), "the others ended two each");
+    assert_eq!(of(1, 4), assumed(1, age_ms));
+}
+
+/// Requests of many ingresses at the engines of a zone, which each chooses by what it knows.
+struct Crowd {
+    collector: LoadCollector,
+    ingresses: Vec<KnownLoads>,
+    /// Requests by ingress and engine.
+    requests: Vec<Vec<u32>>,
+    /// Answers under way: the time of arrival, the ingress and the sums.
+    answers: VecDeque<(u64, usize, LoadSums)>,
+    rng: StdRng,
+}
+
+impl Crowd {
+    const INGRESSES: usize = 30;
+    const ENGINES: usize = 9;
+    const SLOTS: u32 = 192;
+    /// Time of a step, in milliseconds.
+    const STEP_MS: u64 = 10;
+    /// Mean duration of a request, in milliseconds.
+    const DURATION_MS: f64 = 4_000.0;
+
+    fn new(seed: u64) -> Self {
+        Self {
+            collector: LoadCollector::new(),
+            ingresses: vec![KnownLoads::new(); Self::INGRESSES],
+            requests: vec![vec![0; Self::ENGINES]; Self::INGRESSES],
+            answers: VecDeque::new(),
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    fn load(&self, engine: usize) -> u32 {
+        self.requests
+            .iter()
+            .map(|by_engine| by_engine[engine])
+            .sum()
+    }
+
+    /// Begins a request of an ingress at the engine that it assumes to have the least load.
+    fn begin(&mut self, ingress: usize, now: u64) {
+        let known = &self.ingresses[ingress];
+        let costs = self.requests[ingress].iter().enumerate().map(|(i, own)| {
+            let others = known.others(EngineTag(i as u32), now);
+            let assumed = AssumedLoad::new(load(*own), others, Self::INGRESSES as u32);
+            (assumed.requests, self.rng.random::<f64>(), i)
+        });
+        let best = costs.min_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let (_, _, engine) = best.expect("there are engines");
+        self.requests[ingress][engine] += 1;
+    }
+
+    /// Runs for a step, with answers that take `delay_ms`.
+    ///
+    /// Each ingress begins `rate` requests in a millisecond.
+    fn step(&mut self, now: u64, rate: f64, delay_ms: u64) {
+        let step_ms = Self::STEP_MS as f64;
+        for by_engine in &mut self.requests {
+            for requests in by_engine {
+                let ended = (0..*requests)
+                    .filter(|_| self.rng.random_bool(step_ms / Self::DURATION_MS))
+                    .count();
+                *requests -= ended as u32;
+            }
+        }
+        for ingress in 0..Self::INGRESSES {
+            if self.rng.random_bool(rate * step_ms) {
+                self.begin(ingress, now);
+            }
+            // Each ingress reports at another time.
+            if (now + Self::STEP_MS * ingress as u64).is_multiple_of(INTERVAL_MS) {
+                let own = self.requests[ingress].iter().enumerate();
+                let own = own.map(|(i, own)| (EngineTag(i as u32), load(*own)));
+                let report = self.ingresses[ingress].begin_report(now, own);
+                let name = format!("i{ingress}");
+                self.collector.record(&name, 1, now, &report);
+                if let Some(sums) = self.collector.answer(&name, now) {
+                    self.answers.push_back((now + delay_ms, ingress, sums));
+                }
+            }
+        }
+        while let Some((_, ingress, sums)) = self.answers.pop_front_if(|answer| answer.0 <= now) {
+            self.ingresses[ingress].record_sums(now, sums.sequence_seen, &sums.page);
+        }
+    }
+}
+
+/// Guards against ingresses that all send their requests to the engine that had the least load when the
+/// sums were made.
+///
+/// No engine may be full while 70 of 100 slots are used.
+#[test]
+fn many_choosers_on_old_sums() {
+    for (seed, delay_ms) in [(1, 1), (2, 250), (3, 750), (4, 1_000)] {
+        let mut crowd = Crowd::new(seed);
+        let slots = f64::from(Crowd::SLOTS) * Crowd::ENGINES as f64;
+        let rate = 0.7 * slots / Crowd::DURATION_MS / Crowd::INGRESSES as f64;
+        for now in (0..12_000).step_by(Crowd::STEP_MS as usize) {
+            crowd.step(now, rate, delay_ms);
+            let most = (0..Crowd::ENGINES).map(|engine| crowd.load(engine)).max();
+            assert!(
+                most.is_none_or(|most| most < Crowd::SLOTS),
+                "{most:?} requests at {now} ms, sums {delay_ms} ms old, seed {seed}"
+            );
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
