Admit ranked requests by the room on their route, and refuse the others at once

Cause: nothing decided who begins. In a crowd all ranks waited alike, engines rejected what they couldn't take, and each late first event fetched reports. Change: toucanshelf_routing::room decides without I/O: limits by rank, a floor for each rank, when to return. The ingress applies it to new requests of ranked services if `reserved-share` is set, on the sums of the load exchange. Refusal `no-room`, metric toucanshelf_admissions_total, events TS4324 and TS4325.

--- a/crates/toucanshelf-ingress/src/front.rs
+++ b/crates/toucanshelf-ingress/src/front.rs
@@ -153,6 +153,7 @@
         body,
         route: route.name.clone(),
         kind: route.kind,
+        allowed: route.timeout,
         objective: route.objective,
         gap_objective: route.gap_objective,
         max_attempts: route.max_attempts,
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod request;
 pub mod response;
 pub mod response_buffer;
+pub mod rooms;
 pub mod settings;
 pub mod shared;
 pub mod stream;
--- a/crates/toucanshelf-ingress/src/metrics.rs
+++ b/crates/toucanshelf-ingress/src/metrics.rs
@@ -21,6 +21,8 @@
     pub attempts: IntCounterVec,
     /// Number of repeated sends that were asked of the budgets, by result (taken or denied).
     pub repeated_sends: IntCounterVec,
+    /// Number of ranked requests, by rank and whether they begin (begun, floor) or are refused.
+    pub admissions: IntCounterVec,
     /// Time from a request to its complete response or first stream event, in seconds.
     pub latency: Histogram,
     /// Age of the loads by other ingresses that decided on the engines of a route, in seconds.
@@ -64,6 +66,12 @@
         );
         let repeated_sends =
             IntCounterVec::new(repeated_sends, &["result"]).expect("valid options");
+        let admissions = Opts::new(
+            "toucanshelf_admissions_total",
+            "Ranked requests by rank and decision",
+        );
+        let admissions =
+            IntCounterVec::new(admissions, &["rank", "decision"]).expect("valid options");
         let latency = HistogramOpts::new(
             "toucanshelf_latency_seconds",
             "Time to a whole answer, or to the first event of a stream",
@@ -92,7 +100,8 @@
             "Version of the deployment in force",
         );
         let isolated = gauge("toucanshelf_isolated", "1 while no target can be reached");
-        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 11] = [
+            Box::new(admissions.clone()),
             Box::new(requests.clone()),
             Box::new(attempts.clone()),
             Box::new(repeated_sends.clone()),
@@ -112,6 +121,7 @@
             requests,
             attempts,
             repeated_sends,
+            admissions,
             latency,
             load_age,
             load_messages,
--- a/crates/toucanshelf-ingress/src/request.rs
+++ b/crates/toucanshelf-ingress/src/request.rs
@@ -64,6 +64,8 @@
     pub organisation: Option<Box<str>>,
     /// Version of the deployment that matched the request.
     pub version: u64,
+    /// Longest time that the route allows for the response.
+    pub allowed: Duration,
     /// Time at which the request head was read.
     pub started: Instant,
     /// Time by which the caller must have the final response.
--- a/crates/toucanshelf-ingress/src/response.rs
+++ b/crates/toucanshelf-ingress/src/response.rs
@@ -50,6 +50,8 @@
     BodyBroken,
     /// No target can accept the request now; it has not run.
     NoTarget,
+    /// The engines have no room for a request of this rank now; it has not run.
+    NoRoom,
     /// Requests with the same content have crashed targets; this one has not run.
     Quarantined,
     /// The request's deadline has passed, and no target has run the request.
@@ -66,6 +68,7 @@
         match self {
             Self::NotConfigured
             | Self::Outdated
+            | Self::NoRoom
             | Self::NoTarget
             | Self::Quarantined
             | Self::ExpiredUnrun => StatusCode::SERVICE_UNAVAILABLE,
@@ -87,6 +90,7 @@
             Self::UnknownKey => "unknown-key",
             Self::BodyTooLarge => "body-too-large",
             Self::BodyBroken => "body-broken",
+            Self::NoRoom => "no-room",
             Self::NoTarget => "no-target",
             Self::Quarantined => "quarantined",
             Self::ExpiredUnrun => "expired-unrun",
--- a/crates/toucanshelf-ingress/src/settings.rs
+++ b/crates/toucanshelf-ingress/src/settings.rs
@@ -79,6 +79,12 @@
     /// nothing and guesses the load of engines from its own requests.
     #[serde(default)]
     pub load_exchange_ms: Option<u64>,
+    /// Share of the engines' room that the least urgent requests leave free, from 0 to 1.
+    ///
+    /// It applies to services whose requests have ranks, while the loads of their engines are known
+    /// (`load-exchange-ms`). Without it, no request is refused for lack of room.
+    #[serde(default)]
+    pub reserved_share: Option<f64>,
     /// Settings of logs and traces.
     #[serde(default)]
     pub log: LogSettings,
@@ -145,6 +151,12 @@
         if !(self.repeat_slack.is_finite() && self.repeat_slack >= 0.0) {
             return Err("repeat-slack: must not be negative".into());
         }
+        if self
+            .reserved_share
+            .is_some_and(|share| !(0.0..1.0).contains(&share))
+        {
+            return Err("reserved-share: must lie in 0..1".into());
+        }
         if !(1_000..=600_000).contains(&self.repeat_window_ms) {
             return Err("repeat-window-ms: must lie in 1000..=600000".into());
         }
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -29,6 +29,7 @@
 use crate::relay::Relays;
 use crate::reports::Reports;
 use crate::response_buffer::ResponseBuffers;
+use crate::rooms::Rooms;
 use crate::settings::IngressSettings;
 use crate::targets::{TargetKey, Targets};
 
@@ -73,6 +74,8 @@
     pub pool: Pool,
     /// Cache of the state reports that engines send on request.
     pub reports: Reports,
+    /// Admission of requests to services that are nearly full.
+    pub rooms: Rooms,
     /// Metrics for the metrics endpoint.
     pub metrics: Metrics,
     table: RwLock<Option<Arc<RouteTable>>>,
@@ -110,6 +113,7 @@
             permits: PendingPermits::default(),
             pool: Pool::new(connector),
             reports: Reports::new(),
+            rooms: Rooms::default(),
             metrics,
             table: RwLock::default(),
             configured: watch::Sender::new(false),
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -28,6 +28,7 @@
 use crate::relay::{self, History};
 use crate::request::CallerRequest;
 use crate::response::{ProxyResponse, Refusal, channel_body, full_body, refusal_response};
+use crate::rooms;
 use crate::shared::Shared;
 use crate::targets::TargetKey;
 
@@ -393,6 +394,7 @@
                 StreamItem::Event(bytes) => event = Some(bytes),
                 StreamItem::End => {
                     upstream.return_connection(&self.shared);
+                    rooms::record_duration(&self.shared, &self.req);
                     return self.finish("served", 200);
                 }
                 StreamItem::CallerDisconnected => return self.finish("caller-left", 200),
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -13,6 +13,7 @@
 use crate::live_route::{LiveRoute, StreamFailure, mark_down_and_report};
 use crate::permits;
 use crate::response::{Refusal, full_body};
+use crate::rooms;
 use crate::targets::{DownCause, RouteHop};
 
 use super::{AvoidedEngines, Opened, RETRY_AFTER, StreamSession, Upstream};
@@ -20,6 +21,17 @@
 /// Maximum number of attempts for one request, whether or not the request ran.
 const MAX_TOTAL_ATTEMPTS: u32 = 6;
 
+/// Route of the next attempt, or why there is none.
+enum NextRoute {
+    /// Engines of the route.
+    Found(Vec<RouteHop>),
+    /// All routes lack room for a request of this rank.
+    NoRoom,
+    /// No route exists, or the limit of attempts or the service's budget of repeated sends is
+    /// exhausted.
+    NoEngine,
+}
+
 impl StreamSession {
     /// Sends the request to one route after another until one opens the stream.
     ///
@@ -36,11 +48,19 @@
                 return Err(self.unavailable_refusal());
             }
             let content = self.begin_attempt().await?;
-            let Some(route) = self.next_route(avoided).await else {
-                self.shared.isolation.record_no_target();
-                let retry_after = permits::retry_after(&self.shared, &self.req.service);
-                self.retry_after = retry_after.unwrap_or(RETRY_AFTER);
-                return Err(self.unavailable_refusal());
+            let route = match self.next_route(avoided).await {
+                NextRoute::Found(route) => route,
+                NextRoute::NoRoom => {
+                    let retry_after = rooms::record_refused(&self.shared, &self.req);
+                    self.retry_after = retry_after.unwrap_or(RETRY_AFTER);
+                    return Err(Refusal::NoRoom);
+                }
+                NextRoute::NoEngine => {
+                    self.shared.isolation.record_no_target();
+                    let retry_after = permits::retry_after(&self.shared, &self.req.service);
+                    self.retry_after = retry_after.unwrap_or(RETRY_AFTER);
+                    return Err(self.unavailable_refusal());
+                }
             };
             let attempt = self.ledger.begin(route[0].key);
             match self.attempt(route, attempt, content).await {
@@ -74,19 +94,46 @@
     }
 
     /// Chooses the route of the next attempt.
-    ///
-    /// Returns `None` if no route exists, or if the limit of attempts or the service's budget of
-    /// repeated sends is exhausted.
-    async fn next_route(&self, avoided: AvoidedEngines) -> Option<Vec<RouteHop>> {
+    async fn next_route(&self, avoided: AvoidedEngines) -> NextRoute {
         if self.ledger.attempts() >= MAX_TOTAL_ATTEMPTS {
-            return None;
+            return NextRoute::NoEngine;
+        }
+        let limit = self.room_limit();
+        if let Some(limit) = limit
+            && let Some(route) = self.find_route(avoided)
+            && !self.has_room(&route, limit)
+            && !rooms::takes_floor(&self.shared, &self.req)
+        {
+            return NextRoute::NoRoom;
         }
         let choose = || {
             let route = self.find_route(avoided)?;
             Some((route[0].key, route))
         };
         let is_repeat = self.ledger.attempts() > 0;
-        permits::choose_permitted(&self.shared, &self.req, is_repeat, choose).await
+        let chosen = permits::choose_permitted(&self.shared, &self.req, is_repeat, choose).await;
+        let Some(route) = chosen else {
+            return NextRoute::NoEngine;
+        };
+        if limit.is_some() && !is_repeat {
+            rooms::record_begun(&self.shared, &self.req);
+        }
+        NextRoute::Found(route)
+    }
+
+    /// Returns whether less than the share `limit` of the room on each engine of a route is in use.
+    fn has_room(&self, route: &[RouteHop], limit: f64) -> bool {
+        let now = self.shared.now();
+        let targets = self.shared.targets();
+        targets.room_in_use(&self.req.service, route, now) < limit
+    }
+
+    /// Returns the share of the engines' room that the next attempt may fill, if it is limited.
+    ///
+    /// A request that may have run is not limited: what it has used would be lost.
+    fn room_limit(&self) -> Option<f64> {
+        let is_new = self.events == 0 && !self.ledger.may_have_run();
+        is_new.then(|| rooms::limit(&self.shared, &self.req))?
     }
 
     /// Sends the request to the first engine of a route and opens its response.
--- a/crates/toucanshelf-ingress/src/targets/loads.rs
+++ b/crates/toucanshelf-ingress/src/targets/loads.rs
@@ -5,7 +5,13 @@
     AssumedLoad, EngineLoad, EngineTag, KnownLoads, LoadPage, LoadReport, OthersLoad,
 };
 
-use super::{Target, TargetKey, Targets};
+use super::stages::capacity_token_layers;
+use super::{RouteHop, Target, TargetKey, Targets};
+
+/// Requests that may wait for a slot of a first engine, as a share of its slots.
+// Slots become free at the rate at which streams end, some seconds after they began. The last of
+// these requests begins after a tenth of that time, within usual objectives for the first event.
+const QUEUE_SHARE: f64 = 0.1;
 
 /// Loads of engines by other ingresses, and the reports of this one.
 #[derive(Debug, Default)]
@@ -107,6 +113,29 @@
         AssumedLoad::new(target.own_load(), others, self.zone_ingresses)
     }
 
+    /// Returns the share of room in use on the fullest engine of a route, where 1 stands for all of it.
+    ///
+    /// The room of an engine is its memory for requests, and on the first engine also its slots. Engines
+    /// whose load by other ingresses is unknown don't count.
+    pub fn room_in_use(&self, service: &str, route: &[RouteHop], now: u64) -> f64 {
+        let Some(model) = self.models.get(service) else {
+            return 0.0;
+        };
+        let shares = route.iter().enumerate().filter_map(|(i, hop)| {
+            let target = self.arena.get(hop.key)?;
+            let mut known = self.others_load_of(target, now)?.load;
+            known += target.own_load();
+            let capacity = capacity_token_layers(model, target, target.record.layers?)?;
+            let memory_share = known.token_layers / capacity;
+            if i > 0 {
+                return Some(memory_share);
+            }
+            let slots = (1.0 + QUEUE_SHARE) * f64::from(model.slots.max(1));
+            Some(memory_share.max(f64::from(known.first_requests) / slots))
+        });
+        shares.fold(0.0, f64::max)
+    }
+
     /// Adds the ages of the known loads of chosen engines to the metric.
     pub(super) fn observe_load_ages(&self, keys: impl IntoIterator<Item = TargetKey>, now: u64) {
         let Some(ages) = &self.loads.ages else { return };
--- a/crates/toucanshelf-ingress/src/targets/stages.rs
+++ b/crates/toucanshelf-ingress/src/targets/stages.rs
@@ -5,6 +5,7 @@
 //! milliseconds per token.
 
 use toucanshelf_core::deployment::ModelSpec;
+use toucanshelf_core::layers::LayerRange;
 use toucanshelf_routing::hops::CandidateStage;
 use toucanshelf_routing::load_exchange::AssumedLoad;
 
@@ -33,6 +34,19 @@
 /// token.
 const SLOT_SHARE_COST: f64 = 30.0;
 
+/// Returns the tokens times layers of requests for which an engine with these layers has memory.
+///
+/// Returns `None` if the model doesn't list its accelerator.
+pub(super) fn capacity_token_layers(
+    model: &ModelSpec,
+    target: &Target,
+    layers: LayerRange,
+) -> Option<f64> {
+    let accelerator = model.accelerator(target.record.accelerator.as_deref()?)?;
+    let free_mb = accelerator.memory_mb - f64::from(layers.len()) * model.layer_mb;
+    Some((free_mb / model.token_layer_mb()).max(1.0))
+}
+
 /// Returns an engine's layers and costs as a stage for the route search.
 ///
 /// Returns `None` if the engine has no usable layers or the model doesn't list its accelerator.
@@ -50,9 +64,7 @@
         return None;
     }
     let accelerator = model.accelerator(target.record.accelerator.as_deref()?)?;
-    let free_mb = accelerator.memory_mb - f64::from(layers.len()) * model.layer_mb;
-    let capacity_token_layers = (free_mb / model.token_layer_mb()).max(1.0);
-    let memory_share = assumed.token_layers / capacity_token_layers;
+    let memory_share = assumed.token_layers / capacity_token_layers(model, target, layers)?;
     let load =
         MEMORY_COST * memory_share + NEARLY_FULL_COST * (memory_share - NEARLY_FULL_SHARE).max(0.0);
     let slot_share = assumed.first_requests / f64::from(model.slots.max(1));
--- a/crates/toucanshelf-routing/src/lib.rs
+++ b/crates/toucanshelf-routing/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod planner;
 pub mod quarantine;
 pub mod retry;
+pub mod room;
 pub mod route;
 pub mod runs;
 pub mod startup;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -43,6 +43,7 @@
 mod relay;
 mod replaced_control;
 mod reused_address;
+mod room;
 mod routes;
 mod runs;
 mod silent_engines;
