Test the exchange of loads over links

Cause: the exchange was tested without links only. A report on a link that a newer one of the same ingress has replaced was answered, with the number of a report on the newer link. Change: load_links.rs with ingresses and control instances in one process, and stand-ins for control instances: two ingresses until control is killed, restart, malformed report and answer, older build, choice of the collector, link without answers, no exchange without the setting. Outdated reports aren't answered.

--- a/crates/toucanshelf-control/src/directory/loads.rs
+++ b/crates/toucanshelf-control/src/directory/loads.rs
@@ -20,7 +20,7 @@
 
     /// Records a report that came on the link with the number `id`, and answers it.
     ///
-    /// `now` is in milliseconds.
+    /// One that is outdated isn't answered. `now` is in milliseconds.
     pub(crate) fn handle_report(
         &self,
         link: &Link,
@@ -40,7 +40,9 @@
         };
         let mut by_zone = self.by_zone();
         let collector = by_zone.entry(zone.clone()).or_default();
-        collector.record(ingress, id, now, &LoadReport { sequence, page });
+        if !collector.record(ingress, id, now, &LoadReport { sequence, page }) {
+            return;
+        }
         let Some(sums) = collector.answer(ingress, now) else {
             return;
         };
--- a/tests/testsuite/control_discovery.rs
+++ b/tests/testsuite/control_discovery.rs
@@ -26,10 +26,11 @@
 /// Time for which the address of an ingress is kept, in milliseconds.
 const RETENTION_MS: u64 = 10 * 60 * 1_000;
 
-fn control_hello() -> Hello {
+/// Introduces a process as a control instance of `zone`.
+pub fn control_hello(zone: &str) -> Hello {
     Hello::for_control(
         "control",
-        "z",
+        zone,
         toucanshelf_coordination::replica::ReplicaId::new(1, 1),
     )
 }
@@ -46,7 +47,7 @@
         let port = listener.local_addr().unwrap().port();
         let (tx, links) = mpsc::channel(4);
         let key = SharedKey::new(link_key()).unwrap();
-        tokio::spawn(serve(listener, control_hello(), key, tx));
+        tokio::spawn(serve(listener, control_hello("z"), key, tx));
         Self { links, port }
     }
 
@@ -96,7 +97,7 @@
 async fn call_ingress_as_control(ingress: &Ingress, control: SocketAddr) {
     let key = SharedKey::new(link_key()).unwrap();
     let address = ingress.link_address().unwrap();
-    let link = connect(address, &control_hello(), &key).await.unwrap();
+    let link = connect(address, &control_hello("z"), &key).await.unwrap();
     let links = vec![control];
     link.tx
         .send(Frame::ControlInstances { links })
@@ -128,7 +129,7 @@
     assert_eq!(ingress.shared().relays.own_address(), Some(address));
     call_ingress_as_control(&ingress, control.link_address()).await;
     let other_key = SharedKey::new("another key of sixteen bytes").unwrap();
-    let refused = connect(address, &control_hello(), &other_key).await;
+    let refused = connect(address, &control_hello("z"), &other_key).await;
     assert!(refused.is_err(), "a process with another key was linked");
 }
 
--- a/tests/testsuite/ingress_links.rs
+++ b/tests/testsuite/ingress_links.rs
@@ -21,7 +21,7 @@
 };
 
 /// Opens the link of an ingress and reads the list of members, which comes first.
-async fn open_link(control: &Control, name: &str, zone: &str) -> Link {
+pub async fn open_link(control: &Control, name: &str, zone: &str) -> Link {
     open_asked_link(control, name, zone).await.0
 }
 
@@ -44,7 +44,7 @@
 }
 
 /// Returns the first value that `select` takes from a frame.
-async fn next<T>(link: &mut Link, select: impl Fn(Frame) -> Option<T>) -> T {
+pub async fn next<T>(link: &mut Link, select: impl Fn(Frame) -> Option<T>) -> T {
     loop {
         let frame = link.rx.recv().await.expect("the link stays open");
         if let Some(found) = select(frame) {
@@ -54,7 +54,7 @@
 }
 
 /// Returns the frames that arrive before the answer to a question that is sent now.
-async fn frames_until_answer(link: &mut Link) -> Vec<Frame> {
+pub async fn frames_until_answer(link: &mut Link) -> Vec<Frame> {
     link.tx.send(Frame::AskRelays).await.unwrap();
     let mut frames = Vec::new();
     loop {
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -27,6 +27,7 @@
 mod isolation;
 mod links;
 mod load_exchange;
+mod load_links;
 mod matcher;
 mod names;
 mod orders;
