Drop the guard of the status before reading it again

Cause: a run of the whole test suite hung in replaced_control::all_successors_killed. In the control process that was left (gdb), all five workers waited to read the driver's status and the replica's thread to write it. The announcing task handled a changed status while select! still held the guard that wait_for returns; its own second read then waited behind the writer, which waited for the guard. Ruled out: the exchange of loads, which the process didn't run; the line is older than it. Change: the guard is dropped when wait_for returns. The other calls of wait_for read nothing else under the guard. Before, one hang in one whole run, and none in three runs of replaced_control alone, so that passing runs prove little; the stacks do. No test brings the hang about yet.

--- a/crates/toucanshelf-control/src/directory/ingresses.rs
+++ b/crates/toucanshelf-control/src/directory/ingresses.rs
@@ -343,7 +343,12 @@
     loop {
         let hears_leader = counts.hears_leader;
         tokio::select! {
-            Ok(_) = statuses.wait_for(|status| status.current != hears_leader) => {
+            // The guard of the status must be dropped before the status is read again: the driver may
+            // wait to write it, and readers wait behind the driver.
+            Ok(()) = async {
+                let changed = statuses.wait_for(|status| status.current != hears_leader);
+                changed.await.map(drop)
+            } => {
                 announce_members(&shared, directory, &mut counts);
             }
             changed = deployment_versions.changed() => {
