Wait for the reports of engines before a new leader places layers

Cause: after the loss of all control instances a new leader knows the engines that have sent it a heartbeat so far. It waited 1.4 heartbeat intervals, whatever had arrived by then; a plan for a part of the engines takes the layers of the others for missing and loads them again. Found by reading; a slow control instance gets the heartbeats over many seconds. Change: warm_up.rs, a decision without I/O: beside 1.4 intervals, nine tenths of the engines known before have reported, or the number of reports grows by under a twentieth in an interval, or 8 intervals have passed. Without layers reported, nothing changes: the first placement has its own wait. Event TS2529 tells how the wait ended. With the old rule (MAX_HEARTBEATS 1.4) registrations_that_trickle_in, registrations_before_election and known_engines_stay_silent failed ("ended after 1400 ms").

--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -16,6 +16,7 @@
 pub mod ingresses;
 pub mod orders;
 pub mod reconciler;
+pub mod warm_up;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
--- a/crates/toucanshelf-control/src/directory/reconciler.rs
+++ b/crates/toucanshelf-control/src/directory/reconciler.rs
@@ -27,6 +27,7 @@
 use crate::Shared;
 use crate::directory::Directory;
 use crate::directory::orders::{Order, OrderState, Orders};
+use crate::directory::warm_up::WarmUp;
 
 /// Interval between comparisons of the engines' layers with the planned placement.
 const RECONCILE_INTERVAL: Duration = Duration::from_millis(100);
@@ -44,8 +45,6 @@
 // Shorter than the timeout of a single engine, so that an unreachable zone is detected before the
 // layers of any of its engines are reassigned.
 const ZONE_TIMEOUT_HEARTBEATS: f64 = 1.3;
-/// Time for which a new leader waits for engines to register, in heartbeat intervals.
-const LEADER_WARM_UP_HEARTBEATS: f64 = 1.4;
 /// Age at which a coverage gap allows all layers to be reassigned, in milliseconds.
 ///
 /// Until then, the plan may only move single engines to other layers.
@@ -61,6 +60,8 @@
     /// For a leader without a deployment, the time of its first deployment. `None` while another
     /// replica leads.
     leading_since_ms: Option<u64>,
+    /// Wait for the reports of engines since then.
+    warm_up: Option<WarmUp>,
     /// Time when the current coverage gap was first seen, in milliseconds.
     ///
     /// `None` if there is no gap.
@@ -109,9 +110,10 @@
             tracing::info!(event = "TS2520", "this replica now controls placement");
         }
         let leading_since_ms = *reconciler.leading_since_ms.get_or_insert(now);
-        // A new leader may lack registrations, so it first waits until every engine has had time
-        // to send a heartbeat.
-        if now < leading_since_ms + heartbeats_to_ms(directory, LEADER_WARM_UP_HEARTBEATS) {
+        let warm_up = reconciler
+            .warm_up
+            .get_or_insert_with(|| WarmUp::new(leading_since_ms, directory.heartbeat_ms));
+        if !warm_up.is_over(&directory.registry(), now) {
             continue;
         }
         reconcile(&shared, directory, &deployment, &mut reconciler, now);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -51,3 +51,4 @@
 mod target_notices;
 mod tickets;
 mod unframed;
+mod warm_up;
