Find the targets at an address without reading the whole registry

Cause: each registration, also an unchanged one, compared its address with that of every known target twice at control, and a changed one up to four times at an ingress. The work grows with the square of the number of targets: found by reading. Change: the registry keeps the ids at each address; an ingress updates the targets at the address of a change, and removes those whose retention has ended once a second in place of at each change.

--- a/crates/toucanshelf-core/src/registry.rs
+++ b/crates/toucanshelf-core/src/registry.rs
@@ -2,7 +2,7 @@
 //!
 //! Registrations may arrive late or out of order; the registry ignores outdated ones.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use crate::ids::Incarnation;
@@ -39,6 +39,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     entries: BTreeMap<Box<str>, Entry>,
+    /// Ids of the targets in `entries` by their latest address.
+    ids: BTreeMap<SocketAddr, BTreeSet<Box<str>>>,
 }
 
 impl Registry {
@@ -55,8 +57,8 @@
         if record.readiness != Readiness::Gone {
             self.mark_predecessors_gone(&record, now);
         }
-        let existing = self.entries.get_mut(&record.id);
-        let Some(entry) = existing else {
+        let Some(entry) = self.entries.get_mut(&record.id) else {
+            self.add_id(record.address, &record.id);
             let entry = Entry {
                 first_seen_ms: now,
                 last_seen_ms: now,
@@ -68,20 +70,27 @@
         if !record.supersedes(&entry.record) {
             return RegistryChange::Stale;
         }
+        let address = record.address;
         let old = std::mem::replace(&mut entry.record, record);
         entry.last_seen_ms = now;
         if old.incarnation != entry.record.incarnation {
             entry.first_seen_ms = now;
         }
+        let old_address = old.address;
         let same = Registration {
             sequence: entry.record.sequence,
             ..old
         };
-        if same == entry.record {
+        let change = if same == entry.record {
             RegistryChange::Refreshed
         } else {
             RegistryChange::Changed
+        };
+        if old_address != address {
+            remove_id(&mut self.ids, old_address, &same.id);
+            self.add_id(address, &same.id);
         }
+        change
     }
 
     /// Returns whether `record` names another service, address or zone than the same start of the
@@ -151,15 +160,25 @@
     ///
     /// `now` is in milliseconds.
     pub fn prune(&mut self, now: u64) {
-        self.entries.retain(|_, entry| {
-            entry.record.readiness != Readiness::Gone
-                || now < entry.last_seen_ms + GONE_RETENTION_MS
+        let ids = &mut self.ids;
+        self.entries.retain(|id, entry| {
+            let is_kept = entry.record.readiness != Readiness::Gone
+                || now < entry.last_seen_ms + GONE_RETENTION_MS;
+            if !is_kept {
+                remove_id(ids, entry.record.address, id);
+            }
+            is_kept
         });
     }
 
-    fn at_address(&self, address: SocketAddr) -> impl Iterator<Item = &Entry> {
-        let entries = self.entries.values();
-        entries.filter(move |entry| entry.record.address == address)
+    /// Returns the entries of all targets whose latest address is `address`.
+    pub fn at_address(&self, address: SocketAddr) -> impl Iterator<Item = &Entry> {
+        let ids = self.ids.get(&address).into_iter().flatten();
+        ids.filter_map(|id| self.entries.get(id))
+    }
+
+    fn add_id(&mut self, address: SocketAddr, id: &str) {
+        self.ids.entry(address).or_default().insert(id.into());
     }
 
     /// Returns whether another target has started later at the address of `record`.
@@ -170,11 +189,12 @@
     }
 
     fn mark_predecessors_gone(&mut self, record: &Registration, now: u64) {
-        for entry in self.entries.values_mut() {
+        for id in self.ids.get(&record.address).into_iter().flatten() {
+            let Some(entry) = self.entries.get_mut(id) else {
+                continue;
+            };
             let old = &mut entry.record;
-            let replaced = old.address == record.address
-                && old.id != record.id
-                && old.incarnation < record.incarnation;
+            let replaced = old.id != record.id && old.incarnation < record.incarnation;
             if replaced && old.readiness != Readiness::Gone {
                 old.readiness = Readiness::Gone;
                 entry.last_seen_ms = now;
@@ -182,3 +202,14 @@
         }
     }
 }
+
+/// Removes a target from the ids at `address`.
+fn remove_id(ids: &mut BTreeMap<SocketAddr, BTreeSet<Box<str>>>, address: SocketAddr, id: &str) {
+    let Some(here) = ids.get_mut(&address) else {
+        return;
+    };
+    here.remove(id);
+    if here.is_empty() {
+        ids.remove(&address);
+    }
+}
--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -35,6 +35,8 @@
 
 /// Time for which a target is on probation after refusing a request, in milliseconds.
 const REFUSAL_AVOIDANCE_MS: u64 = 250;
+/// Interval between removals of targets whose retention after leaving has ended, in milliseconds.
+const PRUNE_INTERVAL_MS: u64 = 1_000;
 /// Time for which an engine that lacks its registered layers is excluded, in milliseconds.
 ///
 /// A registration with other layers ends the exclusion early.
@@ -191,6 +193,8 @@
     models: BTreeMap<Box<str>, ModelSpec>,
     /// Number of ingress instances in the zone of this ingress, itself included.
     zone_ingresses: u32,
+    /// Time when `registry` was last pruned, in milliseconds since the ingress started.
+    pruned_ms: u64,
 }
 
 impl Targets {
@@ -198,6 +202,7 @@
     pub fn new(zone: &str) -> Self {
         Self {
             registry: Registry::new(),
+            pruned_ms: 0,
             arena: Arena::new(),
             by_id: HashMap::new(),
             // The zone of this ingress has index 0.
@@ -237,17 +242,17 @@
         }
         // The new registration may have replaced that of another target at the same address, so all
         // targets with this identity or address are updated.
-        let affected: Vec<Registration> = self
-            .registry
-            .entries()
-            .map(|entry| &entry.record)
-            .filter(|record| record.id == id || record.address == address)
-            .cloned()
-            .collect();
+        let others = self.registry.at_address(address);
+        let others = others.filter(|entry| entry.record.id != id);
+        let affected = self.registry.get(&id).into_iter().chain(others);
+        let affected: Vec<_> = affected.map(|entry| entry.record.clone()).collect();
         for record in affected {
             self.update_target(record);
         }
-        self.registry.prune(now);
+        if now >= self.pruned_ms + PRUNE_INTERVAL_MS {
+            self.registry.prune(now);
+            self.pruned_ms = now;
+        }
     }
 
     /// Adds, updates, replaces or removes the target that a registration describes.
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -204,3 +204,36 @@
         RegistryChange::Changed
     );
 }
+
+/// Guards against a target that hides or ends others at an address that it has left.
+#[test]
+fn restart_at_another_address() {
+    let mut registry = Registry::new();
+    registry.apply(registration("a", 5, 1), 0);
+    let mut moved = registration("a", 6, 1);
+    moved.address = "10.0.0.2:80".parse().unwrap();
+    registry.apply(moved, 0);
+    assert_eq!(
+        registry.apply(registration("b", 2, 1), 0),
+        RegistryChange::Changed,
+        "no target with a later start is left at the address"
+    );
+    let mut successor = registration("c", 7, 1);
+    successor.address = "10.0.0.2:80".parse().unwrap();
+    registry.apply(successor, 0);
+    assert_eq!(readiness(&registry, "a"), Readiness::Gone);
+    assert_eq!(readiness(&registry, "b"), Readiness::Ready);
+}
+
+/// Guards against a target that hides others at its address after its retention has ended.
+#[test]
+fn removed_target_frees_address() {
+    let mut registry = Registry::new();
+    registry.apply(registration("a", 5, 1), 0);
+    registry.mark_gone("a", None, 0);
+    registry.prune(119_999);
+    let late = registration("b", 2, 1);
+    assert_eq!(registry.apply(late.clone(), 0), RegistryChange::Stale);
+    registry.prune(120_000);
+    assert_eq!(registry.apply(late, 0), RegistryChange::Changed);
+}
