Forward unchanged heartbeats to the other control instances together

Cause: each heartbeat went to each other control instance in a frame of its own, though nearly all change nothing. Found by reading: both the number of heartbeats and that of instances grow with the machines. Change: refreshes.rs collects the latest unchanged registration of each target; all go out every 100 ms in one frame, which older instances read as before. A change still goes out at once.

--- a/crates/toucanshelf-control/src/directory/calls.rs
+++ b/crates/toucanshelf-control/src/directory/calls.rs
@@ -175,7 +175,7 @@
                 return refuse_heartbeat(&record, "a newer registration says otherwise");
             }
         }
-        RegistryChange::Refreshed => forward_registrations(shared, vec![record]),
+        RegistryChange::Refreshed => directory.refreshes.queue(record),
         RegistryChange::Changed => {
             publish(shared, directory, record, is_draining).await;
             return empty_response();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -37,6 +37,7 @@
 mod processes;
 mod quarantine;
 mod raw_target;
+mod refreshes;
 mod registry;
 mod relay;
 mod replaced_control;
