Close idle connections of targets and operators at control

Cause: control kept a connection for 30 s after its last request, and a target that moves on to another instance leaves it open. Change: a connection closes after three heartbeat intervals without a request. With max-open-files, which the template takes from the platform, a new connection above half of it closes the one that has been idle longest; one with a request in progress never closes for it. Other servers have no such limit. Heartbeats aren't spread over control instances yet (heartbeat_url).

--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -22,7 +22,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -52,6 +52,13 @@
 /// In milliseconds.
 const PERMIT_RETENTION_MS: u64 = 60_000;
 
+/// Time without a request after which a connection from a target or operator closes.
+///
+/// Measured in heartbeat intervals.
+// A target that sends every heartbeat here keeps its connection. One that has moved on to another
+// instance frees the descriptor soon.
+const IDLE_TIMEOUT_HEARTBEATS: u32 = 3;
+
 /// State that a control instance keeps for the platform that it serves.
 #[derive(Debug)]
 pub struct Directory {
@@ -281,11 +288,16 @@
         .map_err(|e| format!("listening on {listen}: {e}"))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     let context = Arc::clone(shared);
+    let limits = ConnectionLimits {
+        idle_timeout: Duration::from_millis(settings.heartbeat_ms) * IDLE_TIMEOUT_HEARTBEATS,
+        max_connections: settings.max_connections(),
+        ..ConnectionLimits::default()
+    };
     let handler = move |req| calls::handle(Arc::clone(&context), req);
     tokio::spawn(async move {
         // The server stops when `_stop` is dropped, so this task keeps it until the process ends.
         // `_limits` is never used; without it, `limits_rx` would still hold the default limits.
-        let (_limits, limits_rx) = watch::channel(ConnectionLimits::default());
+        let (_limits, limits_rx) = watch::channel(limits);
         let (_stop, stop_rx) = watch::channel(false);
         serve(listener, limits_rx, stop_rx, handler).await;
     });
--- a/crates/toucanshelf-control/src/settings.rs
+++ b/crates/toucanshelf-control/src/settings.rs
@@ -73,6 +73,10 @@
     /// Interval at which every target sends heartbeats, in milliseconds.
     #[serde(default = "default_heartbeat", deserialize_with = "milliseconds")]
     pub heartbeat_ms: u64,
+    /// Maximum number of open files and sockets of the process, if it is limited.
+    ///
+    /// A platform may state it as a fraction.
+    pub max_open_files: Option<f64>,
 }
 
 fn default_losses() -> usize {
@@ -83,6 +87,16 @@
     1_200
 }
 
+impl DeploymentSettings {
+    /// Returns the number of connections from targets and operators above which idle ones close.
+    ///
+    /// The other half of the open files is left to links, outgoing calls and the store.
+    pub fn max_connections(&self) -> usize {
+        self.max_open_files
+            .map_or(usize::MAX, |limit| (limit / 2.0) as usize)
+    }
+}
+
 impl ControlSettings {
     /// Returns the validated key that authenticates links between processes.
     ///
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -162,6 +162,7 @@
         let limits = ConnectionLimits {
             max_head_bytes: deployment.limits.max_head_bytes,
             idle_timeout: deployment.limits.idle_timeout,
+            ..ConnectionLimits::default()
         };
         {
             let mut table = self.table.write().expect("no writer panics");
--- a/crates/toucanshelf-runtime/src/lib.rs
+++ b/crates/toucanshelf-runtime/src/lib.rs
@@ -16,6 +16,7 @@
 //! assert!(error.to_string().starts_with("gate.toml:1:8: "));
 //! ```
 
+mod connections;
 pub mod credentials;
 pub mod http;
 pub mod in_flight;
--- a/crates/toucanshelf-runtime/src/serve.rs
+++ b/crates/toucanshelf-runtime/src/serve.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 server with graceful shutdown.
 
 use std::convert::Infallible;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +14,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinSet;
 
+use crate::connections::{Connections, OpenConnection};
+
 /// Delay before the server accepts connections again after a failure to accept one.
 ///
 /// Such a failure occurs, for example, if the process runs out of file descriptors.
@@ -38,6 +41,8 @@
     pub max_head_bytes: usize,
     /// Time limit for the complete headers of the next request to arrive.
     pub idle_timeout: Duration,
+    /// Number of open connections at which a new one closes the one that has been idle longest.
+    pub max_connections: usize,
 }
 
 impl Default for ConnectionLimits {
@@ -45,6 +50,7 @@
         Self {
             max_head_bytes: DEFAULT_HEAD_BYTES,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
+            max_connections: usize::MAX,
         }
     }
 }
@@ -65,6 +71,7 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let mut connections = JoinSet::new();
+    let open = Connections::default();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -75,7 +82,8 @@
             Ok((stream, _)) => {
                 let limits = *limits.borrow();
                 let (stop, handler) = (stop.clone(), handler.clone());
-                connections.spawn(serve_connection(stream, limits, stop, handler));
+                let opened = Arc::new(open.open(limits.max_connections));
+                connections.spawn(serve_connection(stream, limits, opened, stop, handler));
             }
             Err(e) => {
                 tracing::warn!(event = "TS1201", cause = %e, "failed to accept a connection");
@@ -96,6 +104,7 @@
 async fn serve_connection<H, F, B>(
     stream: TcpStream,
     limits: ConnectionLimits,
+    opened: Arc<OpenConnection>,
     mut stop: watch::Receiver<bool>,
     handler: H,
 ) where
@@ -107,9 +116,15 @@
     // Without this option, small writes wait for acknowledgements (Nagle's algorithm). Setting it
     // fails only on a closed connection.
     let _ = stream.set_nodelay(true);
+    let served = Arc::clone(&opened);
     let service = service_fn(move |req| {
-        let response = handler(req);
-        async move { Ok::<_, Infallible>(response.await) }
+        served.begin_request();
+        let (response, served) = (handler(req), Arc::clone(&served));
+        async move {
+            let response = response.await;
+            served.end_request();
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -120,7 +135,12 @@
     let mut connection = std::pin::pin!(connection);
     let result = tokio::select! {
         result = connection.as_mut() => result,
-        () = wait_for_stop(&mut stop) => {
+        () = async {
+            tokio::select! {
+                () = wait_for_stop(&mut stop) => {}
+                () = opened.closing() => {}
+            }
+        } => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod budget;
 mod charts;
 mod claims;
+mod connection_limit;
 mod control;
 mod control_discovery;
 mod crash_exploration;
--- a/tests/testsuite/platform_templates.rs
+++ b/tests/testsuite/platform_templates.rs
@@ -27,6 +27,7 @@
         "bootstrap": true,
         "data_dir": "/data",
         "heartbeat_ms": heartbeat_ms,
+        "limits": {"max_fds": 4_096},
         "tolerate": {"machines": 2},
         "bounds": {"retry_ratio": ratio, "retry_slack": slack, "retry_window_s": window_s},
     })
@@ -101,6 +102,21 @@
         (deployment.heartbeat_ms, deployment.tolerated_losses),
         (1_200, 2)
     );
+    assert_eq!(deployment.max_connections(), 2_048);
+}
+
+/// Guards against a control instance that closes connections, or doesn't start, without a limit.
+#[test]
+fn templates_without_open_files() {
+    let mut fields = platform_settings(&json!([1, 774, 10, 1_200]));
+    fields["limits"] = Value::Null;
+    let cfg = control(&fields).expect("the control instance starts");
+    let deployment = cfg.deployment.expect("the template has a deployment");
+    assert_eq!(deployment.max_connections(), usize::MAX);
+    fields["limits"] = json!({"max_fds": 1_000.5});
+    let cfg = control(&fields).expect("the control instance starts");
+    let deployment = cfg.deployment.expect("the template has a deployment");
+    assert_eq!(deployment.max_connections(), 500);
 }
 
 /// Guards against placeholders with text behind them that makes a fraction invalid.
