Test that nothing is ordered after the loss of all control instances

Cause: the tests of the wait tell when it ends, not what the first plan then does. Change: 90 engines in three zones hold a stable placement and report within 1 to 6 s; the first plan has to order nothing. Measured: 0 orders at each span.

--- a/tests/testsuite/warm_up.rs
+++ b/tests/testsuite/warm_up.rs
@@ -8,6 +8,7 @@
 use toucanshelf_core::layers::LayerRange;
 use toucanshelf_core::registration::{Readiness, Registration};
 use toucanshelf_core::registry::Registry;
+use toucanshelf_routing::placement::{EngineProfile, ModelShape, Repartitioning, plan};
 
 const HEARTBEAT_MS: u64 = 1_000;
 const ENGINES: u64 = 300;
@@ -122,3 +123,66 @@
 fn no_engines() {
     assert_eq!(end_of_wait(Registry::new(), [], false, 0), 1_400);
 }
+
+/// Returns 90 engines of three kinds in three zones, and the layers that each is planned to hold.
+fn placed_engines(shape: &ModelShape) -> Vec<EngineProfile> {
+    let kinds = [(72_000.0, 2.4), (43_200.0, 5.6), (21_600.0, 16.0)];
+    let engine = |n: u16| {
+        let (memory_mb, step_factor) = kinds[usize::from(n / 3 % 3)];
+        EngineProfile {
+            zone: n % 3,
+            memory_mb,
+            step_factor,
+            held: None,
+            loading: false,
+        }
+    };
+    let mut engines: Vec<_> = (0..90).map(engine).collect();
+    while let orders = orders(shape, &engines)
+        && !orders.is_empty()
+    {
+        for (n, layers) in orders {
+            engines[n].held = Some(layers);
+        }
+    }
+    engines
+}
+
+/// Returns the engines that a plan for `engines` has load other layers.
+fn orders(shape: &ModelShape, engines: &[EngineProfile]) -> Vec<(usize, LayerRange)> {
+    let planned = plan(shape, engines, Repartitioning::Deferred);
+    let planned = planned.into_iter().enumerate().zip(engines);
+    let changed = planned.filter(|((_, layers), engine)| *layers != engine.held);
+    changed
+        .filter_map(|((n, layers), _)| Some((n, layers?)))
+        .collect()
+}
+
+/// Returns the orders of the first plan after the loss of all control instances.
+///
+/// Each engine has then reported its layers once, at a time within `span_ms` in a mixed order.
+fn orders_after_loss(span_ms: u64) -> usize {
+    let shape = ModelShape {
+        layers: 80,
+        layer_mb: 1_750.0,
+        token_layer_mb: 0.0074,
+        slots: 192,
+        typical_tokens: 1_000.0,
+    };
+    let engines = placed_engines(&shape);
+    // 37 and 90 have no common divisor, so that each engine reports once.
+    let order: Vec<_> = (0..engines.len() as u64).map(|n| n * 37 % 90).collect();
+    let reports = order.iter().zip(0..).map(|(n, i)| (*n, i * span_ms / 90));
+    let end = end_of_wait(Registry::new(), reports, true, 0);
+    let has_reported = |i: usize| i as u64 * span_ms / 90 <= end;
+    let reported = order.iter().enumerate().filter(|(i, _)| has_reported(*i));
+    let reported: Vec<_> = reported.map(|(_, n)| engines[*n as usize]).collect();
+    orders(&shape, &reported).len()
+}
+
+#[test]
+fn nothing_is_ordered_after_loss() {
+    for span_ms in [1_000, 2_000, 3_000, 5_000, 6_000] {
+        assert_eq!(orders_after_loss(span_ms), 0, "reports within {span_ms} ms");
+    }
+}
