Leave three quarters of control's open files to targets and operators

Half of 4,096 open files would be too few for the 3,000 engines of 300 machines, and engines would connect again for each heartbeat. Change: the bound of connections is three quarters of max-open-files; the rest is for ingresses, peers, orders and the store.

--- a/crates/toucanshelf-control/src/settings.rs
+++ b/crates/toucanshelf-control/src/settings.rs
@@ -10,6 +10,9 @@
 use toucanshelf_runtime::program::DaemonSettings;
 use toucanshelf_runtime::settings::{LogSettings, SettingsFile, milliseconds};
 
+/// Share of the open files that is for connections from targets and operators.
+const CALLERS_SHARE: f64 = 0.75;
+
 /// Settings of a control instance.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -90,10 +93,10 @@
 impl DeploymentSettings {
     /// Returns the number of connections from targets and operators above which idle ones close.
     ///
-    /// The other half of the open files is left to links, outgoing calls and the store.
+    /// The other quarter of the open files is left to links, outgoing calls and the store.
     pub fn max_connections(&self) -> usize {
         self.max_open_files
-            .map_or(usize::MAX, |limit| (limit / 2.0) as usize)
+            .map_or(usize::MAX, |limit| (limit * CALLERS_SHARE) as usize)
     }
 }
 
--- a/tests/testsuite/platform_templates.rs
+++ b/tests/testsuite/platform_templates.rs
@@ -102,7 +102,7 @@
         (deployment.heartbeat_ms, deployment.tolerated_losses),
         (1_200, 2)
     );
-    assert_eq!(deployment.max_connections(), 2_048);
+    assert_eq!(deployment.max_connections(), 3_072);
 }
 
 /// Guards against a control instance that closes connections, or doesn't start, without a limit.
@@ -116,7 +116,7 @@
     fields["limits"] = json!({"max_fds": 1_000.5});
     let cfg = control(&fields).expect("the control instance starts");
     let deployment = cfg.deployment.expect("the template has a deployment");
-    assert_eq!(deployment.max_connections(), 500);
+    assert_eq!(deployment.max_connections(), 750);
 }
 
 /// Guards against placeholders with text behind them that makes a fraction invalid.
