--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -25,7 +25,7 @@
 use std::time::{Duration, Instant};
 
 use tokio::net::TcpListener;
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::watch;
 use toucanshelf_core::crash::Finding;
 use toucanshelf_core::deployment::Deployment;
 use toucanshelf_core::deployment_patch::DeploymentPatch;
@@ -68,8 +68,6 @@
     pub ingresses: Ingresses,
     /// Registrations that the ingresses and the other control instances have yet to receive.
     outbox: Outbox,
-    /// Limits the calls to engines about orders.
-    order_calls: Semaphore,
     registry: Mutex<Registry>,
     /// Departures and drains that this instance has sent to its ingresses, by the target's id.
     published: Mutex<BTreeMap<Box<str>, (Incarnation, Readiness)>>,
@@ -99,7 +97,6 @@
             dialect,
             ingresses: Ingresses::new(),
             outbox: Outbox::new(),
-            order_calls: Semaphore::new(orders::MAX_CONCURRENT_CALLS),
             registry: Mutex::default(),
             published: Mutex::default(),
             suspicions: Mutex::default(),
--- a/crates/toucanshelf-control/src/directory/orders.rs
+++ b/crates/toucanshelf-control/src/directory/orders.rs
@@ -27,15 +27,10 @@
 /// Measured from the sending of the rejected order.
 const REJECTED_RETRY_MS: u64 = 400;
 
-/// Maximum number of engines that are called about orders at the same time.
-///
-/// The first placement orders all engines at once, and each call needs a descriptor.
-pub const MAX_CONCURRENT_CALLS: usize = 64;
-
 /// Last known state of an order to an engine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum OrderState {
-    /// The order waits to be sent or is being sent, or the engine has not responded yet.
+    /// The order is being sent, or the engine has not responded yet.
     Sent,
     /// The engine has accepted the order, or already holds the ordered layers.
     Begun,
@@ -138,25 +133,6 @@
         };
     }
 
-    /// Records that an engine's latest order, if that is for `layers`, is sent only at `now`.
-    ///
-    /// It may have waited until other engines had answered.
-    pub fn record_sending(
-        &mut self,
-        id: &str,
-        incarnation: Incarnation,
-        layers: LayerRange,
-        now: u64,
-    ) {
-        let engine = self.engines.get_mut(id);
-        let engine = engine.filter(|engine| engine.incarnation == incarnation);
-        if let Some(order) = engine.and_then(|engine| engine.last.as_mut())
-            && order.layers == layers
-        {
-            order.sent_at_ms = now;
-        }
-    }
-
     /// Records how many orders an engine has reported to have started.
     pub fn record_orders_begun(&mut self, id: &str, incarnation: Incarnation, orders_begun: u64) {
         if let Some(engine) = self.engines.get_mut(id)
