--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -16,12 +16,14 @@
 pub mod ingresses;
 mod loads;
 pub mod orders;
+pub mod outbox;
 pub mod reconciler;
+pub mod warm_up;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -43,6 +45,7 @@
 use ingress_addresses::IngressAddresses;
 use ingresses::Ingresses;
 use loads::ZoneCollectors;
+use outbox::Outbox;
 
 /// Time for which an ingress's suspicion of a target is kept, in milliseconds.
 const SUSPICION_RETENTION_MS: u64 = 5_000;
@@ -51,6 +54,13 @@
 /// In milliseconds.
 const PERMIT_RETENTION_MS: u64 = 60_000;
 
+/// Time without a request after which a connection from a target or operator closes.
+///
+/// Measured in heartbeat intervals.
+// A target that sends every heartbeat here keeps its connection. One that has moved on to another
+// instance frees the descriptor soon.
+const IDLE_TIMEOUT_HEARTBEATS: u32 = 3;
+
 /// State that a control instance keeps for the platform that it serves.
 #[derive(Debug)]
 pub struct Directory {
@@ -58,6 +68,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Links to ingress instances.
     pub ingresses: Ingresses,
+    /// Registrations that the ingresses and the other control instances have yet to receive.
+    outbox: Outbox,
     registry: Mutex<Registry>,
     /// Departures and drains that this instance has sent to its ingresses, by the target's id.
     published: Mutex<BTreeMap<Box<str>, (Incarnation, Readiness)>>,
@@ -90,6 +102,7 @@
         Self {
             dialect,
             ingresses: Ingresses::new(),
+            outbox: Outbox::new(),
             registry: Mutex::default(),
             published: Mutex::default(),
             suspicions: Mutex::default(),
@@ -283,11 +296,16 @@
         .map_err(|e| format!("listening on {listen}: {e}"))?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     let context = Arc::clone(shared);
+    let limits = ConnectionLimits {
+        idle_timeout: Duration::from_millis(settings.heartbeat_ms) * IDLE_TIMEOUT_HEARTBEATS,
+        max_connections: settings.max_connections(),
+        ..ConnectionLimits::default()
+    };
     let handler = move |req| calls::handle(Arc::clone(&context), req);
     tokio::spawn(async move {
         // The server stops when `_stop` is dropped, so this task keeps it until the process ends.
         // `_limits` is never used; without it, `limits_rx` would still hold the default limits.
-        let (_limits, limits_rx) = watch::channel(ConnectionLimits::default());
+        let (_limits, limits_rx) = watch::channel(limits);
         let (_stop, stop_rx) = watch::channel(false);
         serve(listener, limits_rx, stop_rx, handler).await;
     });
@@ -295,6 +313,7 @@
     tokio::spawn(ingresses::announce(Arc::clone(shared)));
     tokio::spawn(ingress_calls::run(Arc::clone(shared)));
     tokio::spawn(findings::forward(Arc::clone(shared)));
+    tokio::spawn(outbox::run(Arc::clone(shared)));
     tracing::info!(event = "TS2503", %address, "platform API started");
     Ok(Some(address))
 }
--- a/crates/toucanshelf-control/src/settings.rs
+++ b/crates/toucanshelf-control/src/settings.rs
@@ -14,6 +14,8 @@
 ///
 /// Above it, placement would give up memory of later layers for slots that no request could use.
 const MAX_ENTRY_WEIGHT: f64 = 100.0;
+/// Share of the open files that is for connections from targets and operators.
+const CALLERS_SHARE: f64 = 0.75;
 
 /// Settings of a control instance.
 #[derive(Clone, Debug, Deserialize)]
@@ -78,6 +80,10 @@
     /// Interval at which every target sends heartbeats, in milliseconds.
     #[serde(default = "default_heartbeat", deserialize_with = "milliseconds")]
     pub heartbeat_ms: u64,
+    /// Maximum number of open files and sockets of the process, if it is limited.
+    ///
+    /// A platform may state it as a fraction.
+    pub max_open_files: Option<f64>,
     /// Weight of a shortage of slots on the first engines of routes when layers are placed.
     ///
     /// It is relative to a shortage of memory on the other engines.
@@ -97,6 +103,16 @@
     1_200
 }
 
+impl DeploymentSettings {
+    /// Returns the number of connections from targets and operators above which idle ones close.
+    ///
+    /// The other quarter of the open files is left to links, outgoing calls and the store.
+    pub fn max_connections(&self) -> usize {
+        self.max_open_files
+            .map_or(usize::MAX, |limit| (limit * CALLERS_SHARE) as usize)
+    }
+}
+
 impl ControlSettings {
     /// Returns the validated key that authenticates links between processes.
     ///
