--- a/crates/toucanshelf-soak/src/process.rs
+++ b/crates/toucanshelf-soak/src/process.rs
@@ -59,13 +59,27 @@
         self.addresses[key]
     }
 
+    /// Returns the identifier of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns whether the process has not exited yet.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the operating system can't report its state.
+    pub fn is_running(&mut self) -> io::Result<bool> {
+        Ok(self.child.try_wait()?.is_none())
+    }
+
     /// Sends a signal to the process, such as `-TERM`.
     ///
     /// # Errors
     ///
     /// Fails when the command `kill` can't be run or reports a failure.
     pub fn signal(&self, signal: &str) -> io::Result<()> {
-        let id = self.child.id().to_string();
+        let id = self.id().to_string();
         let status = Command::new("kill").args([signal, &id]).status()?;
         if status.success() {
             return Ok(());
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -50,6 +50,8 @@
     routes: Vec<serde_json::Value>,
     services: Vec<serde_json::Value>,
     organisations: Vec<serde_json::Value>,
+    /// Largest body of a caller's request, in bytes.
+    max_body_bytes: usize,
 }
 
 impl DeploymentBuilder {
@@ -60,10 +62,17 @@
             routes: Vec::new(),
             services: Vec::new(),
             organisations: Vec::new(),
+            max_body_bytes: 65_536,
         }
         .service("plain")
     }
 
+    /// Sets the largest body of a caller's request, in bytes.
+    pub fn max_body_bytes(mut self, bytes: usize) -> Self {
+        self.max_body_bytes = bytes;
+        self
+    }
+
     /// Adds a route with default settings, which the fields of the object `overrides` replace.
     fn push_route(
         mut self,
@@ -163,7 +172,7 @@
     /// Returns the document as JSON text.
     pub fn build(&self) -> String {
         let limits = serde_json::json!({
-            "max_header_bytes": 16384, "max_body_bytes": 65536,
+            "max_header_bytes": 16384, "max_body_bytes": self.max_body_bytes,
             "header_timeout_ms": 3000, "idle_timeout_ms": 15000
         });
         let document = serde_json::json!({
