Show which invalid statuses of a target reach the caller

Cause: a target in trouble may send an answer with status 000 or another one that isn't final; on other systems callers got it. Change: signed answers with 000, 099, 600, 999, two and four digits, 100, 101 and 199, plain and as the answer to a stream, through an ingress; no reason phrase, no space after the status and bare line feeds. The caller gets 600 with the target's body (above_599) and 101 (informational). A missing reason phrase and bare line feeds are read as valid answers.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod ingress;
 mod ingress_links;
 mod ingress_stop;
+mod invalid_statuses;
 mod isolation;
 mod links;
 mod matcher;
--- a/tests/testsuite/raw_target.rs
+++ b/tests/testsuite/raw_target.rs
@@ -13,6 +13,10 @@
 /// What the target writes in response to a caller's request.
 #[derive(Clone, Copy, Debug)]
 pub enum RawAnswer {
+    /// A complete signed answer with this status line.
+    StatusLine(&'static str),
+    /// A complete signed answer with status 200 whose lines end with a line feed only.
+    BareLineFeeds,
     /// A head that states no length, then this text; the connection ends with the answer.
     Unframed(&'static str),
     /// A chunked head and this text in a chunk. The target then listens no more, as if its process had
@@ -140,11 +144,15 @@
 /// Returns the start of an answer, and the text that follows it without an end.
 fn answer_bytes(answer: RawAnswer, head: &str) -> (String, Option<&'static str>) {
     let id = header(head, "x-toucanshelf-request-id").unwrap_or("-");
-    let start = format!(
-        "HTTP/1.1 200 OK\r\nx-toucanshelf-request-id: {id}\r\n\
-         x-toucanshelf-response-seal: raw\r\nconnection: close\r\n"
+    let headers = format!(
+        "x-toucanshelf-request-id: {id}\r\nx-toucanshelf-response-seal: raw\r\n\
+         connection: close\r\n"
     );
+    let start = format!("HTTP/1.1 200 OK\r\n{headers}");
+    let whole = |line| format!("{line}\r\n{headers}content-length: 4\r\n\r\nbody");
     match answer {
+        RawAnswer::StatusLine(line) => (whole(line), None),
+        RawAnswer::BareLineFeeds => (whole("HTTP/1.1 200 OK").replace("\r\n", "\n"), None),
         RawAnswer::Unframed(body) => (format!("{start}\r\n{body}"), None),
         RawAnswer::LastEvents(text) => {
             let length = text.len();
