Take an answer whose status isn't final as broken

Change: an answer with a status outside 200 to 599 is lost, before anything in it is believed; its target may have run the request.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -166,6 +166,13 @@
         },
         None => exchange_on_new_connection(shared, req, to, due).await?,
     };
+    if !(200..=599).contains(&response.status().as_u16()) {
+        let cause = format!(
+            "{} is not the status of a final response",
+            response.status()
+        );
+        return Err(AttemptError::Lost(cause.into()));
+    }
     let metadata = shared.dialect.response_metadata(response.headers());
     record_limit(shared, req, to, metadata.request_rate_limit, sent_ms);
     record_notices(shared, req, to, response.status(), &metadata);
