Size the first buffer of a body by what it needs

Cause: reading the change again: a response of a few bytes, or a chunked body of unknown length, took a segment of 64 KiB, and responses are counted by their length. Change: the first segment has the announced length, or 4 KiB if none is announced.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -9,7 +9,7 @@
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use tokio::time::{Instant, timeout_at};
 use toucanshelf_core::deployment::RequestKind;
 use toucanshelf_core::layers::LayerRange;
@@ -338,7 +338,8 @@
     buffers: &ResponseBuffers,
     mut body: Incoming,
 ) -> Result<BufferedBody, AttemptError> {
-    let mut buffer = buffers.new_buffer();
+    let announced = body.size_hint().exact();
+    let mut buffer = buffers.new_buffer().with_announced_len(announced);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| AttemptError::Disconnected(e.to_string().into()))?;
         if let Ok(chunk) = frame.into_data() {
--- a/crates/toucanshelf-ingress/src/response_buffer.rs
+++ b/crates/toucanshelf-ingress/src/response_buffer.rs
@@ -8,7 +8,9 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use toucanshelf_runtime::segments::{SEGMENT_BYTES, SegmentBuffer, SegmentPool};
+use toucanshelf_runtime::segments::{
+    FIRST_SEGMENT_BYTES, SEGMENT_BYTES, SegmentBuffer, SegmentPool,
+};
 
 /// Maximum size of one response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -63,6 +65,7 @@
         ResponseBuffer {
             buffers: self.clone(),
             buf: SegmentBuffer::new(&self.segments),
+            next_segment: FIRST_SEGMENT_BYTES,
         }
     }
 
@@ -76,9 +79,20 @@
 pub struct ResponseBuffer {
     buffers: ResponseBuffers,
     buf: SegmentBuffer,
+    /// Maximum size of the next segment, in bytes.
+    next_segment: usize,
 }
 
 impl ResponseBuffer {
+    /// Prepares for a body of the length that the target has announced.
+    #[must_use]
+    pub fn with_announced_len(mut self, len: Option<u64>) -> Self {
+        if let Some(len) = len {
+            self.next_segment = len.clamp(1, SEGMENT_BYTES as u64) as usize;
+        }
+        self
+    }
+
     /// Appends a chunk of the body.
     ///
     /// # Errors
@@ -105,7 +119,8 @@
         self.buffers.segments.trim(unused);
         let mut rest = self.buf.fill(chunk);
         while !rest.is_empty() {
-            self.buf.grow(SEGMENT_BYTES);
+            self.buf.grow(self.next_segment);
+            self.next_segment = SEGMENT_BYTES;
             rest = self.buf.fill(rest);
         }
         Ok(())
--- a/crates/toucanshelf-runtime/src/body.rs
+++ b/crates/toucanshelf-runtime/src/body.rs
@@ -12,7 +12,7 @@
 
 use crate::log_throttle::LogThrottle;
 use crate::memory_budget::{Decision, Eviction, HolderKey, MemoryBudget, MemoryLimits};
-use crate::segments::{SEGMENT_BYTES, SegmentBuffer, SegmentPool};
+use crate::segments::{FIRST_SEGMENT_BYTES, SEGMENT_BYTES, SegmentBuffer, SegmentPool};
 
 /// Time for which a body waits until others have given back their memory.
 const MEMORY_TIMEOUT: Duration = Duration::from_secs(2);
@@ -122,7 +122,8 @@
             return Err(BodyError::TooLarge);
         }
         let max_len = announced.map_or(limits.max_bytes, |len| len as usize);
-        let mut buffer = BodyBuffer::new(self, max_len, owner);
+        let first = announced.map_or(FIRST_SEGMENT_BYTES, |_| SEGMENT_BYTES);
+        let mut buffer = BodyBuffer::new(self, first, max_len, owner);
         let mut evictions = self.evictions.subscribe();
         loop {
             let next = timeout(limits.idle_timeout, body.frame());
@@ -270,6 +271,8 @@
 #[derive(Debug)]
 struct BodyBuffer {
     segments: SegmentBuffer,
+    /// Maximum size of the next segment, in bytes.
+    next_segment: usize,
     /// Maximum size of the body, in bytes.
     max_len: usize,
     // Dropped after the segments that it accounts for.
@@ -277,9 +280,15 @@
 }
 
 impl BodyBuffer {
-    fn new(memory: &Arc<BodyMemory>, max_len: usize, owner: Option<IpAddr>) -> Self {
+    fn new(
+        memory: &Arc<BodyMemory>,
+        first_segment: usize,
+        max_len: usize,
+        owner: Option<IpAddr>,
+    ) -> Self {
         Self {
             segments: SegmentBuffer::new(&memory.segments),
+            next_segment: first_segment,
             max_len,
             lease: Lease::new(memory, owner),
         }
@@ -298,7 +307,8 @@
                 return Ok(());
             }
             let capacity = self.segments.capacity();
-            let more = SEGMENT_BYTES.min(self.max_len - capacity);
+            let more = self.next_segment.min(self.max_len - capacity);
+            self.next_segment = SEGMENT_BYTES;
             self.lease.resize(capacity + more, evictions).await?;
             self.segments.grow(more);
         }
--- a/crates/toucanshelf-runtime/src/segments.rs
+++ b/crates/toucanshelf-runtime/src/segments.rs
@@ -8,6 +8,11 @@
 /// Size of a segment, in bytes.
 pub const SEGMENT_BYTES: usize = 64 * 1024;
 
+/// Size of the first segment of a buffer whose length is unknown, in bytes.
+///
+/// Most bodies are small.
+pub const FIRST_SEGMENT_BYTES: usize = 4 * 1024;
+
 /// Empty segments, shared by all buffers.
 #[derive(Debug, Default)]
 pub struct SegmentPool(Mutex<Vec<Vec<u8>>>);
