--- a/crates/toucanshelf-runtime/src/serve.rs
+++ b/crates/toucanshelf-runtime/src/serve.rs
@@ -112,6 +112,10 @@
                 let admission = table.admit(peer.ip());
                 if let Some(task) = admission.closed.and_then(|key| tasks.remove(&key)) {
                     task.abort();
+                    // The descriptor is free only after the task has ended.
+                    if let Some(Ok(ended)) = connections.join_next().await {
+                        tasks.remove(&ended);
+                    }
                 }
                 let Some(connection) = admission.connection else {
                     continue;
