--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -38,7 +38,8 @@
 use toucanshelf_link::frame::Frame;
 use toucanshelf_routing::crash_ledger::CrashLedgers;
 use toucanshelf_routing::permits::{Permit, PermitBucket, permit_rate};
-use toucanshelf_runtime::serve::{ConnectionLimits, serve};
+use toucanshelf_runtime::connections::Connections;
+use toucanshelf_runtime::serve::{ConnectionLimits, serve_bounded};
 
 use crate::Shared;
 use crate::settings::DeploymentSettings;
@@ -298,16 +299,16 @@
     let context = Arc::clone(shared);
     let limits = ConnectionLimits {
         idle_timeout: Duration::from_millis(settings.heartbeat_ms) * IDLE_TIMEOUT_HEARTBEATS,
-        max_connections: settings.max_connections(),
         ..ConnectionLimits::default()
     };
+    let connections = Connections::with_excess(settings.max_connections());
     let handler = move |req| calls::handle(Arc::clone(&context), req);
     tokio::spawn(async move {
         // The server stops when `_stop` is dropped, so this task keeps it until the process ends.
         // `_limits` is never used; without it, `limits_rx` would still hold the default limits.
         let (_limits, limits_rx) = watch::channel(limits);
         let (_stop, stop_rx) = watch::channel(false);
-        serve(listener, limits_rx, stop_rx, handler).await;
+        serve_bounded(listener, limits_rx, connections, stop_rx, handler).await;
     });
     tokio::spawn(reconciler::run(Arc::clone(shared)));
     tokio::spawn(ingresses::announce(Arc::clone(shared)));
--- a/crates/toucanshelf-control/src/settings.rs
+++ b/crates/toucanshelf-control/src/settings.rs
@@ -14,6 +14,7 @@
 ///
 /// Above it, placement would give up memory of later layers for slots that no request could use.
 const MAX_ENTRY_WEIGHT: f64 = 100.0;
+
 /// Share of the open files that is for connections from targets and operators.
 const CALLERS_SHARE: f64 = 0.75;
 
--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -9,7 +9,7 @@
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
 use tokio::time::{Instant, timeout_at};
 use toucanshelf_core::deployment::RequestKind;
 use toucanshelf_core::layers::LayerRange;
@@ -18,7 +18,7 @@
 use crate::pool::{ConnectError, Sender};
 use crate::request::CallerRequest;
 use crate::response::strip_connection_headers;
-use crate::response_buffer::ResponseBuffers;
+use crate::response_buffer::{BufferedBody, ResponseBuffers};
 use crate::shared::Shared;
 use crate::targets::LimitChange;
 
@@ -166,6 +166,13 @@
         },
         None => exchange_on_new_connection(shared, req, to, due).await?,
     };
+    if !(200..=599).contains(&response.status().as_u16()) {
+        let cause = format!(
+            "{} is not the status of a final response",
+            response.status()
+        );
+        return Err(AttemptError::Lost(cause.into()));
+    }
     let metadata = shared.dialect.response_metadata(response.headers());
     record_limit(shared, req, to, metadata.request_rate_limit, sent_ms);
     record_notices(shared, req, to, response.status(), &metadata);
@@ -331,8 +338,9 @@
 pub(crate) async fn read_body(
     buffers: &ResponseBuffers,
     mut body: Incoming,
-) -> Result<Bytes, AttemptError> {
-    let mut buffer = buffers.new_buffer();
+) -> Result<BufferedBody, AttemptError> {
+    let announced = body.size_hint().exact();
+    let mut buffer = buffers.new_buffer().with_announced_len(announced);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| AttemptError::Disconnected(e.to_string().into()))?;
         if let Ok(chunk) = frame.into_data() {
@@ -340,7 +348,7 @@
             pushed.map_err(|e| AttemptError::Lost(e.to_string().into()))?;
         }
     }
-    Ok(buffer.into_bytes())
+    Ok(buffer.into_body())
 }
 
 impl OpenResponse {
@@ -353,7 +361,7 @@
         self,
         shared: &Shared,
         due: Instant,
-    ) -> Result<Response<Bytes>, AttemptError> {
+    ) -> Result<Response<BufferedBody>, AttemptError> {
         let (mut parts, body) = self.response.into_parts();
         let body = timeout_at(due, read_body(&shared.response_buffers, body))
             .await
--- a/crates/toucanshelf-ingress/src/settings.rs
+++ b/crates/toucanshelf-ingress/src/settings.rs
@@ -7,6 +7,8 @@
 use toucanshelf_core::target::check_text;
 use toucanshelf_link::handshake::SharedKey;
 use toucanshelf_routing::budget::BudgetLimits;
+use toucanshelf_runtime::connections::descriptor_limit;
+use toucanshelf_runtime::memory_budget::MemoryLimits;
 use toucanshelf_runtime::program::DaemonSettings;
 use toucanshelf_runtime::settings::{LogSettings, SettingsFile, milliseconds};
 
@@ -14,6 +16,8 @@
 ///
 /// Loads that are older than 1,500 ms don't count, so that a longer interval would leave gaps.
 const LOAD_EXCHANGE_MS: RangeInclusive<u64> = 100..=1_000;
+/// Smallest value of the setting `body-memory-bytes`, in bytes.
+const MIN_BODY_MEMORY_BYTES: usize = 1024 * 1024;
 
 /// Settings of an ingress, which stay the same while it runs, except that seeds may be added.
 #[derive(Clone, Debug, Deserialize)]
@@ -85,6 +89,17 @@
     /// (`load-exchange-ms`). Without it, no request is refused for lack of room.
     #[serde(default)]
     pub reserved_share: Option<f64>,
+    /// Memory for the bodies of callers' requests, in bytes.
+    #[serde(default = "default_body_memory")]
+    pub body_memory_bytes: usize,
+    /// Rate below which bodies are ended first while that memory is short, in bytes a second.
+    #[serde(default = "default_min_body_rate")]
+    pub min_body_rate: usize,
+    /// Maximum number of connections of callers.
+    ///
+    /// Without it, callers may use half of the descriptors of the process.
+    #[serde(default)]
+    pub max_connections: Option<usize>,
     /// Settings of logs and traces.
     #[serde(default)]
     pub log: LogSettings,
@@ -109,6 +124,15 @@
     10_000
 }
 
+// See "Bounds of an ingress" in docs/CAPACITY.md.
+fn default_body_memory() -> usize {
+    24 * 1024 * 1024
+}
+
+fn default_min_body_rate() -> usize {
+    1_024
+}
+
 impl IngressSettings {
     /// Returns the setting `link_key` as a key for connections to control instances.
     ///
@@ -127,6 +151,21 @@
             .collect()
     }
 
+    /// Returns the limits on the memory of request bodies.
+    pub fn memory_limits(&self) -> MemoryLimits {
+        MemoryLimits {
+            max_bytes: self.body_memory_bytes,
+            min_rate: self.min_body_rate,
+        }
+    }
+
+    /// Returns the maximum number of connections of callers.
+    pub fn max_connections(&self) -> usize {
+        // A request that is being served needs another descriptor for the connection to its target.
+        let half = || descriptor_limit().map_or(usize::MAX, |limit| limit / 2);
+        self.max_connections.unwrap_or_else(half)
+    }
+
     /// Returns the limits on repeated sends, from the settings `repeat_*`.
     pub fn budget_limits(&self) -> BudgetLimits {
         BudgetLimits {
@@ -164,6 +203,12 @@
         if exchange.is_some_and(|interval_ms| !LOAD_EXCHANGE_MS.contains(&interval_ms)) {
             return Err("load-exchange-ms: must lie in 100..=1000".into());
         }
+        if self.body_memory_bytes < MIN_BODY_MEMORY_BYTES {
+            return Err("body-memory-bytes: must be at least 1048576".into());
+        }
+        if self.max_connections == Some(0) {
+            return Err("max-connections: must be at least 1".into());
+        }
         Ok(())
     }
 
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -16,6 +16,8 @@
 use toucanshelf_routing::budget::RepeatBudget;
 use toucanshelf_routing::matcher::RouteTable;
 use toucanshelf_routing::permits::{Permit, permit_rate};
+use toucanshelf_runtime::body::BodyMemory;
+use toucanshelf_runtime::connections::Connections;
 use toucanshelf_runtime::in_flight::InFlightCounter;
 use toucanshelf_runtime::serve::ConnectionLimits;
 
@@ -68,6 +70,10 @@
     pub relays: Relays,
     /// Requests for permits that are not answered yet.
     pub permits: PendingPermits,
+    /// Memory of callers' request bodies.
+    pub bodies: Arc<BodyMemory>,
+    /// Connections of callers.
+    pub connections: Arc<Connections>,
     /// Buffers for responses that are read in full.
     pub response_buffers: ResponseBuffers,
     /// Idle connections to targets.
@@ -107,6 +113,8 @@
             control: ControlLinks::new(),
             deployments: Deployments::new(),
             content: ContentGuard::new(),
+            bodies: BodyMemory::new(settings.memory_limits()),
+            connections: Connections::new(settings.max_connections()),
             response_buffers: ResponseBuffers::default(),
             isolation: Isolation::new(),
             relays: Relays::default(),
@@ -168,7 +176,6 @@
         let limits = ConnectionLimits {
             max_head_bytes: deployment.limits.max_head_bytes,
             idle_timeout: deployment.limits.idle_timeout,
-            ..ConnectionLimits::default()
         };
         {
             let mut table = self.table.write().expect("no writer panics");
--- a/tests/testsuite/warm_up.rs
+++ b/tests/testsuite/warm_up.rs
@@ -168,6 +168,7 @@
         token_layer_mb: 0.0074,
         slots: 192,
         typical_tokens: 1_000.0,
+        entry_weight: 1.0,
     };
     let engines = placed_engines(&shape);
     // 37 and 90 have no common divisor, so that each engine reports once.
