--- a/crates/toucanshelf-routing/src/room.rs
+++ b/crates/toucanshelf-routing/src/room.rs
@@ -132,6 +132,8 @@
             }
         }
         let record = self.ranks.get_mut(&rank)?;
+        // A rank whose requests begin within its limit isn't starved.
+        record.credit = 0.0;
         let is_calm = now.saturating_sub(record.refused_ms?) >= CALM_MS;
         is_calm.then(|| {
             let refused = record.refused;
