Revert "Send registrations that come close together in one transfer"

Cause: it delays each registration, also of an engine that returns, by up to 100 ms on every deployment. Change: unchanged heartbeats still pass together; changed registrations pass at once.

--- a/crates/toucanshelf-control/src/directory/calls.rs
+++ b/crates/toucanshelf-control/src/directory/calls.rs
@@ -175,10 +175,9 @@
                 return refuse_heartbeat(&record, "a newer registration says otherwise");
             }
         }
-        RegistryChange::Refreshed => directory.outbox.queue(record, false),
-        RegistryChange::Changed if !is_draining => directory.outbox.queue(record, true),
+        RegistryChange::Refreshed => directory.refreshes.queue(record),
         RegistryChange::Changed => {
-            publish(shared, directory, record).await;
+            publish(shared, directory, record, is_draining).await;
             return empty_response();
         }
     }
@@ -219,7 +218,7 @@
         .mark_gone(id, incarnation, directory.now());
     if let Some(record) = departed {
         tracing::info!(event = "TS2514", target_id = %id, incarnation = record.incarnation.0, "target left");
-        publish(shared, directory, record).await;
+        publish(shared, directory, record, true).await;
         return empty_response();
     }
     if directory.registry().get(id).is_none() {
@@ -243,23 +242,26 @@
         .map(|entry| entry.record.clone());
     let leaving = entry.filter(|record| record.readiness != Readiness::Ready);
     if let Some(record) = leaving.filter(|record| !directory.is_published(record)) {
-        publish(shared, directory, record).await;
+        publish(shared, directory, record, true).await;
     }
 }
 
-/// Sends the registration of a target that leaves or drains to the ingress and other control instances.
+/// Sends a target's changed registration to the ingress and other control instances.
 ///
-/// Returns only after every linked ingress has applied it, or after a timeout, so that the target's
-/// call is answered only when the ingresses no longer send it new requests.
-async fn publish(shared: &Shared, directory: &Directory, record: Registration) {
+/// If `wait` is set, returns only after every linked ingress has applied it, or after a timeout.
+/// It is set if the target leaves or drains, so that its call is answered only when the ingresses
+/// no longer send it new requests.
+async fn publish(shared: &Shared, directory: &Directory, record: Registration, wait: bool) {
     let id = record.id.clone();
     let push = directory
         .ingresses
         .push_registrations(std::slice::from_ref(&record));
     forward_registrations(shared, vec![record.clone()]);
-    let missing = directory.ingresses.wait_until_applied(push).await;
-    directory.record_published(&record);
-    tracing::info!(event = "TS2515", target_id = %id, push, missing, "departure or drain published");
+    if wait {
+        let missing = directory.ingresses.wait_until_applied(push).await;
+        directory.record_published(&record);
+        tracing::info!(event = "TS2515", target_id = %id, push, missing, "departure or drain published");
+    }
 }
 
 fn empty_response() -> CallResponse {
--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -16,8 +16,8 @@
 pub mod ingresses;
 mod loads;
 pub mod orders;
-pub mod outbox;
 pub mod reconciler;
+pub mod refreshes;
 pub mod warm_up;
 
 use std::collections::BTreeMap;
@@ -46,7 +46,7 @@
 use ingress_addresses::IngressAddresses;
 use ingresses::Ingresses;
 use loads::ZoneCollectors;
-use outbox::Outbox;
+use refreshes::Refreshes;
 
 /// Time for which an ingress's suspicion of a target is kept, in milliseconds.
 const SUSPICION_RETENTION_MS: u64 = 5_000;
@@ -69,8 +69,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Links to ingress instances.
     pub ingresses: Ingresses,
-    /// Registrations that the ingresses and the other control instances have yet to receive.
-    outbox: Outbox,
+    /// Unchanged registrations that the other control instances have yet to receive.
+    refreshes: Refreshes,
     registry: Mutex<Registry>,
     /// Departures and drains that this instance has sent to its ingresses, by the target's id.
     published: Mutex<BTreeMap<Box<str>, (Incarnation, Readiness)>>,
@@ -103,7 +103,7 @@
         Self {
             dialect,
             ingresses: Ingresses::new(),
-            outbox: Outbox::new(),
+            refreshes: Refreshes::new(),
             registry: Mutex::default(),
             published: Mutex::default(),
             suspicions: Mutex::default(),
@@ -314,7 +314,7 @@
     tokio::spawn(ingresses::announce(Arc::clone(shared)));
     tokio::spawn(ingress_calls::run(Arc::clone(shared)));
     tokio::spawn(findings::forward(Arc::clone(shared)));
-    tokio::spawn(outbox::run(Arc::clone(shared)));
+    tokio::spawn(refreshes::forward(Arc::clone(shared)));
     tracing::info!(event = "TS2503", %address, "platform API started");
     Ok(Some(address))
 }
