Test admission at an ingress, and say plainly what decides about room

Change: tests with an ingress, control and two engines: a batch request gets a true refusal with a time to return while an urgent one begins, and nothing is refused without both settings. CallerRequest::gap_objective is gone; the route keeps it.

--- a/crates/toucanshelf-ingress/src/front.rs
+++ b/crates/toucanshelf-ingress/src/front.rs
@@ -167,7 +167,6 @@
         kind: route.kind,
         allowed: route.timeout,
         objective: route.objective,
-        gap_objective: route.gap_objective,
         max_attempts: route.max_attempts,
         service: service.into(),
         rank: found.rank(service),
--- a/crates/toucanshelf-ingress/src/request.rs
+++ b/crates/toucanshelf-ingress/src/request.rs
@@ -46,8 +46,6 @@
     ///
     /// It applies to the response or, on streams, to the first event.
     pub objective: Duration,
-    /// Longest pause between two events of a stream that is on time, if the route states one.
-    pub gap_objective: Option<Duration>,
     /// Maximum number of times that the request may run, including retries.
     ///
     /// A stream's run doesn't count if the engine that received the request has failed.
--- a/crates/toucanshelf-routing/src/lib.rs
+++ b/crates/toucanshelf-routing/src/lib.rs
@@ -5,7 +5,8 @@
 //! [`delivery::Delivery`] checks each token frame, an engine's message with one token of an answer,
 //! before it is delivered. [`admission::Admission`] divides capacity between organisations.
 //! [`retry`] limits retries, [`runs`] counts the runs of a request, and [`quarantine`] limits the
-//! number of targets that one request can crash.
+//! number of targets that one request can crash. [`load_exchange`] and [`room`] answer crowds on a
+//! platform: what is known of the engines' load, and which requests may begin.
 //!
 //! ```
 //! use toucanshelf_core::layers::LayerRange;
--- a/crates/toucanshelf-routing/src/room.rs
+++ b/crates/toucanshelf-routing/src/room.rs
@@ -1,18 +1,18 @@
 //! Decides which requests may begin while the engines of a service are nearly full.
 //!
-//! The room of an engine is its slots as the first engine of routes, and its memory for requests.
-//! The most urgent requests may fill all of it. The others leave a share free, the more the less
-//! urgent they are, so that a more urgent request that comes next can begin at once. A request that
-//! finds no route within its limit is refused, with the time after which to return.
+//! The room of an engine is its memory for requests and, on the first engine of a route, its slots. The
+//! most urgent requests may fill all of it. The others leave a share free, the more the less urgent
+//! they are, so that a more urgent request that comes next can begin at once. A request is refused if
+//! more room than that is in use on its route, and is told when to return.
 //!
-//! Even while more urgent requests take all the room, each less urgent rank gets one request in
+//! While more urgent requests take all the room, each less urgent rank still gets one request in
 //! [`FLOOR_INTERVAL`].
 
 use std::collections::BTreeMap;
 
 use toucanshelf_core::rank::Rank;
 
-/// Number of more urgent requests that begin for each refused rank's request that begins beyond its limit.
+/// Number of more urgent requests after which a crowded rank may begin one beyond its limit.
 pub const FLOOR_INTERVAL: f64 = 10.0;
 /// Most requests of a rank that may begin beyond its limit in a row.
 const MAX_FLOOR_CREDIT: f64 = 2.0;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -51,6 +51,7 @@
 mod replaced_control;
 mod reused_address;
 mod room;
+mod room_at_ingress;
 mod routes;
 mod runs;
 mod silent_engines;
