Count a request that begins beyond its limit as the floor alone

A request that took its rank's floor was also recorded as one that began within the limit: counted twice in toucanshelf_admissions_total, and its rank lost its credit. The ledger's tests don't do so, and its documentation says otherwise. Change: the opening of a stream asks once whether there is room, and records what began within the limit only. The lock of the ledgers needs no type.

--- a/crates/toucanshelf-ingress/src/rooms.rs
+++ b/crates/toucanshelf-ingress/src/rooms.rs
@@ -4,7 +4,7 @@
 //! share of the room, to requests that have a rank.
 
 use std::collections::BTreeMap;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::Mutex;
 use std::time::Duration;
 
 use rand::RngExt as _;
@@ -22,8 +22,7 @@
 
 impl Rooms {
     fn with_ledger<T>(&self, service: &str, f: impl FnOnce(&mut RoomLedger) -> T) -> T {
-        let mut ledgers: MutexGuard<'_, BTreeMap<_, _>> =
-            self.ledgers.lock().expect("no holder panics");
+        let mut ledgers = self.ledgers.lock().expect("no holder panics");
         if !ledgers.contains_key(service) {
             ledgers.insert(service.into(), RoomLedger::new());
         }
@@ -41,7 +40,7 @@
     Some(policy.limit(req.rank?, req.ranks, arrival))
 }
 
-/// Records that a limited request begins.
+/// Records that a request begins within its limit.
 pub(crate) fn record_begun(shared: &Shared, req: &CallerRequest) {
     let Some(rank) = req.rank else { return };
     let now = shared.now();
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -99,11 +99,8 @@
             return NextRoute::NoEngine;
         }
         let limit = self.room_limit();
-        if let Some(limit) = limit
-            && let Some(route) = self.find_route(avoided)
-            && !self.has_room(&route, limit)
-            && !rooms::takes_floor(&self.shared, &self.req)
-        {
+        let is_within_limit = limit.is_some_and(|limit| self.has_room(avoided, limit));
+        if limit.is_some() && !is_within_limit && !rooms::takes_floor(&self.shared, &self.req) {
             return NextRoute::NoRoom;
         }
         let choose = || {
@@ -115,17 +112,22 @@
         let Some(route) = chosen else {
             return NextRoute::NoEngine;
         };
-        if limit.is_some() && !is_repeat {
+        if is_within_limit && !is_repeat {
             rooms::record_begun(&self.shared, &self.req);
         }
         NextRoute::Found(route)
     }
 
-    /// Returns whether less than the share `limit` of the room on each engine of a route is in use.
-    fn has_room(&self, route: &[RouteHop], limit: f64) -> bool {
+    /// Returns whether less than the share `limit` of the room on each engine of the best route is in use.
+    ///
+    /// A request that has no route lacks an engine, not room.
+    fn has_room(&self, avoided: AvoidedEngines, limit: f64) -> bool {
+        let Some(route) = self.find_route(avoided) else {
+            return true;
+        };
         let now = self.shared.now();
         let targets = self.shared.targets();
-        targets.room_in_use(&self.req.service, route, now) < limit
+        targets.room_in_use(&self.req.service, &route, now) < limit
     }
 
     /// Returns the share of the engines' room that the next attempt may fill, if it is limited.
--- a/tests/testsuite/room_at_ingress.rs
+++ b/tests/testsuite/room_at_ingress.rs
@@ -7,6 +7,7 @@
 use toucanshelf_ingress::Ingress;
 use toucanshelf_ingress::settings::IngressSettings;
 use toucanshelf_platform::PlatformDialect;
+use toucanshelf_routing::room::FLOOR_INTERVAL;
 use toucanshelf_runtime::program::DaemonSettings as _;
 
 use crate::platform_support::{
@@ -49,7 +50,7 @@
         let document = document.build();
         let platform =
             Platform::with_ingress(control, folder, ingress.unwrap(), &document, &[]).await;
-        let served = || std::iter::repeat_n(TargetAction::Stream(&["id: 1\ndata: a\n\n"]), 8);
+        let served = || std::iter::repeat_n(TargetAction::Stream(&["id: 1\ndata: a\n\n"]), 16);
         let (first, second) = (Target::start(served()).await, Target::start(served()).await);
         for (id, target, layers) in [("e0", &first, 0..2), ("e1", &second, 2..4)] {
             let address = target.address;
@@ -123,6 +124,23 @@
     assert_eq!(ranked.status("/batch/x").await, 200);
 }
 
+// Pattern: urgent callers take the room; what begins beyond the limit isn't counted as within it.
+#[tokio::test]
+async fn floor_counted_once() {
+    let ranked = RankedPlatform::start("load-exchange-ms = 100\nreserved-share = 0.5\n").await;
+    ranked.use_slots(true).await;
+    ranked.wait_until_loads_known().await;
+    assert_eq!(ranked.status("/batch/x").await, 503);
+    for _ in 0..=FLOOR_INTERVAL as u32 {
+        assert_eq!(ranked.status("/urgent/x").await, 200);
+    }
+    assert_eq!(ranked.status("/batch/x").await, 200);
+    let admissions = &ranked.platform.ingress.shared().metrics.admissions;
+    let counts = ["begun", "floor", "refused"]
+        .map(|decision| admissions.with_label_values(&["1", decision]).get());
+    assert_eq!(counts, [0, 1, 1]);
+}
+
 // Without the settings, requests are sent and engines refuse what they can't take, as before.
 #[tokio::test]
 async fn nothing_refused_by_default() {
