Look up an engine's accelerator once for each route

Cause: reading the change again. The memory of an engine was computed in a function of its own that searched the model's list of accelerators again, for each engine of each route, on all deployments. Two tests built the same registration. Change: capacity_token_layers takes the accelerator that its callers have; the tests share the registration; a line of the head is wrapped. Behaviour stays. The time saved was not measured.

--- a/crates/toucanshelf-ingress/src/targets/loads.rs
+++ b/crates/toucanshelf-ingress/src/targets/loads.rs
@@ -125,7 +125,8 @@
             let target = self.arena.get(hop.key)?;
             let mut known = self.others_load_of(target, now)?.load;
             known += target.own_load();
-            let capacity = capacity_token_layers(model, target, target.record.layers?)?;
+            let accelerator = model.accelerator(target.record.accelerator.as_deref()?)?;
+            let capacity = capacity_token_layers(model, accelerator, target.record.layers?);
             let memory_share = known.token_layers / capacity;
             if i > 0 {
                 return Some(memory_share);
--- a/crates/toucanshelf-ingress/src/targets/stages.rs
+++ b/crates/toucanshelf-ingress/src/targets/stages.rs
@@ -4,7 +4,7 @@
 //! on which a request runs, and a stage is an engine as a possible part of a route. Costs are in
 //! milliseconds per token.
 
-use toucanshelf_core::deployment::ModelSpec;
+use toucanshelf_core::deployment::{Accelerator, ModelSpec};
 use toucanshelf_core::layers::LayerRange;
 use toucanshelf_routing::hops::CandidateStage;
 use toucanshelf_routing::load_exchange::AssumedLoad;
@@ -35,16 +35,13 @@
 const SLOT_SHARE_COST: f64 = 30.0;
 
 /// Returns the tokens times layers of requests for which an engine with these layers has memory.
-///
-/// Returns `None` if the model doesn't list its accelerator.
 pub(super) fn capacity_token_layers(
     model: &ModelSpec,
-    target: &Target,
+    accelerator: &Accelerator,
     layers: LayerRange,
-) -> Option<f64> {
-    let accelerator = model.accelerator(target.record.accelerator.as_deref()?)?;
+) -> f64 {
     let free_mb = accelerator.memory_mb - f64::from(layers.len()) * model.layer_mb;
-    Some((free_mb / model.token_layer_mb()).max(1.0))
+    (free_mb / model.token_layer_mb()).max(1.0)
 }
 
 /// Returns an engine's layers and costs as a stage for the route search.
@@ -64,7 +61,7 @@
         return None;
     }
     let accelerator = model.accelerator(target.record.accelerator.as_deref()?)?;
-    let memory_share = assumed.token_layers / capacity_token_layers(model, target, layers)?;
+    let memory_share = assumed.token_layers / capacity_token_layers(model, accelerator, layers);
     let load =
         MEMORY_COST * memory_share + NEARLY_FULL_COST * (memory_share - NEARLY_FULL_SHARE).max(0.0);
     let slot_share = assumed.first_requests / f64::from(model.slots.max(1));
--- a/crates/toucanshelf-routing/src/load_exchange/mod.rs
+++ b/crates/toucanshelf-routing/src/load_exchange/mod.rs
@@ -2,8 +2,9 @@
 //!
 //! Each ingress reports its requests at the engines of a zone to the zone's [`LoadCollector`], which
 //! adds up the reports and answers each with the sums. [`KnownLoads`] subtracts the part of the
-//! ingress itself from the sums, and [`AssumedLoad`] is what decisions are based on. Messages carry a [`LoadPage`], which states the loads of all engines
-//! of the zone or, if there are many, of some of them in turn.
+//! ingress itself from the sums, and [`AssumedLoad`] is what decisions are based on. Messages carry a
+//! [`LoadPage`], which states the loads of all engines of the zone or, if there are many, of some of
+//! them in turn.
 
 mod assumed;
 mod collector;
--- a/tests/testsuite/refreshes.rs
+++ b/tests/testsuite/refreshes.rs
@@ -3,21 +3,12 @@
 use std::collections::BTreeMap;
 
 use toucanshelf_control::directory::refreshes::Refreshes;
-use toucanshelf_core::ids::Incarnation;
-use toucanshelf_core::registration::{Readiness, Registration};
+use toucanshelf_core::registration::Registration;
+
+use crate::registry::registration;
 
 fn heartbeat(id: &str, sequence: u64) -> Registration {
-    Registration {
-        id: id.into(),
-        incarnation: Incarnation(1),
-        sequence,
-        service: "s".into(),
-        address: "10.0.0.1:80".parse().unwrap(),
-        zone: "z".into(),
-        readiness: Readiness::Ready,
-        accelerator: None,
-        layers: None,
-    }
+    registration(id, 1, sequence)
 }
 
 /// Guards against a transfer that grows with the heartbeats of a target that sends too many.
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -5,7 +5,7 @@
 use toucanshelf_core::registry::{Registry, RegistryChange};
 
 /// Returns a registration of a ready target; all targets have the same address.
-fn registration(id: &str, incarnation: u64, sequence: u64) -> Registration {
+pub fn registration(id: &str, incarnation: u64, sequence: u64) -> Registration {
     Registration {
         id: id.into(),
         incarnation: Incarnation(incarnation),
