Show a service that is lost to a heartbeat of another writer

Cause: a later start at an address replaces the target there, whatever service it names. Conclusion: registrations that were acknowledged are lost, and no request of the service is served.

--- a/review/stand-in-2/engine.rs
+++ b/review/stand-in-2/engine.rs
@@ -44,6 +44,7 @@
     layers: Mutex<Option<(u64, u64)>>,
     orders: AtomicU64,
     beats: AtomicU64,
+    acknowledged: AtomicU64,
     /// Whether the extra response is still due.
     owes_extra: AtomicBool,
     /// Identifiers of requests that the engine has run, with their number.
@@ -76,6 +77,7 @@
             layers: Mutex::default(),
             orders: AtomicU64::new(0),
             beats: AtomicU64::new(0),
+            acknowledged: AtomicU64::new(0),
             runs: Mutex::default(),
         });
         let own = Arc::clone(&state);
@@ -102,6 +104,11 @@
         self.state.runs.lock().unwrap().clone()
     }
 
+    /// Returns how many heartbeats were acknowledged.
+    pub fn beats(&self) -> u64 {
+        self.state.acknowledged.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the engine holds layers.
     pub fn holds_layers(&self) -> bool {
         self.state.layers.lock().unwrap().is_some()
@@ -130,6 +137,7 @@
             let patience = Duration::from_secs(1);
             let result = call(*control, "PUT", &target, &headers, body.as_bytes(), patience);
             if result.is_ok_and(|response| (200..300).contains(&response.status)) {
+                self.acknowledged.fetch_add(1, Ordering::Relaxed);
                 return;
             }
         }
--- a/review/stand-in-2/http.rs
+++ b/review/stand-in-2/http.rs
@@ -15,7 +15,6 @@
 
 /// A request as a server has received it.
 pub struct Request {
-    pub method: String,
     pub target: String,
     pub headers: Headers,
     pub body: Vec<u8>,
@@ -82,7 +81,7 @@
         return Ok(None);
     };
     let mut words = line.split(' ');
-    let (method, target) = (words.next().unwrap_or(""), words.next().unwrap_or(""));
+    let target = words.nth(1).unwrap_or("");
     let mut body = Vec::new();
     if header(&headers, "transfer-encoding").is_some() {
         loop {
@@ -98,7 +97,6 @@
         reader.read_exact(&mut body)?;
     }
     Ok(Some(Request {
-        method: method.to_owned(),
         target: target.to_owned(),
         headers,
         body,
--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -5,6 +5,7 @@
 
 mod engine;
 mod extra;
+mod foreign;
 mod http;
 mod rolling;
 mod system;
@@ -34,6 +35,7 @@
     let mut system = system.expect("there are free ports");
     let verdict = match &**name {
         "extra" => extra::play(&mut system, trouble),
+        "foreign" => foreign::play(&mut system, trouble),
         "rolling" => rolling::play(&mut system, trouble),
         _ => Verdict::NotRun,
     };
--- a/review/stand-in-2/system.rs
+++ b/review/stand-in-2/system.rs
@@ -12,7 +12,6 @@
 
 use crate::http::{call, ms_since, Response};
 
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
@@ -264,11 +263,6 @@
         child.is_some_and(|child| child.try_wait().unwrap().is_none())
     }
 
-    /// Returns the log of a machine.
-    pub fn log(&mut self, name: &str) -> String {
-        fs::read_to_string(&self.machine(name).log).unwrap_or_default()
-    }
-
     /// Calls the control API of machine `n`, and records call and answer.
     pub fn api(&self, n: u8, method: &str, target: &str, body: &str) -> io::Result<Response> {
         let address = self.control(n);
@@ -317,13 +311,6 @@
     }
 }
 
-impl Machine {
-    /// Returns the id of the process.
-    pub fn pid(&self) -> Option<u32> {
-        self.child.as_ref().map(Child::id)
-    }
-}
-
 impl Drop for System {
     fn drop(&mut self) {
         for machine in &mut self.machines {
