--- a/review/stand-in-2/engine.rs
+++ b/review/stand-in-2/engine.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{self, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
@@ -13,6 +13,12 @@
 
 /// Interval of the heartbeats, `heartbeat_ms` of the deployment.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Body of a request that crashes each engine that begins to run it.
+pub const CRASHING_BODY: &[u8] = b"crash";
+/// Time for which an engine that has crashed is gone.
+const DOWN_TIME: Duration = Duration::from_millis(2_500);
+/// Interval at which an engine looks for new connections.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(2);
 
 /// What distinguishes the engines of a case.
 #[derive(Clone, Default)]
@@ -34,7 +40,9 @@
 
 struct State {
     id: String,
-    born: u128,
+    /// Start of the engine in Unix milliseconds, 0 while it is gone.
+    born: Mutex<u128>,
+    connections: Mutex<Vec<TcpStream>>,
     record: Record,
     manner: Manner,
     controls: Vec<SocketAddr>,
@@ -49,6 +57,8 @@
     owes_extra: AtomicBool,
     /// Identifiers of requests that the engine has run, with their number.
     runs: Mutex<BTreeMap<String, usize>>,
+    /// Identifiers of requests that have crashed the engine.
+    crashes: Mutex<Vec<String>>,
 }
 
 impl Engine {
@@ -64,10 +74,10 @@
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis();
         let state = Arc::new(State {
             id: id.to_owned(),
-            born,
+            born: Mutex::new(unix_ms()),
+            connections: Mutex::default(),
             record,
             owes_extra: AtomicBool::new(manner.extra_response),
             manner,
@@ -79,14 +89,10 @@
             beats: AtomicU64::new(0),
             acknowledged: AtomicU64::new(0),
             runs: Mutex::default(),
+            crashes: Mutex::default(),
         });
         let own = Arc::clone(&state);
-        spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let state = Arc::clone(&own);
-                spawn(move || drop(state.serve(stream)));
-            }
-        });
+        spawn(move || own.listen(listener, address));
         let own = Arc::clone(&state);
         spawn(move || loop {
             own.beat(address);
@@ -104,6 +110,11 @@
         self.state.runs.lock().unwrap().clone()
     }
 
+    /// Returns the requests that have crashed the engine.
+    pub fn crashes(&self) -> Vec<String> {
+        self.state.crashes.lock().unwrap().clone()
+    }
+
     /// Returns how many heartbeats were acknowledged.
     pub fn beats(&self) -> u64 {
         self.state.acknowledged.load(Ordering::Relaxed)
@@ -116,7 +127,45 @@
 }
 
 impl State {
+    /// Accepts connections, and starts again some time after each crash.
+    fn listen(self: Arc<Self>, first: TcpListener, address: SocketAddr) {
+        let mut listener = first;
+        loop {
+            listener.set_nonblocking(true).expect("a listener can be polled");
+            while *self.born.lock().unwrap() > 0 {
+                let Ok((stream, _)) = listener.accept() else {
+                    sleep(ACCEPT_INTERVAL);
+                    continue;
+                };
+                stream.set_nonblocking(false).expect("a connection can block");
+                let kept = stream.try_clone().expect("a connection can be cloned");
+                self.connections.lock().unwrap().push(kept);
+                let state = Arc::clone(&self);
+                spawn(move || drop(state.serve(stream)));
+            }
+            drop(listener);
+            for stream in self.connections.lock().unwrap().drain(..) {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+            sleep(DOWN_TIME);
+            listener = loop {
+                match TcpListener::bind(address) {
+                    Ok(listener) => break listener,
+                    Err(_) => sleep(Duration::from_millis(50)),
+                }
+            };
+            *self.layers.lock().unwrap() = None;
+            self.orders.store(0, Ordering::Relaxed);
+            *self.born.lock().unwrap() = unix_ms();
+            self.record.line(format!("{} is back", self.id));
+        }
+    }
+
     fn beat(&self, address: SocketAddr) {
+        let born = *self.born.lock().unwrap();
+        if born == 0 {
+            return;
+        }
         let layers = self.layers.lock().unwrap().map_or(String::new(), |(from, to)| {
             format!(",\"layers\":{{\"from\":{from},\"target\":{to},\"version\":1}}")
         });
@@ -124,11 +173,10 @@
             "{{\"service\":\"{}\",\"address\":\"{address}\",\"zone\":\"{}\",\"version\":\"v1\",\
              \"slots\":192,\"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"hybrid\",\
              \"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"kind\":\"a100\",\
-             \"seq\":{},\"born\":{}{layers}}}",
+             \"seq\":{},\"born\":{born}{layers}}}",
             self.service,
             self.zone,
             self.beats.fetch_add(1, Ordering::Relaxed) + 1,
-            self.born,
         );
         let target = format!("/api/instances/{}", self.id);
         for control in &self.controls {
@@ -158,6 +206,12 @@
                     self.send_extra(&stream, previous)?;
                 }
             }
+            if request.body == CRASHING_BODY {
+                self.crashes.lock().unwrap().push(id.to_owned());
+                self.record.line(format!("{} begins to run request {id} and crashes", self.id));
+                *self.born.lock().unwrap() = 0;
+                return Ok(());
+            }
             self.run(&stream, id)?;
             previous = Some(id.to_owned());
         }
@@ -178,7 +232,7 @@
             ("202 Accepted", String::new())
         } else {
             let seq = orders.load(Ordering::Relaxed);
-            let born = self.born;
+            let born = *self.born.lock().unwrap();
             ("200 OK", format!("{{\"seq\":{seq},\"busy\":false,\"born\":{born}}}"))
         };
         let head = format!("HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n", body.len());
@@ -220,6 +274,10 @@
     }
 }
 
+fn unix_ms() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
+}
+
 /// Returns the number in a field of a JSON object.
 fn number(text: &str, field: &str) -> Option<u64> {
     let start = text.find(&format!("\"{field}\":"))? + field.len() + 3;
--- a/review/stand-in-2/extra.rs
+++ b/review/stand-in-2/extra.rs
@@ -10,7 +10,8 @@
 
 const LAYERS: u32 = 8;
 
-fn document() -> String {
+/// Returns a configuration with one route, whose streams can't be resumed.
+pub fn document() -> String {
     format!(
         "{{\"version\":7,\"routes\":[{{\"name\":\"r-1\",\"host\":\"a.example\",\
          \"path_prefix\":\"/s/\",\"kind\":\"streaming\",\"timeout_ms\":20000,\"slo_ms\":500,\
--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -3,6 +3,7 @@
 //! Usage: `cases NAME PROGRAMS FOLDER RECORD`, with the environment variable `TROUBLE`. The exit code
 //! is 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
+mod copies;
 mod engine;
 mod extra;
 mod foreign;
@@ -34,6 +35,7 @@
     let system = System::new(record.clone(), Path::new(programs), Path::new(folder));
     let mut system = system.expect("there are free ports");
     let verdict = match &**name {
+        "copies" => copies::play(&mut system, trouble),
         "extra" => extra::play(&mut system, trouble),
         "foreign" => foreign::play(&mut system, trouble),
         "rolling" => rolling::play(&mut system, trouble),
