--- a/review/stand-in-2/main.rs
+++ b/review/stand-in-2/main.rs
@@ -9,7 +9,6 @@
 mod foreign;
 mod http;
 mod rolling;
-mod stalled;
 mod system;
 
 use std::path::Path;
@@ -40,7 +39,6 @@
         "extra" => extra::play(&mut system, trouble),
         "foreign" => foreign::play(&mut system, trouble),
         "rolling" => rolling::play(&mut system, trouble),
-        "stalled" => stalled::play(&mut system, trouble),
         _ => Verdict::NotRun,
     };
     let (code, text) = match verdict {
--- a/review/stand-in-2/system.rs
+++ b/review/stand-in-2/system.rs
@@ -263,16 +263,6 @@
         child.is_some_and(|child| child.try_wait().unwrap().is_none())
     }
 
-    /// Returns the memory that the process of a machine uses, in megabytes.
-    pub fn memory_mb(&mut self, name: &str) -> u64 {
-        let Some(child) = &self.machine(name).child else { return 0 };
-        let status = fs::read_to_string(format!("/proc/{}/status", child.id()));
-        let status = status.unwrap_or_default();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let kb = line.and_then(|line| line.trim().split(' ').next()?.parse().ok());
-        kb.unwrap_or(0) / 1024
-    }
-
     /// Calls the control API of machine `n`, and records call and answer.
     pub fn api(&self, n: u8, method: &str, target: &str, body: &str) -> io::Result<Response> {
         let address = self.control(n);
