--- a/review/stand-in-2/engine.rs
+++ b/review/stand-in-2/engine.rs
@@ -23,8 +23,9 @@
 /// What distinguishes the engines of a case.
 #[derive(Clone, Default)]
 pub struct Manner {
-    /// Whether the engine once sends an extra response, late, where the next one is expected.
-    pub extra_response: bool,
+    /// Whether an extra response is still due, late, where the next one is expected; the engines of
+    /// a case share it, so that one of them sends one.
+    pub extra_response: Arc<AtomicBool>,
     /// Number of events of a stream.
     pub events: usize,
     /// Time from one event to the next.
@@ -53,8 +54,6 @@
     orders: AtomicU64,
     beats: AtomicU64,
     acknowledged: AtomicU64,
-    /// Whether the extra response is still due.
-    owes_extra: AtomicBool,
     /// Identifiers of requests that the engine has run, with their number.
     runs: Mutex<BTreeMap<String, usize>>,
     /// Identifiers of requests that have crashed the engine.
@@ -79,7 +78,6 @@
             born: Mutex::new(unix_ms()),
             connections: Mutex::default(),
             record,
-            owes_extra: AtomicBool::new(manner.extra_response),
             manner,
             controls,
             service: service.to_owned(),
@@ -202,7 +200,7 @@
             }
             let id = header(&request.headers, "x-toucanshelf-request-id").unwrap_or("");
             if let Some(previous) = &previous {
-                if self.owes_extra.swap(false, Ordering::Relaxed) {
+                if self.manner.extra_response.swap(false, Ordering::Relaxed) {
                     self.send_extra(&stream, previous)?;
                 }
             }
--- a/review/stand-in-2/extra.rs
+++ b/review/stand-in-2/extra.rs
@@ -1,5 +1,7 @@
 //! An engine sends an extra response, late, where the response to the next stream is expected.
 
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -38,7 +40,7 @@
         return Verdict::NotRun;
     }
     let manner = Manner {
-        extra_response: trouble,
+        extra_response: Arc::new(AtomicBool::new(trouble)),
         events: 5,
         pause: Duration::from_millis(20),
     };
