Hand the vote over before a control instance stops

Cause: a voter that stopped told nobody, and was replaced only after 6 s of silence. The second stop came before that and left one of three voters. Ruled out: the successors' log (they answered reads), the links, slow elections. Change: an instance that is asked to stop announces it; the leader lets a learner that has caught up vote, then removes the vote that leaves; the instance ends once the removal is committed, or if no learner is linked, or after 5 s. TS2104 names the voters. The announcement is the evidence; the 6 s of silence are unchanged here. Each change is committed by a leader with a lease, one voter at a time, so that two quorums can't arise.

--- a/crates/toucanshelf-control/src/driver/mod.rs
+++ b/crates/toucanshelf-control/src/driver/mod.rs
@@ -9,7 +9,7 @@
 mod bootstrap;
 mod suspension;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::sync::{Arc, Mutex, RwLock, RwLockReadGuard};
@@ -17,8 +17,8 @@
 
 use tokio::sync::{oneshot, watch};
 use toucanshelf_coordination::replica::{
-    Entry, Index, MAX_VOTERS, Membership, Message, Persisted, Replica, ReplicaConfig, ReplicaId,
-    Role, Term, VoterPolicy, next_membership,
+    Departures, Entry, Index, MAX_VOTERS, Membership, Message, Persisted, Replica, ReplicaConfig,
+    ReplicaId, Role, Term, VoterPolicy, next_membership,
 };
 use toucanshelf_coordination::store::{LogStore, OpenStore, StoreError};
 use toucanshelf_core::ids::{LogTimeMs, Revision};
@@ -63,6 +63,8 @@
     },
     /// Id of the replica at the other end of a new link.
     ReplicaSeen(ReplicaId),
+    /// Announcement of a replica, possibly this one, that its process is about to stop.
+    Leaving(ReplicaId),
     /// Request to create the replicated log, because no other instance has one.
     Bootstrap,
     /// Request to end the replica's thread.
@@ -80,6 +82,8 @@
     pub commit: Index,
     /// Replicas that vote, and learners, which receive the log without voting.
     pub membership: Membership,
+    /// Whether this replica votes according to the last membership change known to be committed.
+    pub votes: bool,
     /// Whether this replica had a leader in the last 1.5 seconds.
     ///
     /// It counts as having one if it follows a known leader, or leads with a valid lease.
@@ -251,6 +255,13 @@
         self.send_input(Input::ReplicaSeen(replica));
     }
 
+    /// Records that the process of a replica, possibly this one, is about to stop.
+    ///
+    /// The leader then prefers other voters to it.
+    pub fn announce_departure(&self, replica: ReplicaId) {
+        self.send_input(Input::Leaving(replica));
+    }
+
     /// Creates the replicated log, unless this replica already has one.
     ///
     /// Must be called only after every other control instance has reported that it has no log.
@@ -295,6 +306,8 @@
     pending: BTreeMap<Index, (Term, ReplySender)>,
     /// Latest known replica of each other control instance.
     known_replicas: Vec<ReplicaId>,
+    /// Replicas whose processes are about to stop.
+    departures: Departures,
     /// Index of the last log entry that the state machine has applied.
     applied: Index,
     /// Index of the last log entry that the latest snapshot covers.
@@ -326,6 +339,7 @@
             started: Instant::now(),
             pending: BTreeMap::new(),
             known_replicas: Vec::new(),
+            departures: Departures::new(),
             applied: Index(0),
             snapshot_index,
             bytes_since_snapshot: 0,
@@ -401,6 +415,12 @@
                 // previous one.
                 self.known_replicas.retain(|old| !old.same_instance(id));
                 self.known_replicas.push(id);
+                self.departures.cancel(id);
+            }
+            Input::Leaving(id) => {
+                if self.departures.announce(id, self.now()) {
+                    tracing::info!(event = "TS2110", replica = id.0, "replica is about to stop");
+                }
             }
             Input::Bootstrap => self.create_log(),
             Input::Stop => {}
@@ -526,6 +546,11 @@
             term: self.replica.term(),
             commit: self.replica.commit_index(),
             membership: self.replica.membership().clone(),
+            votes: self
+                .replica
+                .committed_membership()
+                .voters
+                .contains(&self.replica.id()),
             current: self.leader_contact_ms > 0 && now < self.leader_contact_ms + LEADER_TIMEOUT_MS,
             suspended: false,
         };
@@ -555,23 +580,16 @@
             .send_if_modified(|old| std::mem::replace(old, revision) != revision);
     }
 
-    /// Returns the desired number of voters, and lists the unresponsive replicas.
+    /// Returns the desired number of voters, and which replicas may not vote any longer or not yet.
     ///
-    /// A replica is unresponsive if it has acknowledged no message for longer than
-    /// [`VOTER_TIMEOUT_MS`]. The list is empty if the settings enable no platform.
-    fn voter_policy(&self) -> VoterPolicy {
+    /// No replica is unresponsive or leaving if the settings enable no platform.
+    fn voter_policy(&mut self) -> VoterPolicy {
         let Some(deployment) = &self.shared.settings.deployment else {
-            return VoterPolicy::new(MAX_VOTERS);
+            return VoterPolicy::of_leader(&self.replica, MAX_VOTERS, None, BTreeSet::new());
         };
-        let mut policy = VoterPolicy::new(2 * deployment.tolerated_losses + 1);
-        let members = self.replica.membership();
-        let ids = members.voters.iter().chain(&members.learners).copied();
-        let unresponsive = ids.filter(|id| {
-            let silence = self.replica.time_since_ack(*id);
-            silence.is_some_and(|silence| silence > VOTER_TIMEOUT_MS)
-        });
-        policy.unresponsive = unresponsive.collect();
-        policy
+        let wanted = 2 * deployment.tolerated_losses + 1;
+        let leaving = self.departures.leaving(&self.replica, self.now());
+        VoterPolicy::of_leader(&self.replica, wanted, Some(VOTER_TIMEOUT_MS), leaving)
     }
 
     /// As leader, sets the id of a new log and proposes membership changes.
@@ -591,10 +609,14 @@
         else {
             return;
         };
+        let voters: Vec<_> = next.voters.iter().map(|id| id.0).collect();
         match self.replica.propose_membership(next) {
             Ok(index) => tracing::info!(
                 event = "TS2104",
                 index = index.0,
+                ?voters,
+                unresponsive = ?policy.unresponsive,
+                leaving = ?policy.leaving,
                 "membership change proposed"
             ),
             Err(cause) => tracing::trace!(event = "TS2105", %cause, "membership change deferred"),
--- a/crates/toucanshelf-control/src/driver/suspension.rs
+++ b/crates/toucanshelf-control/src/driver/suspension.rs
@@ -79,7 +79,7 @@
                     // The submitter may have given up meanwhile.
                     let _ = reply.send(Err(SubmitError::NotTaken(cause.into())));
                 }
-                Ok(input @ Input::ReplicaSeen(_)) => self.handle_input(input),
+                Ok(input @ (Input::ReplicaSeen(_) | Input::Leaving(_))) => self.handle_input(input),
                 Ok(Input::Bootstrap) => {}
                 Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return false,
                 Err(RecvTimeoutError::Timeout) => {
--- a/crates/toucanshelf-control/src/lib.rs
+++ b/crates/toucanshelf-control/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod api;
 pub mod directory;
 pub mod driver;
+mod hand_over;
 pub mod peers;
 mod seeds;
 pub mod sessions;
@@ -260,6 +261,12 @@
     }
 }
 
+/// Waits until the process is asked to stop and this instance has handed its vote over.
+async fn stop_requested(shared: &Shared) {
+    toucanshelf_runtime::shutdown::requested().await;
+    hand_over::run(shared).await;
+}
+
 /// Runs a control instance until SIGTERM, SIGINT or lasting damage of its store.
 ///
 /// # Errors
@@ -271,7 +278,7 @@
 ) -> Result<(), Box<str>> {
     let control = Control::start_with_dialect(settings, Some(dialect)).await?;
     let failure = tokio::select! {
-        () = toucanshelf_runtime::shutdown::requested() => None,
+        () = stop_requested(&control.shared) => None,
         cause = control.shared.driver.failed() => Some(cause),
     };
     control.stop().await;
--- a/crates/toucanshelf-control/src/peers.rs
+++ b/crates/toucanshelf-control/src/peers.rs
@@ -39,6 +39,8 @@
     has_empty_disk: Option<bool>,
     /// Whether the peer accepts findings about content that crashes targets.
     accepts_findings: bool,
+    /// Whether the peer accepts [`Frame::Leaving`].
+    accepts_departures: bool,
 }
 
 /// Addresses of the other known control instances, and the open links to them.
@@ -141,6 +143,29 @@
         Some(peer.tx.clone())
     }
 
+    fn record_accepts_departures(&self, address: SocketAddr, accepts_departures: bool) {
+        let mut links = self.links.lock().expect("no lock holder panics");
+        if let Some(peer) = links.get_mut(&address) {
+            peer.accepts_departures = accepts_departures;
+        }
+    }
+
+    /// Announces to the linked control instances that this one is about to stop.
+    pub(crate) fn announce_departure(&self) {
+        let links = self.links.lock().expect("no lock holder panics");
+        for peer in links.values().filter(|peer| peer.accepts_departures) {
+            // A full queue drops the announcement, which is repeated while this instance waits.
+            let _ = peer.tx.try_send(Frame::Leaving);
+        }
+    }
+
+    /// Returns whether an instance with one of the `replicas` is linked, so that it runs now.
+    pub(crate) fn is_any_linked(&self, replicas: &BTreeSet<ReplicaId>) -> bool {
+        let links = self.links.lock().expect("no lock holder panics");
+        let mut linked = links.values().filter_map(|peer| peer.replica);
+        linked.any(|replica| replicas.contains(&replica))
+    }
+
     /// Sends findings to each linked control instance that accepts them.
     pub(crate) fn share_findings(&self, findings: &[Finding]) {
         let links = self.links.lock().expect("no lock holder panics");
@@ -259,6 +284,7 @@
         tx: link.tx.clone(),
         has_empty_disk: None,
         accepts_findings: false,
+        accepts_departures: false,
     };
     peers
         .links
@@ -277,6 +303,7 @@
                 reads_patches,
                 calls_ingresses,
                 accepts_findings,
+                accepts_departures,
             } => {
                 if calls_ingresses && let Some(directory) = &shared.directory {
                     let last_linked_ms = directory.ingress_addresses().ages(directory.now());
@@ -287,6 +314,7 @@
                     let mut readers = peers.patch_readers.lock().expect("no lock holder panics");
                     readers.insert(replica);
                 }
+                peers.record_accepts_departures(address, accepts_departures);
                 handle_standing(shared, address, log);
                 if accepts_findings && !findings::send_all(shared, address) {
                     break;
@@ -334,6 +362,7 @@
         reads_patches: true,
         calls_ingresses: true,
         accepts_findings: true,
+        accepts_departures: true,
     };
     if link.tx.send(standing).await.is_err() {
         return;
@@ -341,6 +370,11 @@
     while let Some(frame) = link.rx.recv().await {
         match frame {
             Frame::Replica(message) => shared.driver.receive(message),
+            Frame::Leaving => {
+                if let Some(replica) = link.peer.replica {
+                    shared.driver.announce_departure(replica);
+                }
+            }
             Frame::Introduce { link: address } => {
                 shared.peers.add_address(&shared, address);
                 let members = shared.peers.members();
--- a/crates/toucanshelf-coordination/src/replica/mod.rs
+++ b/crates/toucanshelf-coordination/src/replica/mod.rs
@@ -10,6 +10,7 @@
 //! acknowledged a leader's messages, the leader holds a lease, which lasts for [`LEASE_MS`] from
 //! the time at which it sent them. While the lease is valid, no other replica can be elected.
 
+mod departures;
 mod election;
 mod entry;
 mod message;
@@ -23,6 +24,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
+pub use departures::{DEPARTURE_MS, Departures};
 pub use entry::{Entry, EntryBody, Index, LogSnapshot, Membership, Persisted, ReplicaId, Term};
 pub use message::{Message, MessageBody};
 use progress::Progress;
@@ -179,6 +181,11 @@
         &self.membership
     }
 
+    /// Returns the voters and learners of the last membership change that is known to be committed.
+    pub fn committed_membership(&self) -> Membership {
+        self.membership_at(self.commit)
+    }
+
     /// Returns the number of log entries that this replica holds in memory.
     pub fn entries_in_memory(&self) -> usize {
         self.entries.len()
@@ -441,6 +448,14 @@
         Some(self.now.saturating_sub(last_heard))
     }
 
+    /// Returns whether a replica has lately acknowledged a message of this leader's term.
+    fn answers(&self, id: ReplicaId) -> bool {
+        let has_acked = |progress: &Progress| {
+            progress.matched > Index(0) && self.now < progress.acked_sent + ELECTION_TIMEOUT_MS
+        };
+        id == self.config.id || self.progress.get(&id).is_some_and(has_acked)
+    }
+
     fn is_voter(&self) -> bool {
         self.membership.voters.contains(&self.config.id)
     }
--- a/crates/toucanshelf-coordination/src/replica/voters.rs
+++ b/crates/toucanshelf-coordination/src/replica/voters.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeSet;
 
+use super::Replica;
 use super::entry::{Membership, ReplicaId};
 
 /// Maximum number of voters of the replicated log.
@@ -14,28 +15,66 @@
 pub struct VoterPolicy {
     /// Desired number of voters.
     pub wanted: usize,
+    /// Replica that leads, if known; of several voters that are leaving, it is replaced last.
+    pub leader: Option<ReplicaId>,
     /// Replicas that have been unresponsive for too long.
     ///
     /// Such a voter is removed once a replacement votes; such a learner is not promoted.
     pub unresponsive: BTreeSet<ReplicaId>,
+    /// Replicas that have announced that they stop.
+    ///
+    /// They are replaced as unresponsive ones are, but without waiting for their silence.
+    pub leaving: BTreeSet<ReplicaId>,
 }
 
 impl VoterPolicy {
-    /// Creates a policy for `wanted` voters, at most [`MAX_VOTERS`], with none unresponsive.
+    /// Creates a policy for `wanted` voters, at most [`MAX_VOTERS`], with none to be replaced.
     pub fn new(wanted: usize) -> Self {
         Self {
             wanted: wanted.min(MAX_VOTERS),
-            unresponsive: BTreeSet::new(),
+            ..Self::default()
+        }
+    }
+
+    /// Creates a policy from what `leader` knows of the other replicas.
+    ///
+    /// A replica is unresponsive if it has acknowledged no message for longer than
+    /// `silence_limit_ms`, in milliseconds; without a limit, none is. `leaving` holds the replicas
+    /// that have announced that they stop.
+    pub fn of_leader(
+        leader: &Replica,
+        wanted: usize,
+        silence_limit_ms: Option<u64>,
+        leaving: BTreeSet<ReplicaId>,
+    ) -> Self {
+        let members = leader.membership();
+        let is_silent = |id: &ReplicaId| {
+            let silence = leader.time_since_ack(*id);
+            silence
+                .zip(silence_limit_ms)
+                .is_some_and(|(silence, limit)| silence > limit)
+        };
+        let all = members.voters.iter().chain(&members.learners).copied();
+        Self {
+            leader: Some(leader.id()),
+            unresponsive: all.filter(is_silent).collect(),
+            leaving,
+            ..Self::new(wanted)
         }
     }
+
+    fn is_replaced(&self, id: &ReplicaId) -> bool {
+        self.unresponsive.contains(id) || self.leaving.contains(id)
+    }
 }
 
 /// Returns the next membership change towards the desired voters, if one is needed.
 ///
 /// `known_replicas` lists the latest known replica of each instance. The lost predecessor of a
 /// replica on the same instance is removed before the replica may vote, so that no instance has two
-/// votes. An unresponsive voter is removed only after an additional replica votes, so that
-/// committing the removal does not depend on the unresponsive voter.
+/// votes. A voter that is unresponsive or leaving is removed only after an additional replica
+/// votes, so that committing the removal does not depend on that voter. It becomes a learner unless
+/// its disk is lost, so that it hears of its removal.
 pub fn next_membership(
     current: &Membership,
     known_replicas: &[ReplicaId],
@@ -48,23 +87,24 @@
         next.learners.insert(*id);
         return Some(next);
     }
-    let mut unresponsive = current.voters.intersection(&policy.unresponsive);
+    let replaced = first_replaced(current, policy);
     if current.voters.len() > policy.wanted
-        && let Some(old) = unresponsive.next()
+        && let Some(old) = replaced
     {
-        next.voters.remove(old);
+        next.voters.remove(&old);
+        if !has_lost_disk(old, known_replicas) {
+            next.learners.insert(old);
+        }
         return Some(next);
     }
-    let eligible =
-        |id: &&ReplicaId| known_replicas.contains(id) && !policy.unresponsive.contains(id);
+    let eligible = |id: &&ReplicaId| known_replicas.contains(id) && !policy.is_replaced(id);
     let predecessor_of = |id: &ReplicaId| current.voters.iter().find(|old| old.same_instance(*id));
     let learners = || current.learners.iter().filter(eligible);
     if let Some(old) = learners().find_map(predecessor_of) {
         next.voters.remove(old);
         return Some(next);
     }
-    let unresponsive = current.voters.intersection(&policy.unresponsive).count();
-    if current.voters.len() >= policy.wanted + unresponsive.min(1) {
+    if current.voters.len() >= policy.wanted + usize::from(replaced.is_some()) {
         return None;
     }
     let learner = learners().next()?;
@@ -72,3 +112,21 @@
     next.voters.insert(*learner);
     Some(next)
 }
+
+/// Returns the voter that is to be replaced first, if any.
+///
+/// One that is leaving still answers, so it is replaced last.
+fn first_replaced(current: &Membership, policy: &VoterPolicy) -> Option<ReplicaId> {
+    let unresponsive = current.voters.intersection(&policy.unresponsive).next();
+    let leaving = || {
+        let leaving = current.voters.intersection(&policy.leaving);
+        leaving.min_by_key(|id| (Some(**id) == policy.leader, **id))
+    };
+    unresponsive.or_else(leaving).copied()
+}
+
+/// Returns whether the instance of a replica has another one now, since the disk was lost.
+fn has_lost_disk(id: ReplicaId, known_replicas: &[ReplicaId]) -> bool {
+    let mut known = known_replicas.iter();
+    known.any(|known| *known != id && known.same_instance(id))
+}
--- a/crates/toucanshelf-coordination/tests/replica/cluster.rs
+++ b/crates/toucanshelf-coordination/tests/replica/cluster.rs
@@ -209,6 +209,13 @@
         new_id
     }
 
+    /// Adds a node with an empty disk on a new instance.
+    pub fn join(&mut self, instance: u32) -> ReplicaId {
+        let id = ReplicaId::new(instance, 1);
+        self.add_node(id, Persisted::default());
+        id
+    }
+
     pub fn replica(&self, id: ReplicaId) -> Option<&Replica> {
         self.nodes.get(&id)?.replica.as_ref()
     }
--- a/crates/toucanshelf-coordination/tests/replica/main.rs
+++ b/crates/toucanshelf-coordination/tests/replica/main.rs
@@ -2,6 +2,7 @@
 
 mod cluster;
 mod failing_disk;
+mod replacement;
 mod store;
 
 use cluster::{Cluster, Faults};
--- /dev/null
+++ b/crates/toucanshelf-coordination/tests/replica/replacement.rs
@@ -0,0 +1,156 @@
+//! Tests of voters that are replaced because they leave, are lost or have lost their disks.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use toucanshelf_coordination::replica::{Departures, ReplicaId, VoterPolicy, next_membership};
+
+use crate::cluster::Cluster;
+use crate::{NEW_LEADER_MS, elected_cluster};
+
+/// Voters that a deployment wants if it must bear the loss of one instance.
+const WANTED: usize = 3;
+/// Time after which control takes a silent voter for lost, if no platform states `CATCH_UP_MS`.
+const DEFAULT_SILENCE_LIMIT_MS: u64 = 6_000;
+/// Maximum time that an instance that leaves waits until its vote is handed over.
+const HAND_OVER_MS: u64 = 5_000;
+
+/// Cluster whose leader changes the members as control does.
+struct Replaced {
+    cluster: Cluster,
+    /// Departures that each replica has heard of.
+    departures: BTreeMap<ReplicaId, Departures>,
+    silence_limit_ms: u64,
+}
+
+impl Replaced {
+    fn new(seed: u64, silence_limit_ms: u64) -> Self {
+        let (cluster, _) = elected_cluster(WANTED as u32, seed);
+        Self {
+            cluster,
+            departures: BTreeMap::new(),
+            silence_limit_ms,
+        }
+    }
+
+    fn step(&mut self) {
+        self.cluster.step();
+        let Some(id) = self.cluster.leader() else {
+            return;
+        };
+        let leader = self.cluster.replica(id).unwrap();
+        let departures = self.departures.entry(id).or_default();
+        let leaving = departures.leaving(leader, self.cluster.now);
+        let policy = VoterPolicy::of_leader(leader, WANTED, Some(self.silence_limit_ms), leaving);
+        let current = leader.membership().clone();
+        if let Some(next) = next_membership(&current, &self.cluster.ids(), &policy) {
+            self.cluster.propose_membership(id, next);
+        }
+    }
+
+    fn run(&mut self, ms: u64) {
+        let until = self.cluster.now + ms;
+        while self.cluster.now < until {
+            self.step();
+        }
+    }
+
+    /// Adds an instance with an empty disk.
+    fn join(&mut self, instance: u32) -> ReplicaId {
+        self.cluster.join(instance)
+    }
+
+    /// Starts an instance that was stopped, which its new links announce to the others.
+    fn start(&mut self, id: ReplicaId) {
+        self.cluster.start(id);
+        for departures in self.departures.values_mut() {
+            departures.cancel(id);
+        }
+    }
+
+    /// Announces that a replica leaves, and stops it as soon as its vote is handed over.
+    fn leave(&mut self, id: ReplicaId) {
+        for other in self.cluster.ids() {
+            let departures = self.departures.entry(other).or_default();
+            departures.announce(id, self.cluster.now);
+        }
+        let until = self.cluster.now + HAND_OVER_MS;
+        let votes = |cluster: &Cluster| {
+            let replica = cluster.replica(id).unwrap();
+            replica.committed_membership().voters.contains(&id)
+        };
+        while votes(&self.cluster) && self.cluster.now < until {
+            self.step();
+        }
+        self.cluster.crash(id);
+    }
+
+    /// Checks that the cluster elects a leader and commits a command.
+    fn check_progress(&mut self, what: &str) {
+        self.run(2 * NEW_LEADER_MS);
+        let leader = self.cluster.leader();
+        let leader = leader.unwrap_or_else(|| panic!("{what}: no leader"));
+        let command = format!("{what}-{}", self.cluster.now);
+        assert!(self.cluster.propose(leader, command.as_bytes()), "{what}");
+        self.run(500);
+        let acknowledged = self.cluster.acknowledged.contains(command.as_bytes());
+        assert!(acknowledged, "{what}: not committed");
+    }
+
+    fn voters(&self) -> BTreeSet<ReplicaId> {
+        let leader = self.cluster.leader().expect("a leader is elected");
+        let leader = self.cluster.replica(leader).unwrap();
+        leader.committed_membership().voters
+    }
+}
+
+/// Guards against a quorum that is lost because voters stop in turn before their silence counts.
+///
+/// The leader is among them. Successors have caught up before the first voter stops.
+#[test]
+fn leave_in_turn() {
+    for seed in 0..100 {
+        let mut replaced = Replaced::new(seed, DEFAULT_SILENCE_LIMIT_MS);
+        let first = replaced.cluster.ids();
+        let successors: Vec<_> = (4..=6).map(|instance| replaced.join(instance)).collect();
+        replaced.run(NEW_LEADER_MS);
+        for id in first {
+            replaced.leave(id);
+        }
+        replaced.check_progress(&format!("seed {seed}"));
+        let expected: BTreeSet<_> = successors.into_iter().collect();
+        assert_eq!(replaced.voters(), expected, "seed {seed}");
+    }
+}
+
+/// Guards against a stop that is announced before there is a successor and then waits for silence.
+#[test]
+fn leave_before_successor_joins() {
+    for seed in 0..100 {
+        let mut replaced = Replaced::new(seed, DEFAULT_SILENCE_LIMIT_MS);
+        let first = replaced.cluster.ids();
+        replaced.leave(first[0]);
+        let successor = replaced.join(4);
+        replaced.run(2 * NEW_LEADER_MS);
+        assert!(replaced.voters().contains(&successor), "seed {seed}");
+        replaced.cluster.crash(first[1]);
+        replaced.check_progress(&format!("seed {seed}"));
+    }
+}
+
+/// Guards against a restart after which an instance never votes again.
+#[test]
+fn leave_and_return() {
+    for seed in 0..100 {
+        let mut replaced = Replaced::new(seed, DEFAULT_SILENCE_LIMIT_MS);
+        let first = replaced.cluster.ids();
+        replaced.join(4);
+        replaced.run(NEW_LEADER_MS);
+        replaced.leave(first[0]);
+        replaced.start(first[0]);
+        replaced.run(NEW_LEADER_MS);
+        assert!(!replaced.voters().contains(&first[0]), "seed {seed}");
+        replaced.leave(first[1]);
+        replaced.check_progress(&format!("seed {seed}"));
+        assert!(replaced.voters().contains(&first[0]), "seed {seed}");
+    }
+}
--- a/crates/toucanshelf-link/src/frame.rs
+++ b/crates/toucanshelf-link/src/frame.rs
@@ -140,7 +140,14 @@
         /// Older programs ignore them.
         #[serde(default)]
         accepts_findings: bool,
+        /// Whether the sender accepts [`Frame::Leaving`], which older programs don't know.
+        #[serde(default)]
+        accepts_departures: bool,
     },
+    /// Control to control: announces that the sender's process is about to stop.
+    ///
+    /// The leader may let another replica vote in place of the sender's.
+    Leaving,
     /// Control to control: announces the address at which the sender accepts links.
     Introduce {
         /// Address at which the sender accepts links.
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -164,11 +164,13 @@
         reads_patches,
         calls_ingresses,
         accepts_findings,
+        accepts_departures,
     } = decoded
     else {
         panic!()
     };
     assert!(log == Some(7) && !reads_patches && !calls_ingresses && !accepts_findings);
+    assert!(!accepts_departures);
 }
 
 /// Guards against a conflict verdict that cannot be decoded from CBOR.
--- a/tests/testsuite/replaced_control.rs
+++ b/tests/testsuite/replaced_control.rs
@@ -183,6 +183,35 @@
     }
 }
 
+/// Guards against control instances without a quorum after planned replacements in quick succession.
+///
+/// Both successors run and have caught up before the first instance is stopped. The second one is
+/// stopped as soon as the first has ended, so that no time is left to notice its silence.
+#[test]
+fn two_stopped_in_turn() {
+    let platform = ProcessPlatform::new(40);
+    let mut controls: Vec<_> = (0..CONTROLS).map(|n| platform.start_control(n)).collect();
+    wait_until_voting(&controls);
+    let document = DeploymentBuilder::new(1).route("first", "a.example", "/first/", "plain");
+    platform.deploy(0, &document.build());
+    let successors = [CONTROLS, CONTROLS + 1].map(|n| platform.start_control(n));
+    let addresses = successors.each_ref().map(|process| process.address("http"));
+    wait_until(|| {
+        let statuses = control_statuses(&addresses);
+        statuses.len() == 2 && statuses.iter().all(|s| s["current"] == true)
+    });
+
+    for mut stopped in controls.drain(1..) {
+        stopped.signal("-TERM").unwrap();
+        stopped.wait().unwrap();
+    }
+    controls.extend(successors);
+
+    wait_until_voting(&controls);
+    let document = DeploymentBuilder::new(2).route("added", "a.example", "/added/", "plain");
+    platform.deploy(0, &document.build());
+}
+
 /// Guards against an ingress that keeps an old deployment for good.
 ///
 /// It is out of reach while all control instances that it knows are replaced.
