Promote only a learner that answers

Callers would see 503 to each read and change of the configuration, for good, after a voter and then its successor were lost.

Cause: a learner that had caught up counted as fit to vote until it had been silent for 6 s. Its promotion right after its loss made four voters of which two answered. Found by listing the paths of the fault before. Change: a learner must have caught up and answered within the election timeout; a leader proposes no change of the voters whose quorum doesn't answer now.

--- a/crates/toucanshelf-coordination/src/replica/mod.rs
+++ b/crates/toucanshelf-coordination/src/replica/mod.rs
@@ -296,7 +296,8 @@
     ///
     /// Fails if this replica is not the leader, has not yet committed an entry of its term, or
     /// has an uncommitted membership change. It also fails if the change affects more than one
-    /// voter, leaves no voters, or adds a voter that has not caught up with the committed log.
+    /// voter, leaves no voters, adds a voter that has not caught up with the committed log, or if no
+    /// quorum of the changed voters answers now.
     pub fn propose_membership(&mut self, next: Membership) -> Result<Index, ProposeError> {
         if self.role != Role::Leader {
             return Err(ProposeError::NotLeader(self.leader));
@@ -321,6 +322,10 @@
         if changed > 1 || next.voters.is_empty() || !caught_up {
             return Err(ProposeError::InvalidChange);
         }
+        let answering = next.voters.iter().filter(|id| self.answers(**id)).count();
+        if answering < next.quorum() {
+            return Err(ProposeError::NoQuorum);
+        }
         Ok(self.append_as_leader(EntryBody::Membership(next)))
     }
 
--- a/crates/toucanshelf-coordination/src/replica/ready.rs
+++ b/crates/toucanshelf-coordination/src/replica/ready.rs
@@ -53,6 +53,9 @@
     /// The membership change affects several voters, leaves none, or adds a lagging one.
     #[error("invalid change: at most one voter may change, and an added voter must have caught up")]
     InvalidChange,
+    /// Too few of the changed voters answer for a quorum, so the change might never be committed.
+    #[error("too few of the changed voters answer now")]
+    NoQuorum,
 }
 
 /// State that the caller must store and messages to send afterwards.
--- a/crates/toucanshelf-coordination/src/replica/voters.rs
+++ b/crates/toucanshelf-coordination/src/replica/voters.rs
@@ -4,8 +4,8 @@
 
 use std::collections::BTreeSet;
 
-use super::Replica;
 use super::entry::{Membership, ReplicaId};
+use super::{Replica, Role};
 
 /// Maximum number of voters of the replicated log.
 pub const MAX_VOTERS: usize = 5;
@@ -25,6 +25,8 @@
     ///
     /// They are replaced as unresponsive ones are, but without waiting for their silence.
     pub leaving: BTreeSet<ReplicaId>,
+    /// Learners that lack committed entries or don't answer now; they are not promoted.
+    pub lagging: BTreeSet<ReplicaId>,
 }
 
 impl VoterPolicy {
@@ -55,10 +57,12 @@
                 .is_some_and(|(silence, limit)| silence > limit)
         };
         let all = members.voters.iter().chain(&members.learners).copied();
+        let learners = members.learners.iter().copied();
         Self {
             leader: Some(leader.id()),
             unresponsive: all.filter(is_silent).collect(),
             leaving,
+            lagging: learners.filter(|id| !leader.may_vote(*id)).collect(),
             ..Self::new(wanted)
         }
     }
@@ -66,6 +70,24 @@
     fn is_replaced(&self, id: &ReplicaId) -> bool {
         self.unresponsive.contains(id) || self.leaving.contains(id)
     }
+
+    fn may_promote(&self, id: &ReplicaId) -> bool {
+        !self.is_replaced(id) && !self.lagging.contains(id)
+    }
+}
+
+impl Replica {
+    /// Returns whether this leader may promote a learner, which has caught up and answers now.
+    ///
+    /// The promotion enlarges the quorum. A learner that has just been lost would be missing in it.
+    pub fn may_vote(&self, learner: ReplicaId) -> bool {
+        self.role == Role::Leader
+            && self.answers(learner)
+            && self
+                .progress
+                .get(&learner)
+                .is_some_and(|progress| progress.matched >= self.commit)
+    }
 }
 
 /// Returns the next membership change towards the desired voters, if one is needed.
@@ -97,7 +119,7 @@
         }
         return Some(next);
     }
-    let eligible = |id: &&ReplicaId| known_replicas.contains(id) && !policy.is_replaced(id);
+    let eligible = |id: &&ReplicaId| known_replicas.contains(id) && policy.may_promote(id);
     let predecessor_of = |id: &ReplicaId| current.voters.iter().find(|old| old.same_instance(*id));
     let learners = || current.learners.iter().filter(eligible);
     if let Some(old) = learners().find_map(predecessor_of) {
--- a/crates/toucanshelf-coordination/tests/replica/replacement.rs
+++ b/crates/toucanshelf-coordination/tests/replica/replacement.rs
@@ -9,6 +9,8 @@
 
 /// Voters that a deployment wants if it must bear the loss of one instance.
 const WANTED: usize = 3;
+/// Time after its start for which an instance still counts as lost, as a platform states it.
+const CATCH_UP_MS: u64 = 4_000;
 /// Time after which control takes a silent voter for lost, if no platform states `CATCH_UP_MS`.
 const DEFAULT_SILENCE_LIMIT_MS: u64 = 6_000;
 /// Maximum time that an instance that leaves waits until its vote is handed over.
@@ -154,3 +156,23 @@
         assert!(replaced.voters().contains(&first[0]), "seed {seed}");
     }
 }
+
+/// Guards against a quorum that counts on a learner that was lost while it waited to vote.
+///
+/// One voter is lost, and its successor, too, before it votes. The two remaining voters must go on.
+#[test]
+fn successor_lost_before_it_votes() {
+    for seed in 0..100 {
+        let mut replaced = Replaced::new(seed, DEFAULT_SILENCE_LIMIT_MS);
+        let first = replaced.cluster.ids();
+        let successor = replaced.join(4);
+        replaced.cluster.crash(first[0]);
+        replaced.run(CATCH_UP_MS + 500);
+        replaced.cluster.crash(successor);
+        replaced.run(DEFAULT_SILENCE_LIMIT_MS);
+        replaced.check_progress(&format!("seed {seed}, successor lost"));
+        replaced.start(successor);
+        replaced.run(NEW_LEADER_MS);
+        assert!(replaced.voters().contains(&successor), "seed {seed}");
+    }
+}
