Replace a voter that lost its disk by any learner

Cause: the new identity of an emptied instance proves that the old replica never answers again, but only that instance itself replaced it before 6 s of silence. Change: such a voter is replaced at once by any learner that may vote. The old replica is removed by a committed change before the new one may vote, as before.

--- a/crates/toucanshelf-coordination/src/replica/voters.rs
+++ b/crates/toucanshelf-coordination/src/replica/voters.rs
@@ -94,7 +94,7 @@
 ///
 /// `known_replicas` lists the latest known replica of each instance. The lost predecessor of a
 /// replica on the same instance is removed before the replica may vote, so that no instance has two
-/// votes. A voter that is unresponsive or leaving is removed only after an additional replica
+/// votes. A voter that is lost, unresponsive or leaving is removed only after an additional replica
 /// votes, so that committing the removal does not depend on that voter. It becomes a learner unless
 /// its disk is lost, so that it hears of its removal.
 pub fn next_membership(
@@ -109,7 +109,7 @@
         next.learners.insert(*id);
         return Some(next);
     }
-    let replaced = first_replaced(current, policy);
+    let replaced = first_replaced(current, known_replicas, policy);
     if current.voters.len() > policy.wanted
         && let Some(old) = replaced
     {
@@ -137,14 +137,21 @@
 
 /// Returns the voter that is to be replaced first, if any.
 ///
-/// One that is leaving still answers, so it is replaced last.
-fn first_replaced(current: &Membership, policy: &VoterPolicy) -> Option<ReplicaId> {
-    let unresponsive = current.voters.intersection(&policy.unresponsive).next();
+/// A voter that has lost its disk never answers again. One that is leaving still answers, so it is
+/// replaced last.
+fn first_replaced(
+    current: &Membership,
+    known_replicas: &[ReplicaId],
+    policy: &VoterPolicy,
+) -> Option<ReplicaId> {
+    let mut voters = current.voters.iter();
+    let lost = voters.find(|id| has_lost_disk(**id, known_replicas));
+    let unresponsive = || current.voters.intersection(&policy.unresponsive).next();
     let leaving = || {
         let leaving = current.voters.intersection(&policy.leaving);
         leaving.min_by_key(|id| (Some(**id) == policy.leader, **id))
     };
-    unresponsive.or_else(leaving).copied()
+    lost.or_else(unresponsive).or_else(leaving).copied()
 }
 
 /// Returns whether the instance of a replica has another one now, since the disk was lost.
--- a/crates/toucanshelf-coordination/tests/replica/replacement.rs
+++ b/crates/toucanshelf-coordination/tests/replica/replacement.rs
@@ -176,3 +176,22 @@
         assert!(replaced.voters().contains(&successor), "seed {seed}");
     }
 }
+
+/// Guards against a voter that lost its disk and is replaced only by its own instance.
+///
+/// Another instance has caught up, while the emptied one does not come to vote.
+#[test]
+fn lost_disk_beside_spare() {
+    for seed in 0..100 {
+        let mut replaced = Replaced::new(seed, DEFAULT_SILENCE_LIMIT_MS);
+        let first = replaced.cluster.ids();
+        let spare = replaced.join(4);
+        replaced.run(NEW_LEADER_MS);
+        let emptied = replaced.cluster.lose_disk(first[0]);
+        replaced.cluster.isolate(emptied);
+        replaced.run(2 * NEW_LEADER_MS);
+        assert!(replaced.voters().contains(&spare), "seed {seed}");
+        replaced.cluster.crash(first[1]);
+        replaced.check_progress(&format!("seed {seed}"));
+    }
+}
