Replace a silent voter before the platform may take the next one

Callers would see 503 to each read and change, for good, if an instance was lost without a word and the next one 4 s later.

Cause: a silent voter was replaced after 6 s, but the platform counts a loss no longer than catch_up_s after the successor's start, 4 s on the small sites. Change: the template hands catch_up_s on as catch-up-ms; silence counts for half of it, from 1.2 s to 6 s.

--- a/crates/toucanshelf-control/src/driver/mod.rs
+++ b/crates/toucanshelf-control/src/driver/mod.rs
@@ -18,7 +18,7 @@
 use tokio::sync::{oneshot, watch};
 use toucanshelf_coordination::replica::{
     Departures, Entry, Index, MAX_VOTERS, Membership, Message, Persisted, Replica, ReplicaConfig,
-    ReplicaId, Role, Term, VoterPolicy, next_membership,
+    ReplicaId, Role, Term, VoterPolicy, next_membership, silence_limit_ms,
 };
 use toucanshelf_coordination::store::{LogStore, OpenStore, StoreError};
 use toucanshelf_core::ids::{LogTimeMs, Revision};
@@ -37,10 +37,6 @@
 const SNAPSHOT_INTERVAL_ENTRIES: u64 = 4_096;
 /// Total size of the applied commands after which the log is compacted, in bytes.
 const SNAPSHOT_INTERVAL_BYTES: usize = 2 * 1024 * 1024;
-/// Time without acknowledgements after which a voter may be replaced, in milliseconds.
-// Longer than a pause of the voter's process of some seconds, so that a voter that resumes is not
-// replaced.
-const VOTER_TIMEOUT_MS: u64 = 6_000;
 /// Maximum number of queued inputs handled together with a received one.
 ///
 /// The changes from all of them are written to the store at once.
@@ -589,7 +585,8 @@
         };
         let wanted = 2 * deployment.tolerated_losses + 1;
         let leaving = self.departures.leaving(&self.replica, self.now());
-        VoterPolicy::of_leader(&self.replica, wanted, Some(VOTER_TIMEOUT_MS), leaving)
+        let limit = silence_limit_ms(deployment.catch_up_ms);
+        VoterPolicy::of_leader(&self.replica, wanted, Some(limit), leaving)
     }
 
     /// As leader, sets the id of a new log and proposes membership changes.
--- a/crates/toucanshelf-control/src/settings.rs
+++ b/crates/toucanshelf-control/src/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 use toucanshelf_core::digest::Digest;
 use toucanshelf_core::target::check_text;
 use toucanshelf_link::handshake::SharedKey;
@@ -78,6 +78,11 @@
     /// Number of control instances that may fail at the same time without data loss.
     #[serde(default = "default_losses")]
     pub tolerated_losses: usize,
+    /// Time after which a new control instance has caught up, in milliseconds, if the platform states it.
+    ///
+    /// The platform may let another instance fail from then on. A silent voter is replaced in time.
+    #[serde(default, deserialize_with = "some_milliseconds")]
+    pub catch_up_ms: Option<u64>,
     /// Interval at which every target sends heartbeats, in milliseconds.
     #[serde(default = "default_heartbeat", deserialize_with = "milliseconds")]
     pub heartbeat_ms: u64,
@@ -104,6 +109,10 @@
     1_200
 }
 
+fn some_milliseconds<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Option<u64>, D::Error> {
+    milliseconds(deserializer).map(Some)
+}
+
 impl DeploymentSettings {
     /// Returns the number of connections from targets and operators above which idle ones close.
     ///
--- a/crates/toucanshelf-coordination/src/replica/mod.rs
+++ b/crates/toucanshelf-coordination/src/replica/mod.rs
@@ -29,7 +29,7 @@
 pub use message::{Message, MessageBody};
 use progress::Progress;
 pub use ready::{ProposeError, Ready, ReplicaConfig, Role};
-pub use voters::{MAX_VOTERS, VoterPolicy, next_membership};
+pub use voters::{MAX_VOTERS, VoterPolicy, next_membership, silence_limit_ms};
 
 /// Interval between a leader's heartbeats, in milliseconds.
 pub const HEARTBEAT_MS: u64 = 100;
--- a/crates/toucanshelf-coordination/src/replica/voters.rs
+++ b/crates/toucanshelf-coordination/src/replica/voters.rs
@@ -5,11 +5,31 @@
 use std::collections::BTreeSet;
 
 use super::entry::{Membership, ReplicaId};
-use super::{Replica, Role};
+use super::{ELECTION_TIMEOUT_MS, Replica, Role};
 
 /// Maximum number of voters of the replicated log.
 pub const MAX_VOTERS: usize = 5;
 
+/// Time without acknowledgements after which a voter may be replaced, in milliseconds.
+// Longer than a pause of the voter's process of some seconds, so that a voter that resumes is not
+// replaced.
+const VOTER_TIMEOUT_MS: u64 = 6_000;
+
+/// Minimum of the time without acknowledgements after which a voter may be replaced, in milliseconds.
+// Followers of a lost leader need this long to elect the next one.
+const MIN_VOTER_TIMEOUT_MS: u64 = 2 * ELECTION_TIMEOUT_MS;
+
+/// Returns the time without acknowledgements after which a voter may be replaced.
+///
+/// If a platform states after which time a new instance has caught up, the next one may be lost
+/// right then. The predecessor is replaced before: half of the time is left for an election and for
+/// the changes of the voters. All times are in milliseconds.
+pub fn silence_limit_ms(catch_up_ms: Option<u64>) -> u64 {
+    catch_up_ms.map_or(VOTER_TIMEOUT_MS, |catch_up_ms| {
+        (catch_up_ms / 2).clamp(MIN_VOTER_TIMEOUT_MS, VOTER_TIMEOUT_MS)
+    })
+}
+
 /// Policy that decides how many voters there are and which are removed.
 #[derive(Clone, Debug, Default)]
 pub struct VoterPolicy {
--- a/crates/toucanshelf-coordination/tests/replica/replacement.rs
+++ b/crates/toucanshelf-coordination/tests/replica/replacement.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use toucanshelf_coordination::replica::{Departures, ReplicaId, VoterPolicy, next_membership};
+use toucanshelf_coordination::replica::{
+    Departures, ReplicaId, VoterPolicy, next_membership, silence_limit_ms,
+};
 
 use crate::cluster::Cluster;
 use crate::{NEW_LEADER_MS, elected_cluster};
@@ -195,3 +197,28 @@
         replaced.check_progress(&format!("seed {seed}"));
     }
 }
+
+/// Guards against a voter that is replaced later than the next instance may be lost.
+///
+/// The platform states that this may happen `CATCH_UP_MS` after the start of the first successor.
+#[test]
+fn second_loss_after_catch_up() {
+    for seed in 0..100 {
+        let mut replaced = Replaced::new(seed, silence_limit_ms(Some(CATCH_UP_MS)));
+        let first = replaced.cluster.ids();
+        let lost = (seed % 3) as usize;
+        replaced.cluster.crash(first[lost]);
+        replaced.join(4);
+        replaced.run(CATCH_UP_MS);
+        replaced.cluster.crash(first[(lost + 1) % 3]);
+        replaced.check_progress(&format!("seed {seed}"));
+    }
+}
+
+#[test]
+fn silence_limit_bounds() {
+    assert_eq!(silence_limit_ms(None), DEFAULT_SILENCE_LIMIT_MS);
+    assert_eq!(silence_limit_ms(Some(4_000)), 2_000);
+    assert_eq!(silence_limit_ms(Some(60_000)), DEFAULT_SILENCE_LIMIT_MS);
+    assert_eq!(silence_limit_ms(Some(0)), 1_200);
+}
--- a/tests/testsuite/platform_templates.rs
+++ b/tests/testsuite/platform_templates.rs
@@ -178,3 +178,19 @@
     assert_eq!(cfg.check(), Ok(()));
     assert_eq!(cfg.link_port, 7340);
 }
+
+/// Guards against a control instance that doesn't know when the next loss may come.
+#[test]
+fn control_template_with_catch_up_time() {
+    let mut fields = platform_settings(&json!([0.2, 1, 10, 1_200]));
+    for (seconds, expected) in [
+        (json!(4), Some(4_000)),
+        (json!(1.5), Some(1_500)),
+        (json!(null), None),
+    ] {
+        fields["bounds"]["catch_up_s"] = seconds;
+        let cfg = control(&fields).expect("the control instance starts");
+        let deployment = cfg.deployment.expect("the template has a deployment");
+        assert_eq!(deployment.catch_up_ms, expected);
+    }
+}
