Demote a voter that is one too many, and explore replacements

Cause: a silent voter that answers again while another one comes to vote in its place left four voters. They bear one loss, as three do, but not that of a zone with two of them. Change: a voter of an even number beyond the wanted one becomes a learner. explore_replacements plays random orders of stops, losses, lost disks, pauses and cuts, each when the one before no longer counts as a loss.

--- a/crates/toucanshelf-coordination/src/replica/voters.rs
+++ b/crates/toucanshelf-coordination/src/replica/voters.rs
@@ -131,7 +131,7 @@
     }
     let replaced = first_replaced(current, known_replicas, policy);
     if current.voters.len() > policy.wanted
-        && let Some(old) = replaced
+        && let Some(old) = replaced.or_else(|| surplus_voter(current, policy))
     {
         next.voters.remove(&old);
         if !has_lost_disk(old, known_replicas) {
@@ -179,3 +179,12 @@
     let mut known = known_replicas.iter();
     known.any(|known| *known != id && known.same_instance(id))
 }
+
+/// Returns a voter of an even number, which bears no more losses than there are without that voter.
+///
+/// There is one too many if a voter answers again once another one votes in its place.
+fn surplus_voter(current: &Membership, policy: &VoterPolicy) -> Option<ReplicaId> {
+    let is_even = current.voters.len().is_multiple_of(2);
+    let mut voters = current.voters.iter().rev().copied();
+    voters.find(|id| is_even && Some(*id) != policy.leader)
+}
--- a/crates/toucanshelf-coordination/tests/replica/replacement.rs
+++ b/crates/toucanshelf-coordination/tests/replica/replacement.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use rand::{RngExt as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
 use toucanshelf_coordination::replica::{
     Departures, ReplicaId, VoterPolicy, next_membership, silence_limit_ms,
 };
@@ -215,6 +217,30 @@
     }
 }
 
+/// Guards against a fourth voter that stays although the one that it replaced answers again.
+///
+/// Four voters bear the loss of only one, also where two of them share an availability zone.
+#[test]
+fn voter_answers_while_replaced() {
+    for seed in 0..100 {
+        let mut replaced = Replaced::new(seed, DEFAULT_SILENCE_LIMIT_MS);
+        let first = replaced.cluster.ids();
+        replaced.join(4);
+        replaced.cluster.isolate(first[0]);
+        let votes = |replaced: &Replaced| {
+            let leader = replaced.cluster.leader()?;
+            let leader = replaced.cluster.replica(leader)?;
+            Some(leader.membership().voters.len())
+        };
+        while votes(&replaced) != Some(WANTED + 1) {
+            replaced.step();
+        }
+        replaced.cluster.rejoin(first[0]);
+        replaced.run(NEW_LEADER_MS);
+        assert_eq!(replaced.voters().len(), WANTED, "seed {seed}");
+    }
+}
+
 #[test]
 fn silence_limit_bounds() {
     assert_eq!(silence_limit_ms(None), DEFAULT_SILENCE_LIMIT_MS);
@@ -222,3 +248,152 @@
     assert_eq!(silence_limit_ms(Some(60_000)), DEFAULT_SILENCE_LIMIT_MS);
     assert_eq!(silence_limit_ms(Some(0)), 1_200);
 }
+
+/// Kinds of events at an instance.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// Two successors start and catch up; then two instances leave for good, one after the other.
+    ReplaceTwo,
+    /// An instance is lost for good, and a successor starts.
+    Lose,
+    /// An instance stops with an announcement and starts again.
+    Restart,
+    /// An instance is killed and starts again.
+    Kill,
+    /// An instance loses its disk and starts again.
+    LoseDisk,
+    /// An instance stands still.
+    Freeze,
+    /// An instance is cut off from all others.
+    CutOff,
+}
+
+const EVENTS: [Event; 7] = [
+    Event::ReplaceTwo,
+    Event::Lose,
+    Event::Restart,
+    Event::Kill,
+    Event::LoseDisk,
+    Event::Freeze,
+    Event::CutOff,
+];
+
+/// A deployment at which one event follows the other, each when the one before no longer counts.
+struct Explored {
+    replaced: Replaced,
+    rng: ChaCha8Rng,
+    running: Vec<ReplicaId>,
+    next_instance: u32,
+}
+
+impl Explored {
+    fn new(seed: u64) -> Self {
+        let replaced = Replaced::new(seed, silence_limit_ms(Some(CATCH_UP_MS)));
+        Self {
+            running: replaced.cluster.ids(),
+            replaced,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            next_instance: WANTED as u32 + 1,
+        }
+    }
+
+    fn join(&mut self) {
+        self.running.push(self.replaced.join(self.next_instance));
+        self.next_instance += 1;
+    }
+
+    fn remove_any(&mut self) -> ReplicaId {
+        self.running
+            .swap_remove(self.rng.random_range(0..self.running.len()))
+    }
+
+    /// Plays an event at a random instance until it no longer counts as a loss.
+    fn play(&mut self, event: Event) {
+        if matches!(event, Event::ReplaceTwo) {
+            let leaving = [self.remove_any(), self.remove_any()];
+            self.join();
+            self.join();
+            self.replaced.run(CATCH_UP_MS);
+            for id in leaving {
+                self.replaced.leave(id);
+            }
+            return;
+        }
+        let id = self.remove_any();
+        let outage_ms = self.rng.random_range(0..CATCH_UP_MS);
+        let outage = |replaced: &mut Replaced| replaced.run(outage_ms);
+        match event {
+            Event::ReplaceTwo => {}
+            Event::Lose => {
+                self.replaced.cluster.crash(id);
+                outage(&mut self.replaced);
+                self.join();
+            }
+            Event::Restart => {
+                self.replaced.leave(id);
+                outage(&mut self.replaced);
+                self.replaced.start(id);
+                self.running.push(id);
+            }
+            Event::Kill => {
+                self.replaced.cluster.crash(id);
+                outage(&mut self.replaced);
+                self.replaced.start(id);
+                self.running.push(id);
+            }
+            Event::LoseDisk => {
+                let emptied = self.replaced.cluster.lose_disk(id);
+                self.running.push(emptied);
+            }
+            Event::Freeze => {
+                self.replaced.cluster.freeze(id, outage_ms);
+                outage(&mut self.replaced);
+                self.running.push(id);
+            }
+            Event::CutOff => {
+                self.replaced.cluster.isolate(id);
+                outage(&mut self.replaced);
+                self.replaced.cluster.rejoin(id);
+                self.running.push(id);
+            }
+        }
+        self.replaced.run(CATCH_UP_MS);
+    }
+}
+
+/// Checks that no order of events ends the quorum if one instance is lost at a time.
+///
+/// The cluster asserts that no two replicas lead a term or hold a lease, and that all apply the same
+/// entries.
+#[test]
+fn explore_replacements() {
+    for seed in 0..200 {
+        let mut explored = Explored::new(seed);
+        if seed % 2 == 0 {
+            explored.join();
+            explored.replaced.run(CATCH_UP_MS);
+        }
+        let mut played = Vec::new();
+        for round in 0..12 {
+            let event = EVENTS[explored.rng.random_range(0..EVENTS.len())];
+            played.push(event);
+            explored.play(event);
+            let what = format!("seed {seed}, round {round}, {played:?}");
+            if explored.rng.random_bool(0.3) {
+                explored.replaced.check_progress(&what);
+            }
+        }
+        explored
+            .replaced
+            .check_progress(&format!("seed {seed}, {played:?}"));
+        for id in &explored.running {
+            explored.replaced.cluster.check_complete(*id);
+        }
+        let running: BTreeSet<_> = explored.running.iter().copied().collect();
+        let voters = explored.replaced.voters();
+        assert!(
+            voters.len() == WANTED && voters.is_subset(&running),
+            "seed {seed}, {played:?}: {voters:?} of {running:?}"
+        );
+    }
+}
