--- a/crates/toucanshelf-coordination/src/replica/voters.rs
+++ b/crates/toucanshelf-coordination/src/replica/voters.rs
@@ -87,12 +87,12 @@
         }
     }
 
-    fn is_replaced(&self, id: &ReplicaId) -> bool {
-        self.unresponsive.contains(id) || self.leaving.contains(id)
+    fn is_replaced(&self, id: ReplicaId) -> bool {
+        self.unresponsive.contains(&id) || self.leaving.contains(&id)
     }
 
-    fn may_promote(&self, id: &ReplicaId) -> bool {
-        !self.is_replaced(id) && !self.lagging.contains(id)
+    fn may_promote(&self, id: ReplicaId) -> bool {
+        !self.is_replaced(id) && !self.lagging.contains(&id)
     }
 }
 
@@ -139,7 +139,7 @@
         }
         return Some(next);
     }
-    let eligible = |id: &&ReplicaId| known_replicas.contains(id) && policy.may_promote(id);
+    let eligible = |id: &&ReplicaId| known_replicas.contains(id) && policy.may_promote(**id);
     let predecessor_of = |id: &ReplicaId| current.voters.iter().find(|old| old.same_instance(*id));
     let learners = || current.learners.iter().filter(eligible);
     if let Some(old) = learners().find_map(predecessor_of) {
