Hold registrations of services that aren't deployed apart

Cause: the registry takes the later start at an address for the successor of the target there, whatever its service, and a replaced target stays gone. Ruled out: ingresses, the targets' own heartbeats (acknowledged throughout), suspicions. Change: registrations of services that the deployment doesn't name are held apart, by id and service; they neither replace, outdate nor count among others, and are entered when their service is deployed. A departure concerns the id whatever the service. Measured: other_writers::unnamed_service_beside_targets failed on the code before (a drain refused, 409) and passes; registry::undeployed_service_changes_no_other and departure_before_deployment explore all orders of 5 and 6 steps. An address that another deployed service uses again still ends the registration before it.

--- a/crates/toucanshelf-control/src/directory/calls.rs
+++ b/crates/toucanshelf-control/src/directory/calls.rs
@@ -221,7 +221,7 @@
         publish(shared, directory, record, true).await;
         return empty_response();
     }
-    if directory.registry().get(id).is_none() {
+    if !directory.registry().knows_start(id, incarnation) {
         // Other instances may know the target, and it calls them next.
         let cause = "the target isn't registered here";
         tracing::warn!(event = "TS2527", target_id = %id, cause, "departure refused");
--- a/crates/toucanshelf-control/src/directory/ingresses.rs
+++ b/crates/toucanshelf-control/src/directory/ingresses.rs
@@ -527,10 +527,8 @@
     };
     let records = {
         let registry = directory.registry();
-        registry
-            .entries()
-            .map(|entry| entry.record.clone())
-            .collect()
+        let entries = registry.entries().chain(registry.undeployed());
+        entries.map(|entry| entry.record.clone()).collect()
     };
     let push = 0;
     let registrations = tx.try_send(Frame::Registrations { push, records });
--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -18,6 +18,7 @@
 pub mod orders;
 pub mod reconciler;
 pub mod refreshes;
+mod services;
 pub mod warm_up;
 
 use std::collections::BTreeMap;
@@ -104,7 +105,7 @@
             dialect,
             ingresses: Ingresses::new(),
             refreshes: Refreshes::new(),
-            registry: Mutex::default(),
+            registry: Mutex::new(Registry::without_deployment()),
             published: Mutex::default(),
             suspicions: Mutex::default(),
             ingress_addresses: Mutex::default(),
@@ -138,7 +139,11 @@
 
     /// Enters a target's registration into the registry and returns what it changed there.
     pub(crate) fn apply_registration(&self, record: &Registration) -> RegistryChange {
-        let change = self.registry().apply(record.clone(), self.now());
+        let (change, deployed) = {
+            let mut registry = self.registry();
+            let change = registry.apply(record.clone(), self.now());
+            (change, registry.is_deployed(record))
+        };
         if change == RegistryChange::Changed {
             tracing::info!(
                 event = "TS2501",
@@ -150,6 +155,7 @@
                 accelerator = record.accelerator.as_deref(),
                 readiness = ?record.readiness,
                 layers = ?record.layers,
+                deployed,
                 "registration changed"
             );
         }
@@ -315,6 +321,7 @@
     tokio::spawn(ingress_calls::run(Arc::clone(shared)));
     tokio::spawn(findings::forward(Arc::clone(shared)));
     tokio::spawn(refreshes::forward(Arc::clone(shared)));
+    tokio::spawn(services::follow_deployment(Arc::clone(shared)));
     tracing::info!(event = "TS2503", %address, "platform API started");
     Ok(Some(address))
 }
--- a/crates/toucanshelf-core/src/lib.rs
+++ b/crates/toucanshelf-core/src/lib.rs
@@ -30,3 +30,4 @@
 pub mod state;
 pub mod target;
 pub mod ticket;
+mod undeployed;
--- a/crates/toucanshelf-core/src/registry.rs
+++ b/crates/toucanshelf-core/src/registry.rs
@@ -1,17 +1,20 @@
 //! Registry of the latest registration of every target.
 //!
-//! Registrations may arrive late or out of order; the registry ignores outdated ones.
+//! Registrations may arrive late or out of order; the registry ignores outdated ones. It holds those
+//! of services that the deployment doesn't name apart, so that they neither replace nor outdate any
+//! other registration.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use crate::ids::Incarnation;
 use crate::registration::{Readiness, Registration};
+use crate::undeployed::Undeployed;
 
 /// Time for which a target that has left stays in the registry, in milliseconds.
 // The time must be longer than a network partition can delay a heartbeat. A delayed heartbeat that
 // arrives after the target was removed from the registry would register it again.
-const GONE_RETENTION_MS: u64 = 120_000;
+pub(crate) const GONE_RETENTION_MS: u64 = 120_000;
 
 /// Effect of a registration on the registry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -35,23 +38,109 @@
     pub last_seen_ms: u64,
 }
 
+impl Entry {
+    pub(crate) fn new(record: Registration, now: u64) -> Self {
+        Self {
+            record,
+            first_seen_ms: now,
+            last_seen_ms: now,
+        }
+    }
+
+    /// Replaces the registration by another one of the same target, unless it is outdated.
+    pub(crate) fn replace(&mut self, record: Registration, now: u64) -> RegistryChange {
+        if !record.supersedes(&self.record) {
+            return RegistryChange::Stale;
+        }
+        let old = std::mem::replace(&mut self.record, record);
+        self.last_seen_ms = now;
+        if old.incarnation != self.record.incarnation {
+            self.first_seen_ms = now;
+        }
+        let same = Registration {
+            sequence: self.record.sequence,
+            ..old
+        };
+        if same == self.record {
+            RegistryChange::Refreshed
+        } else {
+            RegistryChange::Changed
+        }
+    }
+
+    /// Returns whether the entry holds what `record` says, or a later state of the same start.
+    fn holds(&self, record: &Registration) -> bool {
+        let known = &self.record;
+        let is_held = known.readiness == Readiness::Gone || known.sequence >= record.sequence;
+        known.incarnation == record.incarnation
+            && is_held
+            && (record.readiness == Readiness::Ready || known.readiness != Readiness::Ready)
+    }
+}
+
 /// All known targets by id.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     entries: BTreeMap<Box<str>, Entry>,
+    /// Services that the deployment names; `None` if all count as named.
+    services: Option<BTreeSet<Box<str>>>,
+    undeployed: Undeployed,
     /// Ids of the targets in `entries` by their latest address.
     ids: BTreeMap<SocketAddr, BTreeSet<Box<str>>>,
 }
 
 impl Registry {
-    /// Creates an empty registry.
+    /// Creates an empty registry for which each service is deployed.
     pub fn new() -> Self {
         Self::default()
     }
 
+    /// Creates an empty registry for which no service is deployed yet.
+    pub fn without_deployment() -> Self {
+        Self {
+            services: Some(BTreeSet::new()),
+            ..Self::default()
+        }
+    }
+
+    /// Replaces the services that are deployed, at `now` in milliseconds.
+    ///
+    /// Targets that registered earlier for a service that is new are entered now, and returned.
+    /// Those of a service that is no longer deployed stay until they leave.
+    pub fn set_services(
+        &mut self,
+        services: impl IntoIterator<Item = Box<str>>,
+        now: u64,
+    ) -> Vec<Registration> {
+        let services: BTreeSet<_> = services.into_iter().collect();
+        let entries = self.undeployed.take(&services);
+        self.services = Some(services);
+        let entered = entries
+            .into_iter()
+            .filter_map(|entry| self.enter(entry, now));
+        entered.collect()
+    }
+
+    /// Enters a target whose service is deployed now, with the times at which it registered.
+    ///
+    /// Returns its registration unless that is outdated.
+    fn enter(&mut self, registered: Entry, now: u64) -> Option<Registration> {
+        let record = registered.record;
+        if self.apply(record.clone(), now) != RegistryChange::Changed {
+            return None;
+        }
+        let entry = self.entries.get_mut(&record.id)?;
+        entry.first_seen_ms = registered.first_seen_ms;
+        entry.last_seen_ms = registered.last_seen_ms;
+        Some(record)
+    }
+
     /// Applies a registration that arrived at `now`, in milliseconds.
     pub fn apply(&mut self, record: Registration, now: u64) -> RegistryChange {
-        if self.is_outdated_at_address(&record) {
+        if !self.is_deployed(&record) {
+            return self.apply_undeployed(record, now);
+        }
+        if self.is_outdated_at_address(&record) || self.undeployed.has_left(&record) {
             return RegistryChange::Stale;
         }
         if record.readiness != Readiness::Gone {
@@ -59,40 +148,43 @@
         }
         let Some(entry) = self.entries.get_mut(&record.id) else {
             self.add_id(record.address, &record.id);
-            let entry = Entry {
-                first_seen_ms: now,
-                last_seen_ms: now,
-                record,
-            };
+            let entry = Entry::new(record, now);
             self.entries.insert(entry.record.id.clone(), entry);
             return RegistryChange::Changed;
         };
-        if !record.supersedes(&entry.record) {
-            return RegistryChange::Stale;
-        }
-        let address = record.address;
-        let old = std::mem::replace(&mut entry.record, record);
-        entry.last_seen_ms = now;
-        if old.incarnation != entry.record.incarnation {
-            entry.first_seen_ms = now;
-        }
-        let old_address = old.address;
-        let same = Registration {
-            sequence: entry.record.sequence,
-            ..old
-        };
-        let change = if same == entry.record {
-            RegistryChange::Refreshed
-        } else {
-            RegistryChange::Changed
-        };
-        if old_address != address {
-            remove_id(&mut self.ids, old_address, &same.id);
-            self.add_id(address, &same.id);
+        let (id, address) = (record.id.clone(), record.address);
+        let old_address = entry.record.address;
+        let change = entry.replace(record, now);
+        if change == RegistryChange::Changed && old_address != address {
+            remove_id(&mut self.ids, old_address, &id);
+            self.add_id(address, &id);
         }
         change
     }
 
+    /// Applies a registration of a service that the deployment doesn't name.
+    ///
+    /// Of the other registrations, it concerns only those of a target that has left by its word.
+    fn apply_undeployed(&mut self, record: Registration, now: u64) -> RegistryChange {
+        let left = (record.readiness == Readiness::Gone).then_some(record.incarnation);
+        let id = record.id.clone();
+        let change = self.undeployed.apply(record, now);
+        let departed =
+            left.and_then(|incarnation| self.mark_entered_gone(&id, Some(incarnation), now));
+        departed.map_or(change, |_| RegistryChange::Changed)
+    }
+
+    /// Returns whether the deployment names the service of `record`, or did for this start of it.
+    pub fn is_deployed(&self, record: &Registration) -> bool {
+        let is_named = |services: &BTreeSet<_>| services.contains(&record.service);
+        let is_entered = |entry: &Entry| {
+            let known = &entry.record;
+            (known.incarnation, &known.service) == (record.incarnation, &record.service)
+        };
+        self.services.as_ref().is_none_or(is_named)
+            || self.entries.get(&record.id).is_some_and(is_entered)
+    }
+
     /// Returns whether `record` names another service, address or zone than the same start of the
     /// target does in the registry.
     ///
@@ -113,25 +205,35 @@
     /// A target that drains or has left doesn't become ready again, so a drain is held only by an entry
     /// that isn't ready.
     pub fn holds(&self, record: &Registration) -> bool {
-        self.entries.get(&record.id).is_some_and(|entry| {
-            let known = &entry.record;
-            let is_held = known.readiness == Readiness::Gone || known.sequence >= record.sequence;
-            known.incarnation == record.incarnation
-                && is_held
-                && (record.readiness == Readiness::Ready || known.readiness != Readiness::Ready)
-        })
+        if self.is_deployed(record) {
+            let entry = self.entries.get(&record.id);
+            return entry.is_some_and(|entry| entry.holds(record));
+        }
+        let entry = self.undeployed.get(record);
+        entry.is_some_and(|entry| entry.holds(record))
     }
 
     /// Marks a target as gone at `now`, in milliseconds.
     ///
     /// Returns the changed registration. The call has no effect and returns `None` if the target is
     /// unknown or already gone, or if its registered incarnation is newer than `incarnation`. If
-    /// `incarnation` is newer, its heartbeats that arrive late are outdated from now on.
+    /// `incarnation` is newer, its heartbeats that arrive late are outdated from now on. A departure
+    /// concerns the target whatever service it has registered for.
     pub fn mark_gone(
         &mut self,
         id: &str,
         incarnation: Option<Incarnation>,
         now: u64,
+    ) -> Option<Registration> {
+        let undeployed = self.undeployed.mark_gone(id, incarnation, now);
+        self.mark_entered_gone(id, incarnation, now).or(undeployed)
+    }
+
+    fn mark_entered_gone(
+        &mut self,
+        id: &str,
+        incarnation: Option<Incarnation>,
+        now: u64,
     ) -> Option<Registration> {
         let entry = self.entries.get_mut(id)?;
         let known = entry.record.incarnation;
@@ -146,20 +248,41 @@
         Some(entry.record.clone())
     }
 
-    /// Returns the entries of all targets, including those that have left.
+    /// Returns the entries of all targets of deployed services, including those that have left.
     pub fn entries(&self) -> impl Iterator<Item = &Entry> {
         self.entries.values()
     }
 
+    /// Returns the entries of all targets whose services aren't deployed.
+    pub fn undeployed(&self) -> impl Iterator<Item = &Entry> {
+        self.undeployed.entries()
+    }
+
+    /// Returns the entry of the target with this id, if its service is deployed.
+    pub fn deployed(&self, id: &str) -> Option<&Entry> {
+        self.entries.get(id)
+    }
+
     /// Returns the entry of the target with this id.
+    ///
+    /// If the target has registered for several services, one that is deployed comes first.
     pub fn get(&self, id: &str) -> Option<&Entry> {
-        self.entries.get(id)
+        let entry = self.entries.get(id);
+        entry.or_else(|| self.undeployed.first_of(id))
+    }
+
+    /// Returns whether a departure of the target would be heard, since its start is known.
+    ///
+    /// Without an `incarnation`, any start of the target is meant.
+    pub fn knows_start(&self, id: &str, incarnation: Option<Incarnation>) -> bool {
+        self.entries.contains_key(id) || self.undeployed.knows_start(id, incarnation)
     }
 
     /// Removes the targets that left at least `GONE_RETENTION_MS` before `now`.
     ///
     /// `now` is in milliseconds.
     pub fn prune(&mut self, now: u64) {
+        self.undeployed.prune(now);
         let ids = &mut self.ids;
         self.entries.retain(|id, entry| {
             let is_kept = entry.record.readiness != Readiness::Gone
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -183,7 +183,7 @@
             if known.is_some_and(|known| known >= version) {
                 return false;
             }
-            self.targets().set_models(&deployment);
+            self.targets().set_deployment(&deployment, self.now());
             *table = Some(Arc::new(RouteTable::new(deployment)));
         }
         self.limits.send_replace(limits);
--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -205,7 +205,7 @@
     /// Creates an empty table for an ingress in `zone`.
     pub fn new(zone: &str) -> Self {
         Self {
-            registry: Registry::new(),
+            registry: Registry::without_deployment(),
             pruned_ms: 0,
             arena: Arena::new(),
             by_id: HashMap::new(),
@@ -217,10 +217,16 @@
         }
     }
 
-    /// Replaces the models of all services by those of a deployment.
+    /// Replaces the services and their models by those of a deployment, at `now` in milliseconds.
     ///
-    /// A deployment is the versioned configuration that the control instances distribute.
-    pub fn set_models(&mut self, deployment: &Deployment) {
+    /// A deployment is the versioned configuration that the control instances distribute. Targets that
+    /// registered before their service was deployed are used from now on.
+    pub fn set_deployment(&mut self, deployment: &Deployment, now: u64) {
+        let services = deployment.services.iter();
+        let names = services.map(|service| service.name.clone());
+        for record in self.registry.set_services(names, now) {
+            self.update_targets(&record.id, record.address);
+        }
         let models = deployment.models();
         self.models = models
             .map(|(service, model)| (service.name.clone(), model.clone()))
@@ -245,21 +251,30 @@
         if self.registry.apply(record, now) != RegistryChange::Changed {
             return;
         }
-        // The new registration may have replaced that of another target at the same address, so all
-        // targets with this identity or address are updated.
-        let others = self.registry.at_address(address);
-        let others = others.filter(|entry| entry.record.id != id);
-        let affected = self.registry.get(&id).into_iter().chain(others);
-        let affected: Vec<_> = affected.map(|entry| entry.record.clone()).collect();
-        for record in affected {
-            self.update_target(record);
-        }
+        self.update_targets(&id, address);
         if now >= self.pruned_ms + PRUNE_INTERVAL_MS {
             self.registry.prune(now);
             self.pruned_ms = now;
         }
     }
 
+    /// Updates all targets with this identity or address after a changed registration.
+    ///
+    /// The registration may have replaced that of another target at the same address.
+    fn update_targets(&mut self, id: &str, address: SocketAddr) {
+        let others = self.registry.at_address(address);
+        let others = others.filter(|entry| &*entry.record.id != id);
+        let own = self.registry.deployed(id);
+        let affected: Vec<_> = own
+            .into_iter()
+            .chain(others)
+            .map(|entry| entry.record.clone())
+            .collect();
+        for record in affected {
+            self.update_target(record);
+        }
+    }
+
     /// Adds, updates, replaces or removes the target that a registration describes.
     ///
     /// A new incarnation, after a restart, replaces the target and thus resets its health. A target
--- a/tests/testsuite/other_writers.rs
+++ b/tests/testsuite/other_writers.rs
@@ -139,6 +139,49 @@
     assert_eq!(two.received_by_first().await, 0);
 }
 
+/// Guards against targets that are lost to registrations of a service that the deployment doesn't name.
+///
+/// Another writer sends them, with a later start, at the address of each target and in its name.
+#[tokio::test]
+async fn unnamed_service_beside_targets() {
+    let two = TwoTargets::start().await;
+    let foreign =
+        |address| serde_json::json!({ "service": "unnamed", "address": address, "born": 2 * BORN });
+    for (n, target) in two.targets.iter().enumerate() {
+        let heartbeat = two.heartbeat(&foreign(target.address));
+        for id in [format!("m{n}"), format!("t{n}")] {
+            assert_eq!(two.platform.send_heartbeat(&id, &heartbeat).await, 200);
+        }
+    }
+    // The drain of the second target ends a wait for the ingress, which has applied all before it.
+    let drain = serde_json::json!({
+        "address": two.targets[1].address, "state": "draining", "born": BORN + 1
+    });
+    let drain = two.heartbeat(&drain);
+    assert_eq!(two.platform.send_heartbeat("t1", &drain).await, 200);
+    assert_eq!(two.received_by_first().await, 12);
+    assert_eq!(two.beat(serde_json::json!({ "seq": 3 })).await, 200);
+}
+
+/// Guards against a target that is never used because it registered before its service was deployed.
+#[tokio::test]
+async fn registered_before_deployment() {
+    let two = TwoTargets::start().await;
+    let late = Target::start([]).await;
+    let registration = serde_json::json!({ "service": "late", "address": late.address });
+    let heartbeat = two.heartbeat(&registration);
+    assert_eq!(two.platform.send_heartbeat("late", &heartbeat).await, 200);
+    let document =
+        DeploymentBuilder::new(2)
+            .service("late")
+            .route("late", "a.example", "/late/", "late");
+    assert_eq!(two.platform.put_deployment(&document.build()).await, 200);
+    two.platform.wait_until_in_sync().await;
+    let id = ("x-toucanshelf-request-id", "r1");
+    let answer = call_ingress(&two.platform.ingress, "GET", "/late/", &[id]).await;
+    assert_eq!(answer.status, 200);
+}
+
 /// Guards against a departure that is acknowledged and forgotten by an instance that has restarted.
 ///
 /// The target is registered at other instances, and a heartbeat of it may still arrive.
--- a/tests/testsuite/registry.rs
+++ b/tests/testsuite/registry.rs
@@ -237,3 +237,117 @@
     registry.prune(120_000);
     assert_eq!(registry.apply(late, 0), RegistryChange::Changed);
 }
+
+/// A registration or a change of the deployment.
+#[derive(Clone, Debug)]
+enum Step {
+    Apply(Registration),
+    /// The deployment names the service of the targets from now on.
+    Deploy,
+    Leave(&'static str, u64),
+}
+
+/// Returns the registrations of targets that are used or were, without those of other writers.
+fn entered(steps: &[Step]) -> Vec<Registration> {
+    let mut registry = Registry::without_deployment();
+    for step in steps {
+        match step {
+            Step::Apply(record) => {
+                registry.apply(record.clone(), 0);
+            }
+            Step::Deploy => {
+                registry.set_services(["s".into()], 0);
+            }
+            Step::Leave(id, incarnation) => {
+                registry.mark_gone(id, Some(Incarnation(*incarnation)), 0);
+            }
+        }
+    }
+    registry.set_services(["s".into()], 0);
+    registry
+        .entries()
+        .map(|entry| entry.record.clone())
+        .collect()
+}
+
+/// Guards against a registration that is changed by those of a service that isn't deployed.
+///
+/// Explores all orders of registrations of two targets at one address, beside those of another
+/// writer in their names and in a name of its own.
+#[test]
+fn undeployed_service_changes_no_other() {
+    let foreign = |id, incarnation| Registration {
+        service: "unnamed".into(),
+        ..registration(id, incarnation, 9)
+    };
+    let draining = Registration {
+        readiness: Readiness::Draining,
+        ..registration("a", 1, 2)
+    };
+    let mut steps = vec![Step::Deploy];
+    for record in [
+        registration("a", 1, 1),
+        draining,
+        registration("a", 2, 1),
+        registration("b", 2, 1),
+        foreign("a", 1),
+        foreign("a", 3),
+        foreign("m", 3),
+    ] {
+        steps.push(Step::Apply(record));
+    }
+    for list in lists(&steps, 5) {
+        let is_own = |step: &&Step| !matches!(step, Step::Apply(record) if &*record.service != "s");
+        let own: Vec<_> = list.iter().filter(is_own).cloned().collect();
+        assert_eq!(entered(&list), entered(&own), "{list:?}");
+    }
+}
+
+/// Guards against a target that is used again after its departure, since its service was deployed later.
+///
+/// Explores all orders, also with registrations of another writer in the target's name.
+#[test]
+fn departure_before_deployment() {
+    let foreign = Registration {
+        service: "unnamed".into(),
+        ..registration("a", 1, 9)
+    };
+    let steps = [
+        Step::Deploy,
+        Step::Apply(registration("a", 1, 1)),
+        Step::Apply(registration("a", 1, 2)),
+        Step::Apply(foreign),
+        Step::Leave("a", 1),
+    ];
+    for list in lists(&steps, 6) {
+        let mut registered = list
+            .iter()
+            .skip_while(|step| !matches!(step, Step::Apply(_)));
+        let has_left = registered.any(|step| matches!(step, Step::Leave(..)));
+        let entered = entered(&list);
+        let is_used = entered
+            .iter()
+            .any(|record| record.readiness != Readiness::Gone);
+        assert!(!has_left || !is_used, "{list:?}: {entered:?}");
+    }
+}
+
+/// Guards against a target that counts as new because its service was deployed after it registered.
+#[test]
+fn entered_with_times_of_registration() {
+    let mut registry = Registry::without_deployment();
+    registry.apply(registration("a", 1, 1), 100);
+    registry.apply(registration("a", 1, 2), 200);
+    assert_eq!(registry.entries().count(), 0);
+    let entered = registry.set_services(["s".into()], 900);
+    assert_eq!(entered, [registration("a", 1, 2)]);
+    let entry = registry.get("a").unwrap();
+    assert_eq!((entry.first_seen_ms, entry.last_seen_ms), (100, 200));
+    registry.set_services([], 1_000);
+    let change = registry.apply(registration("a", 1, 3), 1_000);
+    assert_eq!(
+        change,
+        RegistryChange::Refreshed,
+        "it stays until it leaves"
+    );
+}
