Say what became of a vote, and look up the committed voters cheaply

Cause: reading the change again: the status was published with a walk over the whole log each time, one outcome in TS2111 stood for two, and a constant was public that nobody uses. Change: the committed membership is looked up only while a change is pending; TS2111 tells a vote that was handed over from one that the replica never had.

--- a/crates/toucanshelf-control/src/hand_over.rs
+++ b/crates/toucanshelf-control/src/hand_over.rs
@@ -18,14 +18,18 @@
 /// Announces that this instance is about to stop, and waits while its vote can be handed over.
 pub(crate) async fn run(shared: &Shared) {
     let started = Instant::now();
+    let voted = shared.driver.status().votes;
     let outcome = loop {
         shared.driver.announce_departure(shared.driver.replica());
         shared.peers.announce_departure();
         // Even without a wait, the announcement needs time to be sent.
         tokio::time::sleep(ANNOUNCE_INTERVAL).await;
         let status = shared.driver.status();
+        if !status.votes && voted {
+            break "another replica votes";
+        }
         if !status.votes {
-            break "this replica doesn't vote";
+            break "this replica has no vote";
         }
         if status.suspended {
             break "this replica is suspended";
--- a/crates/toucanshelf-coordination/src/replica/departures.rs
+++ b/crates/toucanshelf-coordination/src/replica/departures.rs
@@ -8,7 +8,7 @@
 /// Time within which a replica ends after its announcement, in milliseconds.
 ///
 /// One that still answers after it has stayed, for example because it has started again unnoticed.
-pub const DEPARTURE_MS: u64 = 10_000;
+const DEPARTURE_MS: u64 = 10_000;
 
 /// Replicas that have announced that they stop, with the times of the announcements.
 ///
--- a/crates/toucanshelf-coordination/src/replica/mod.rs
+++ b/crates/toucanshelf-coordination/src/replica/mod.rs
@@ -24,7 +24,7 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
-pub use departures::{DEPARTURE_MS, Departures};
+pub use departures::Departures;
 pub use entry::{Entry, EntryBody, Index, LogSnapshot, Membership, Persisted, ReplicaId, Term};
 pub use message::{Message, MessageBody};
 use progress::Progress;
@@ -183,7 +183,11 @@
 
     /// Returns the voters and learners of the last membership change that is known to be committed.
     pub fn committed_membership(&self) -> Membership {
-        self.membership_at(self.commit)
+        if self.is_change_pending() {
+            self.membership_at(self.commit)
+        } else {
+            self.membership.clone()
+        }
     }
 
     /// Returns the number of log entries that this replica holds in memory.
@@ -302,10 +306,7 @@
         if self.role != Role::Leader {
             return Err(ProposeError::NotLeader(self.leader));
         }
-        let change_pending = self
-            .entries_from(Index(self.commit.0 + 1))
-            .any(Entry::is_membership);
-        if self.commit < self.term_start || change_pending {
+        if self.commit < self.term_start || self.is_change_pending() {
             return Err(ProposeError::ChangePending);
         }
         let changed = self
@@ -453,6 +454,12 @@
         Some(self.now.saturating_sub(last_heard))
     }
 
+    /// Returns whether the log has a membership change that isn't known to be committed.
+    fn is_change_pending(&self) -> bool {
+        let mut uncommitted = self.entries_from(Index(self.commit.0 + 1));
+        uncommitted.any(Entry::is_membership)
+    }
+
     /// Returns whether a replica has lately acknowledged a message of this leader's term.
     fn answers(&self, id: ReplicaId) -> bool {
         let has_acked = |progress: &Progress| {
