--- a/crates/toucanshelf-control/src/driver/mod.rs
+++ b/crates/toucanshelf-control/src/driver/mod.rs
@@ -7,9 +7,10 @@
 
 mod apply;
 mod bootstrap;
+mod members;
 mod suspension;
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::fmt;
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::sync::{Arc, Mutex, RwLock, RwLockReadGuard};
@@ -17,8 +18,8 @@
 
 use tokio::sync::{oneshot, watch};
 use toucanshelf_coordination::replica::{
-    Departures, Entry, Index, MAX_VOTERS, Membership, Message, Persisted, Replica, ReplicaConfig,
-    ReplicaId, Role, Term, VoterPolicy, next_membership, silence_limit_ms,
+    Departures, Entry, Index, Membership, Message, Persisted, Replica, ReplicaConfig, ReplicaId,
+    Role, Term,
 };
 use toucanshelf_coordination::store::{LogStore, OpenStore, StoreError};
 use toucanshelf_core::ids::{LogTimeMs, Revision};
@@ -575,50 +576,6 @@
         self.revision
             .send_if_modified(|old| std::mem::replace(old, revision) != revision);
     }
-
-    /// Returns the desired number of voters, and which replicas may not vote any longer or not yet.
-    ///
-    /// No replica is unresponsive or leaving if the settings enable no platform.
-    fn voter_policy(&mut self) -> VoterPolicy {
-        let Some(deployment) = &self.shared.settings.deployment else {
-            return VoterPolicy::of_leader(&self.replica, MAX_VOTERS, None, BTreeSet::new());
-        };
-        let wanted = 2 * deployment.tolerated_losses + 1;
-        let leaving = self.departures.leaving(&self.replica, self.now());
-        let limit = silence_limit_ms(deployment.catch_up_ms);
-        VoterPolicy::of_leader(&self.replica, wanted, Some(limit), leaving)
-    }
-
-    /// As leader, sets the id of a new log and proposes membership changes.
-    ///
-    /// Newly seen replicas become learners, which receive the log without voting. Learners that
-    /// have caught up become voters.
-    fn adjust_membership(&mut self) {
-        if !self.replica.has_lease() {
-            return;
-        }
-        if self.shared.driver.log().is_none() && self.pending.is_empty() {
-            let (reply, _) = oneshot::channel();
-            self.propose(CommandBody::Found { log: rand_u64() }, reply);
-        }
-        let policy = self.voter_policy();
-        let Some(next) = next_membership(self.replica.membership(), &self.known_replicas, &policy)
-        else {
-            return;
-        };
-        let voters: Vec<_> = next.voters.iter().map(|id| id.0).collect();
-        match self.replica.propose_membership(next) {
-            Ok(index) => tracing::info!(
-                event = "TS2104",
-                index = index.0,
-                ?voters,
-                unresponsive = ?policy.unresponsive,
-                leaving = ?policy.leaving,
-                "membership change proposed"
-            ),
-            Err(cause) => tracing::trace!(event = "TS2105", %cause, "membership change deferred"),
-        }
-    }
 }
 
 /// Returns the time since the Unix epoch, in milliseconds.
