Explore replacements with two losses at a time, too

Change: the exploration takes the number of losses; a planned replacement removes one instance more than may be lost.

--- a/crates/toucanshelf-coordination/tests/replica/replacement.rs
+++ b/crates/toucanshelf-coordination/tests/replica/replacement.rs
@@ -25,15 +25,21 @@
     cluster: Cluster,
     /// Departures that each replica has heard of.
     departures: BTreeMap<ReplicaId, Departures>,
+    wanted: usize,
     silence_limit_ms: u64,
 }
 
 impl Replaced {
     fn new(seed: u64, silence_limit_ms: u64) -> Self {
-        let (cluster, _) = elected_cluster(WANTED as u32, seed);
+        Self::with_voters(WANTED, seed, silence_limit_ms)
+    }
+
+    fn with_voters(wanted: usize, seed: u64, silence_limit_ms: u64) -> Self {
+        let (cluster, _) = elected_cluster(wanted as u32, seed);
         Self {
             cluster,
             departures: BTreeMap::new(),
+            wanted,
             silence_limit_ms,
         }
     }
@@ -46,7 +52,8 @@
         let leader = self.cluster.replica(id).unwrap();
         let departures = self.departures.entry(id).or_default();
         let leaving = departures.leaving(leader, self.cluster.now);
-        let policy = VoterPolicy::of_leader(leader, WANTED, Some(self.silence_limit_ms), leaving);
+        let policy =
+            VoterPolicy::of_leader(leader, self.wanted, Some(self.silence_limit_ms), leaving);
         let current = leader.membership().clone();
         if let Some(next) = next_membership(&current, &self.cluster.ids(), &policy) {
             self.cluster.propose_membership(id, next);
@@ -249,27 +256,27 @@
     assert_eq!(silence_limit_ms(Some(0)), 1_200);
 }
 
-/// Kinds of events at an instance.
+/// Kinds of events, each at as many instances as may be lost at a time.
 #[derive(Clone, Copy, Debug)]
 enum Event {
-    /// Two successors start and catch up; then two instances leave for good, one after the other.
-    ReplaceTwo,
-    /// An instance is lost for good, and a successor starts.
+    /// Successors start and catch up; then more instances than may be lost leave for good, in turn.
+    Replace,
+    /// Instances are lost for good, and successors start.
     Lose,
-    /// An instance stops with an announcement and starts again.
+    /// Instances stop with an announcement, in turn, and start again.
     Restart,
-    /// An instance is killed and starts again.
+    /// Instances are killed and start again.
     Kill,
-    /// An instance loses its disk and starts again.
+    /// Instances lose their disks and start again.
     LoseDisk,
-    /// An instance stands still.
+    /// Instances stand still.
     Freeze,
-    /// An instance is cut off from all others.
+    /// Instances are cut off from all others.
     CutOff,
 }
 
 const EVENTS: [Event; 7] = [
-    Event::ReplaceTwo,
+    Event::Replace,
     Event::Lose,
     Event::Restart,
     Event::Kill,
@@ -282,118 +289,137 @@
 struct Explored {
     replaced: Replaced,
     rng: ChaCha8Rng,
+    /// Number of instances that may be lost at a time.
+    losses: usize,
     running: Vec<ReplicaId>,
     next_instance: u32,
 }
 
 impl Explored {
-    fn new(seed: u64) -> Self {
-        let replaced = Replaced::new(seed, silence_limit_ms(Some(CATCH_UP_MS)));
+    fn new(losses: usize, seed: u64) -> Self {
+        let wanted = 2 * losses + 1;
+        let limit = silence_limit_ms(Some(CATCH_UP_MS));
+        let replaced = Replaced::with_voters(wanted, seed, limit);
         Self {
             running: replaced.cluster.ids(),
             replaced,
             rng: ChaCha8Rng::seed_from_u64(seed),
-            next_instance: WANTED as u32 + 1,
+            losses,
+            next_instance: wanted as u32 + 1,
         }
     }
 
-    fn join(&mut self) {
-        self.running.push(self.replaced.join(self.next_instance));
-        self.next_instance += 1;
+    fn join(&mut self, count: usize) {
+        for _ in 0..count {
+            self.running.push(self.replaced.join(self.next_instance));
+            self.next_instance += 1;
+        }
     }
 
-    fn remove_any(&mut self) -> ReplicaId {
-        self.running
-            .swap_remove(self.rng.random_range(0..self.running.len()))
+    fn remove_any(&mut self, count: usize) -> Vec<ReplicaId> {
+        let mut pick = || {
+            let n = self.rng.random_range(0..self.running.len());
+            self.running.swap_remove(n)
+        };
+        (0..count).map(|_| pick()).collect()
     }
 
-    /// Plays an event at a random instance until it no longer counts as a loss.
+    /// Plays an event at random instances until it no longer counts as a loss.
     fn play(&mut self, event: Event) {
-        if matches!(event, Event::ReplaceTwo) {
-            let leaving = [self.remove_any(), self.remove_any()];
-            self.join();
-            self.join();
+        if matches!(event, Event::Replace) {
+            let count = self.losses + 1;
+            let leaving = self.remove_any(count);
+            self.join(count);
             self.replaced.run(CATCH_UP_MS);
             for id in leaving {
                 self.replaced.leave(id);
             }
             return;
         }
-        let id = self.remove_any();
+        let ids = self.remove_any(self.losses);
         let outage_ms = self.rng.random_range(0..CATCH_UP_MS);
-        let outage = |replaced: &mut Replaced| replaced.run(outage_ms);
-        match event {
-            Event::ReplaceTwo => {}
-            Event::Lose => {
-                self.replaced.cluster.crash(id);
-                outage(&mut self.replaced);
-                self.join();
-            }
-            Event::Restart => {
-                self.replaced.leave(id);
-                outage(&mut self.replaced);
-                self.replaced.start(id);
-                self.running.push(id);
-            }
-            Event::Kill => {
-                self.replaced.cluster.crash(id);
-                outage(&mut self.replaced);
-                self.replaced.start(id);
-                self.running.push(id);
-            }
-            Event::LoseDisk => {
-                let emptied = self.replaced.cluster.lose_disk(id);
-                self.running.push(emptied);
-            }
-            Event::Freeze => {
-                self.replaced.cluster.freeze(id, outage_ms);
-                outage(&mut self.replaced);
-                self.running.push(id);
+        self.begin(event, &ids, outage_ms);
+        self.replaced.run(outage_ms);
+        self.end(event, ids);
+        self.replaced.run(CATCH_UP_MS);
+    }
+
+    fn begin(&mut self, event: Event, ids: &[ReplicaId], outage_ms: u64) {
+        for id in ids {
+            match event {
+                Event::Lose | Event::Kill => self.replaced.cluster.crash(*id),
+                Event::Restart => self.replaced.leave(*id),
+                Event::Freeze => self.replaced.cluster.freeze(*id, outage_ms),
+                Event::CutOff => self.replaced.cluster.isolate(*id),
+                Event::LoseDisk | Event::Replace => {}
             }
-            Event::CutOff => {
-                self.replaced.cluster.isolate(id);
-                outage(&mut self.replaced);
-                self.replaced.cluster.rejoin(id);
-                self.running.push(id);
+        }
+    }
+
+    fn end(&mut self, event: Event, ids: Vec<ReplicaId>) {
+        for id in ids {
+            match event {
+                Event::Lose => {
+                    self.join(1);
+                    continue;
+                }
+                Event::LoseDisk => {
+                    let emptied = self.replaced.cluster.lose_disk(id);
+                    self.running.push(emptied);
+                    continue;
+                }
+                Event::Restart | Event::Kill => self.replaced.start(id),
+                Event::CutOff => self.replaced.cluster.rejoin(id),
+                Event::Freeze | Event::Replace => {}
             }
+            self.running.push(id);
         }
-        self.replaced.run(CATCH_UP_MS);
     }
 }
 
-/// Checks that no order of events ends the quorum if one instance is lost at a time.
+/// Checks that no order of events ends the quorum if no more than `losses` instances are lost at a time.
 ///
 /// The cluster asserts that no two replicas lead a term or hold a lease, and that all apply the same
 /// entries.
+fn check_replacements(losses: usize, seed: u64) {
+    let mut explored = Explored::new(losses, seed);
+    if seed.is_multiple_of(2) {
+        explored.join(1);
+        explored.replaced.run(CATCH_UP_MS);
+    }
+    let mut played = Vec::new();
+    for round in 0..12 {
+        let event = EVENTS[explored.rng.random_range(0..EVENTS.len())];
+        played.push(event);
+        explored.play(event);
+        if explored.rng.random_bool(0.3) {
+            let what = format!("seed {seed}, round {round}, {played:?}");
+            explored.replaced.check_progress(&what);
+        }
+    }
+    let what = format!("seed {seed}, {played:?}");
+    explored.replaced.check_progress(&what);
+    for id in &explored.running {
+        explored.replaced.cluster.check_complete(*id);
+    }
+    let running: BTreeSet<_> = explored.running.iter().copied().collect();
+    let voters = explored.replaced.voters();
+    assert!(
+        voters.len() == explored.replaced.wanted && voters.is_subset(&running),
+        "{what}: {voters:?} of {running:?}"
+    );
+}
+
 #[test]
 fn explore_replacements() {
     for seed in 0..200 {
-        let mut explored = Explored::new(seed);
-        if seed % 2 == 0 {
-            explored.join();
-            explored.replaced.run(CATCH_UP_MS);
-        }
-        let mut played = Vec::new();
-        for round in 0..12 {
-            let event = EVENTS[explored.rng.random_range(0..EVENTS.len())];
-            played.push(event);
-            explored.play(event);
-            let what = format!("seed {seed}, round {round}, {played:?}");
-            if explored.rng.random_bool(0.3) {
-                explored.replaced.check_progress(&what);
-            }
-        }
-        explored
-            .replaced
-            .check_progress(&format!("seed {seed}, {played:?}"));
-        for id in &explored.running {
-            explored.replaced.cluster.check_complete(*id);
-        }
-        let running: BTreeSet<_> = explored.running.iter().copied().collect();
-        let voters = explored.replaced.voters();
-        assert!(
-            voters.len() == WANTED && voters.is_subset(&running),
-            "seed {seed}, {played:?}: {voters:?} of {running:?}"
-        );
+        check_replacements(1, seed);
+    }
+}
+
+#[test]
+fn explore_replacements_with_two_losses() {
+    for seed in 0..100 {
+        check_replacements(2, seed);
     }
 }
