--- a/crates/toucanshelf-coordination/tests/replica/replacement.rs
+++ b/crates/toucanshelf-coordination/tests/replica/replacement.rs
@@ -20,6 +20,9 @@
 /// Maximum time that an instance that leaves waits until its vote is handed over.
 const HAND_OVER_MS: u64 = 5_000;
 
+/// Time after its announcement for which a replica that still answers counts as leaving.
+const DEPARTURE_MS: u64 = 10_000;
+
 /// Cluster whose leader changes the members as control does.
 struct Replaced {
     cluster: Cluster,
@@ -80,12 +83,17 @@
         }
     }
 
-    /// Announces that a replica leaves, and stops it as soon as its vote is handed over.
-    fn leave(&mut self, id: ReplicaId) {
+    /// Tells all replicas that one of them leaves.
+    fn announce(&mut self, id: ReplicaId) {
         for other in self.cluster.ids() {
             let departures = self.departures.entry(other).or_default();
             departures.announce(id, self.cluster.now);
         }
+    }
+
+    /// Announces that a replica leaves, and stops it as soon as its vote is handed over.
+    fn leave(&mut self, id: ReplicaId) {
+        self.announce(id);
         let until = self.cluster.now + HAND_OVER_MS;
         let votes = |cluster: &Cluster| {
             let replica = cluster.replica(id).unwrap();
@@ -168,6 +176,40 @@
     }
 }
 
+/// Guards against an instance that never votes again, because its announcement arrives after its restart.
+#[test]
+fn late_announcement_of_departure() {
+    for seed in 0..50 {
+        let mut replaced = Replaced::new(seed, DEFAULT_SILENCE_LIMIT_MS);
+        let first = replaced.cluster.ids();
+        replaced.join(4);
+        replaced.run(NEW_LEADER_MS);
+        replaced.leave(first[0]);
+        replaced.start(first[0]);
+        replaced.announce(first[0]);
+        replaced.run(DEPARTURE_MS + NEW_LEADER_MS);
+        replaced.leave(first[1]);
+        replaced.check_progress(&format!("seed {seed}"));
+        assert!(replaced.voters().contains(&first[0]), "seed {seed}");
+    }
+}
+
+/// Guards against a vote that is handed to an instance that is about to stop itself.
+#[test]
+fn leaving_learner_is_not_promoted() {
+    for seed in 0..50 {
+        let mut replaced = Replaced::new(seed, DEFAULT_SILENCE_LIMIT_MS);
+        let first = replaced.cluster.ids();
+        let learner = replaced.join(4);
+        replaced.run(NEW_LEADER_MS);
+        replaced.announce(learner);
+        replaced.leave(first[0]);
+        replaced.cluster.crash(learner);
+        replaced.check_progress(&format!("seed {seed}"));
+        assert!(!replaced.voters().contains(&learner), "seed {seed}");
+    }
+}
+
 /// Guards against a quorum that counts on a learner that was lost while it waited to vote.
 ///
 /// One voter is lost, and its successor, too, before it votes. The two remaining voters must go on.
