Let one piece of code serve both kinds of registrations

Departures and retention were decided twice, in the registry and for services that aren't deployed; so were "has caught up" in the replica and the names of services. Each heartbeat looked up whether its service is deployed a second time, only for a log line that is mostly not written, and built keys for a table that is mostly empty. Change: Entry::mark_gone and Entry::is_expired serve both tables; Undeployed is keyed by id, then service, so that look-ups build no keys; Replica::has_caught_up, Deployment::service_names; the look-up for TS2501 only where the line is written; Departures::announce looks up once. Four tests share the set-up of a learner that has caught up; no assertion changes. The explorations of the registry (all orders of 5 and 6 steps) and of replacements pass unchanged.

--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -139,12 +139,11 @@
 
     /// Enters a target's registration into the registry and returns what it changed there.
     pub(crate) fn apply_registration(&self, record: &Registration) -> RegistryChange {
-        let (change, deployed) = {
-            let mut registry = self.registry();
-            let change = registry.apply(record.clone(), self.now());
-            (change, registry.is_deployed(record))
-        };
+        let mut registry = self.registry();
+        let change = registry.apply(record.clone(), self.now());
         if change == RegistryChange::Changed {
+            let deployed = registry.is_deployed(record);
+            drop(registry);
             tracing::info!(
                 event = "TS2501",
                 target_id = %record.id,
--- a/crates/toucanshelf-control/src/directory/services.rs
+++ b/crates/toucanshelf-control/src/directory/services.rs
@@ -26,8 +26,7 @@
     let Some(deployment) = deployment else {
         return;
     };
-    let services = deployment.services.iter();
-    let names = services.map(|service| service.name.clone());
+    let names = deployment.service_names();
     let entered = directory.registry().set_services(names, directory.now());
     for record in entered {
         tracing::info!(
--- a/crates/toucanshelf-control/src/hand_over.rs
+++ b/crates/toucanshelf-control/src/hand_over.rs
@@ -25,11 +25,12 @@
         // Even without a wait, the announcement needs time to be sent.
         tokio::time::sleep(ANNOUNCE_INTERVAL).await;
         let status = shared.driver.status();
-        if !status.votes && voted {
-            break "another replica votes";
-        }
         if !status.votes {
-            break "this replica has no vote";
+            break if voted {
+                "another replica votes"
+            } else {
+                "this replica has no vote"
+            };
         }
         if status.suspended {
             break "this replica is suspended";
--- a/crates/toucanshelf-coordination/src/replica/departures.rs
+++ b/crates/toucanshelf-coordination/src/replica/departures.rs
@@ -1,5 +1,6 @@
 //! Replicas that have announced that they stop.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet};
 
 use super::Replica;
@@ -29,8 +30,9 @@
     ///
     /// Returns whether that is news.
     pub fn announce(&mut self, id: ReplicaId, now: u64) -> bool {
-        let is_new = !self.announced.contains_key(&id);
-        self.announced.entry(id).or_insert(now);
+        let entry = self.announced.entry(id);
+        let is_new = matches!(entry, Entry::Vacant(_));
+        entry.or_insert(now);
         is_new
     }
 
--- a/crates/toucanshelf-coordination/src/replica/mod.rs
+++ b/crates/toucanshelf-coordination/src/replica/mod.rs
@@ -315,11 +315,7 @@
             .symmetric_difference(&next.voters)
             .count();
         let mut added = next.voters.difference(&self.membership.voters);
-        let caught_up = added.all(|id| {
-            self.progress
-                .get(id)
-                .is_some_and(|p| p.matched >= self.commit)
-        });
+        let caught_up = added.all(|id| self.has_caught_up(*id));
         if changed > 1 || next.voters.is_empty() || !caught_up {
             return Err(ProposeError::InvalidChange);
         }
@@ -460,6 +456,12 @@
         uncommitted.any(Entry::is_membership)
     }
 
+    /// Returns whether a replica is known to have all committed entries.
+    fn has_caught_up(&self, id: ReplicaId) -> bool {
+        let progress = self.progress.get(&id);
+        progress.is_some_and(|progress| progress.matched >= self.commit)
+    }
+
     /// Returns whether a replica has lately acknowledged a message of this leader's term.
     fn answers(&self, id: ReplicaId) -> bool {
         let has_acked = |progress: &Progress| {
--- a/crates/toucanshelf-coordination/src/replica/voters.rs
+++ b/crates/toucanshelf-coordination/src/replica/voters.rs
@@ -101,12 +101,7 @@
     ///
     /// The promotion enlarges the quorum. A learner that has just been lost would be missing in it.
     pub fn may_vote(&self, learner: ReplicaId) -> bool {
-        self.role == Role::Leader
-            && self.answers(learner)
-            && self
-                .progress
-                .get(&learner)
-                .is_some_and(|progress| progress.matched >= self.commit)
+        self.role == Role::Leader && self.answers(learner) && self.has_caught_up(learner)
     }
 }
 
--- a/crates/toucanshelf-coordination/tests/replica/replacement.rs
+++ b/crates/toucanshelf-coordination/tests/replica/replacement.rs
@@ -37,6 +37,15 @@
         Self::with_voters(WANTED, seed, silence_limit_ms)
     }
 
+    /// Creates a cluster with a learner that has caught up, and returns the voters and the learner.
+    fn with_learner(seed: u64) -> (Self, Vec<ReplicaId>, ReplicaId) {
+        let mut out = Self::new(seed, DEFAULT_SILENCE_LIMIT_MS);
+        let voters = out.cluster.ids();
+        let learner = out.join(4);
+        out.run(NEW_LEADER_MS);
+        (out, voters, learner)
+    }
+
     fn with_voters(wanted: usize, seed: u64, silence_limit_ms: u64) -> Self {
         let (cluster, _) = elected_cluster(wanted as u32, seed);
         Self {
@@ -162,10 +171,7 @@
 #[test]
 fn leave_and_return() {
     for seed in 0..100 {
-        let mut replaced = Replaced::new(seed, DEFAULT_SILENCE_LIMIT_MS);
-        let first = replaced.cluster.ids();
-        replaced.join(4);
-        replaced.run(NEW_LEADER_MS);
+        let (mut replaced, first, _) = Replaced::with_learner(seed);
         replaced.leave(first[0]);
         replaced.start(first[0]);
         replaced.run(NEW_LEADER_MS);
@@ -180,10 +186,7 @@
 #[test]
 fn late_announcement_of_departure() {
     for seed in 0..50 {
-        let mut replaced = Replaced::new(seed, DEFAULT_SILENCE_LIMIT_MS);
-        let first = replaced.cluster.ids();
-        replaced.join(4);
-        replaced.run(NEW_LEADER_MS);
+        let (mut replaced, first, _) = Replaced::with_learner(seed);
         replaced.leave(first[0]);
         replaced.start(first[0]);
         replaced.announce(first[0]);
@@ -198,10 +201,7 @@
 #[test]
 fn leaving_learner_is_not_promoted() {
     for seed in 0..50 {
-        let mut replaced = Replaced::new(seed, DEFAULT_SILENCE_LIMIT_MS);
-        let first = replaced.cluster.ids();
-        let learner = replaced.join(4);
-        replaced.run(NEW_LEADER_MS);
+        let (mut replaced, first, learner) = Replaced::with_learner(seed);
         replaced.announce(learner);
         replaced.leave(first[0]);
         replaced.cluster.crash(learner);
@@ -236,10 +236,7 @@
 #[test]
 fn lost_disk_beside_spare() {
     for seed in 0..100 {
-        let mut replaced = Replaced::new(seed, DEFAULT_SILENCE_LIMIT_MS);
-        let first = replaced.cluster.ids();
-        let spare = replaced.join(4);
-        replaced.run(NEW_LEADER_MS);
+        let (mut replaced, first, spare) = Replaced::with_learner(seed);
         let emptied = replaced.cluster.lose_disk(first[0]);
         replaced.cluster.isolate(emptied);
         replaced.run(2 * NEW_LEADER_MS);
--- a/crates/toucanshelf-core/src/deployment.rs
+++ b/crates/toucanshelf-core/src/deployment.rs
@@ -241,6 +241,11 @@
         self.services.iter().find(|spec| &*spec.name == name)
     }
 
+    /// Returns the names of all services.
+    pub fn service_names(&self) -> impl Iterator<Item = Box<str>> {
+        self.services.iter().map(|service| service.name.clone())
+    }
+
     /// Returns the services whose engines run a model, with these models.
     pub fn models(&self) -> impl Iterator<Item = (&ServiceSpec, &ModelSpec)> {
         let models = self.services.iter();
--- a/crates/toucanshelf-core/src/registry.rs
+++ b/crates/toucanshelf-core/src/registry.rs
@@ -14,7 +14,7 @@
 /// Time for which a target that has left stays in the registry, in milliseconds.
 // The time must be longer than a network partition can delay a heartbeat. A delayed heartbeat that
 // arrives after the target was removed from the registry would register it again.
-pub(crate) const GONE_RETENTION_MS: u64 = 120_000;
+const GONE_RETENTION_MS: u64 = 120_000;
 
 /// Effect of a registration on the registry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -68,6 +68,32 @@
         }
     }
 
+    /// Marks the target as gone at `now`, in milliseconds.
+    ///
+    /// Returns the changed registration. `incarnation` is the start that has ended; `None` stands for
+    /// the registered one. The call has no effect if that has ended already, or is newer.
+    pub(crate) fn mark_gone(
+        &mut self,
+        incarnation: Option<Incarnation>,
+        now: u64,
+    ) -> Option<Registration> {
+        let known = self.record.incarnation;
+        let incarnation = incarnation.unwrap_or(known);
+        let is_gone = self.record.readiness == Readiness::Gone;
+        if incarnation < known || (is_gone && incarnation == known) {
+            return None;
+        }
+        self.record.incarnation = incarnation;
+        self.record.readiness = Readiness::Gone;
+        self.last_seen_ms = now;
+        Some(self.record.clone())
+    }
+
+    /// Returns whether the target left at least `GONE_RETENTION_MS` before `now`.
+    pub(crate) fn is_expired(&self, now: u64) -> bool {
+        self.record.readiness == Readiness::Gone && now >= self.last_seen_ms + GONE_RETENTION_MS
+    }
+
     /// Returns whether the entry holds what `record` says, or a later state of the same start.
     fn holds(&self, record: &Registration) -> bool {
         let known = &self.record;
@@ -167,10 +193,11 @@
     /// Of the other registrations, it concerns only those of a target that has left by its word.
     fn apply_undeployed(&mut self, record: Registration, now: u64) -> RegistryChange {
         let left = (record.readiness == Readiness::Gone).then_some(record.incarnation);
-        let id = record.id.clone();
+        let entered = self.entries.get_mut(&record.id);
         let change = self.undeployed.apply(record, now);
-        let departed =
-            left.and_then(|incarnation| self.mark_entered_gone(&id, Some(incarnation), now));
+        let departed = entered
+            .zip(left)
+            .and_then(|(entry, incarnation)| entry.mark_gone(Some(incarnation), now));
         departed.map_or(change, |_| RegistryChange::Changed)
     }
 
@@ -226,26 +253,9 @@
         now: u64,
     ) -> Option<Registration> {
         let undeployed = self.undeployed.mark_gone(id, incarnation, now);
-        self.mark_entered_gone(id, incarnation, now).or(undeployed)
-    }
-
-    fn mark_entered_gone(
-        &mut self,
-        id: &str,
-        incarnation: Option<Incarnation>,
-        now: u64,
-    ) -> Option<Registration> {
-        let entry = self.entries.get_mut(id)?;
-        let known = entry.record.incarnation;
-        let incarnation = incarnation.unwrap_or(known);
-        let is_gone = entry.record.readiness == Readiness::Gone;
-        if incarnation < known || (is_gone && incarnation == known) {
-            return None;
-        }
-        entry.record.incarnation = incarnation;
-        entry.record.readiness = Readiness::Gone;
-        entry.last_seen_ms = now;
-        Some(entry.record.clone())
+        let entered = self.entries.get_mut(id);
+        let departed = entered.and_then(|entry| entry.mark_gone(incarnation, now));
+        departed.or(undeployed)
     }
 
     /// Returns the entries of all targets of deployed services, including those that have left.
@@ -285,8 +295,7 @@
         self.undeployed.prune(now);
         let ids = &mut self.ids;
         self.entries.retain(|id, entry| {
-            let is_kept = entry.record.readiness != Readiness::Gone
-                || now < entry.last_seen_ms + GONE_RETENTION_MS;
+            let is_kept = !entry.is_expired(now);
             if !is_kept {
                 remove_id(ids, entry.record.address, id);
             }
--- a/crates/toucanshelf-core/src/undeployed.rs
+++ b/crates/toucanshelf-core/src/undeployed.rs
@@ -7,38 +7,40 @@
 
 use crate::ids::Incarnation;
 use crate::registration::{Readiness, Registration};
-use crate::registry::{Entry, GONE_RETENTION_MS, RegistryChange};
+use crate::registry::{Entry, RegistryChange};
 
 /// Registrations of services that aren't deployed, each kept apart from all others.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Undeployed {
-    /// Latest registration by the target's id and its service.
-    entries: BTreeMap<(Box<str>, Box<str>), Entry>,
+    /// Latest registration of each target by service, by the target's id.
+    targets: BTreeMap<Box<str>, BTreeMap<Box<str>, Entry>>,
 }
 
 impl Undeployed {
     /// Applies a registration that arrived at `now`, in milliseconds.
     pub(crate) fn apply(&mut self, record: Registration, now: u64) -> RegistryChange {
-        let key = (record.id.clone(), record.service.clone());
-        if let Some(entry) = self.entries.get_mut(&key) {
+        let services = self.targets.entry(record.id.clone()).or_default();
+        if let Some(entry) = services.get_mut(&record.service) {
             return entry.replace(record, now);
         }
-        self.entries.insert(key, Entry::new(record, now));
+        services.insert(record.service.clone(), Entry::new(record, now));
         RegistryChange::Changed
     }
 
     /// Removes and returns the registrations of the `services`.
     pub(crate) fn take(&mut self, services: &BTreeSet<Box<str>>) -> Vec<Entry> {
-        let taken = self
-            .entries
-            .extract_if(.., |(_, service), _| services.contains(service));
-        taken.map(|(_, entry)| entry).collect()
+        let mut taken = Vec::new();
+        self.targets.retain(|_, registered| {
+            let named = registered.extract_if(.., |service, _| services.contains(service));
+            taken.extend(named.map(|(_, entry)| entry));
+            !registered.is_empty()
+        });
+        taken
     }
 
     /// Returns the registration of the same target and service as `record`.
     pub(crate) fn get(&self, record: &Registration) -> Option<&Entry> {
-        let key = (record.id.clone(), record.service.clone());
-        self.entries.get(&key)
+        self.targets.get(&record.id)?.get(&record.service)
     }
 
     /// Returns a registration of the target `id`, if there is one.
@@ -48,8 +50,8 @@
 
     /// Returns whether a start of the target up to `incarnation` is registered.
     pub(crate) fn knows_start(&self, id: &str, incarnation: Option<Incarnation>) -> bool {
-        self.of_target(id)
-            .any(|entry| is_up_to(&entry.record, incarnation))
+        let mut starts = self.of_target(id).map(|entry| entry.record.incarnation);
+        starts.any(|known| incarnation.is_none_or(|incarnation| known <= incarnation))
     }
 
     /// Returns whether the target of `record` has left since, whatever service it was registered for.
@@ -69,50 +71,26 @@
         incarnation: Option<Incarnation>,
         now: u64,
     ) -> Option<Registration> {
-        let entries = self.entries.range_mut(first_key(id)..);
-        let own = entries.take_while(|((known, _), _)| &**known == id);
-        let mut departed = None;
-        for (_, entry) in own.filter(|(_, entry)| is_up_to(&entry.record, incarnation)) {
-            let incarnation = incarnation.unwrap_or(entry.record.incarnation);
-            let is_known = (entry.record.readiness, entry.record.incarnation)
-                == (Readiness::Gone, incarnation);
-            if !is_known {
-                entry.record.readiness = Readiness::Gone;
-                entry.record.incarnation = incarnation;
-                entry.last_seen_ms = now;
-                departed = Some(entry.record.clone());
-            }
-        }
-        departed
+        let entries = self.targets.get_mut(id)?.values_mut();
+        let departed = entries.filter_map(|entry| entry.mark_gone(incarnation, now));
+        departed.last()
     }
 
-    fn of_target<'a>(&'a self, id: &str) -> impl Iterator<Item = &'a Entry> {
-        let id: Box<str> = id.into();
-        let entries = self.entries.range(first_key(&id)..);
-        entries
-            .take_while(move |((known, _), _)| *known == id)
-            .map(|(_, entry)| entry)
+    fn of_target(&self, id: &str) -> impl Iterator<Item = &Entry> {
+        let services = self.targets.get(id).into_iter();
+        services.flat_map(BTreeMap::values)
     }
 
     /// Returns all registrations, including those of targets that have left.
     pub(crate) fn entries(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.values()
+        self.targets.values().flat_map(BTreeMap::values)
     }
 
-    /// Removes the targets that left at least `GONE_RETENTION_MS` before `now`.
+    /// Removes the targets whose retention after leaving has ended at `now`, in milliseconds.
     pub(crate) fn prune(&mut self, now: u64) {
-        self.entries.retain(|_, entry| {
-            entry.record.readiness != Readiness::Gone
-                || now < entry.last_seen_ms + GONE_RETENTION_MS
+        self.targets.retain(|_, registered| {
+            registered.retain(|_, entry| !entry.is_expired(now));
+            !registered.is_empty()
         });
     }
 }
-
-/// Returns the smallest key of the target `id`.
-fn first_key(id: &str) -> (Box<str>, Box<str>) {
-    (id.into(), Box::default())
-}
-
-fn is_up_to(record: &Registration, incarnation: Option<Incarnation>) -> bool {
-    incarnation.is_none_or(|incarnation| record.incarnation <= incarnation)
-}
--- a/crates/toucanshelf-ingress/src/targets/mod.rs
+++ b/crates/toucanshelf-ingress/src/targets/mod.rs
@@ -222,9 +222,8 @@
     /// A deployment is the versioned configuration that the control instances distribute. Targets that
     /// registered before their service was deployed are used from now on.
     pub fn set_deployment(&mut self, deployment: &Deployment, now: u64) {
-        let services = deployment.services.iter();
-        let names = services.map(|service| service.name.clone());
-        for record in self.registry.set_services(names, now) {
+        let entered = self.registry.set_services(deployment.service_names(), now);
+        for record in entered {
             self.update_targets(&record.id, record.address);
         }
         let models = deployment.models();
