Test crowds at every listener of every program

Cause: only the listener for callers of an ingress had tests of crowds. Change: hostile tests start control, gate and ingress on machines with 160 and 256 MB and 256 or about 4,100 descriptors, hold crowds at each listener (all shapes of the issue, mixed, waiting, unfinished, beside a process that is stopped or gets 12 % of its processor), and check memory with unread bytes, descriptors, and that callers, heartbeats, configurations, links, operators, probes and scrapes are answered beside them. The stand-in service takes bodies as large as the gate's.

--- a/crates/toucanshelf-standin/src/service.rs
+++ b/crates/toucanshelf-standin/src/service.rs
@@ -24,6 +24,9 @@
 
 use crate::announce::announce;
 
+/// Maximum size of a call's body, in bytes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
 /// Settings of a stand-in service.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -202,6 +205,7 @@
     api.register(call).expect("the endpoint is well-formed");
     let config = ConfigDropshot {
         bind_address: shared.settings.listen,
+        default_request_body_max_bytes: MAX_BODY_BYTES,
         ..ConfigDropshot::default()
     };
     let server = ServerBuilder::new(api, Arc::clone(shared), slog_bridge())
--- a/tests/hostile/crowd.rs
+++ b/tests/hostile/crowd.rs
@@ -11,6 +11,9 @@
 /// Time after which a caller whose bytes aren't taken stops sending.
 const SEND_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Time after which a caller whose connection isn't accepted gives up.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// A crowd of callers, whose connections stay open until dropped.
 pub struct Crowd(Vec<Caller>);
 
@@ -21,16 +24,30 @@
 }
 
 impl Crowd {
-    /// Connects `count` callers; those that are refused are left out.
+    /// Connects `count` callers; those that are refused or not accepted are left out.
     pub async fn connect(address: SocketAddr, count: usize) -> Self {
-        let streams = join_all((0..count).map(|_| TcpStream::connect(address))).await;
-        let callers = streams.into_iter().flatten().map(|stream| Caller {
+        let connects = (0..count).map(|_| timeout(CONNECT_TIMEOUT, TcpStream::connect(address)));
+        let streams = join_all(connects).await.into_iter().flatten();
+        let callers = streams.flatten().map(|stream| Caller {
             stream,
             is_sending: true,
         });
         Self(callers.collect())
     }
 
+    /// Connects callers that each send a request head, `line` being its method and path.
+    pub async fn open(address: SocketAddr, count: usize, line: &str, headers: &str) -> Self {
+        let mut crowd = Self::connect(address, count).await;
+        let head = format!("{line} HTTP/1.1\r\nhost: a.example\r\n{headers}\r\n");
+        crowd.send(head.as_bytes()).await;
+        crowd
+    }
+
+    /// Adds the callers of another crowd.
+    pub fn join(&mut self, other: Self) {
+        self.0.extend(other.0);
+    }
+
     /// Makes all callers send these bytes at the same time.
     ///
     /// A caller whose connection is closed, or whose bytes aren't taken, sends nothing more.
@@ -43,6 +60,12 @@
         join_all(sends).await;
     }
 
+    /// Waits until each caller has been sent something, or its connection is closed.
+    pub async fn wait_for_answers(&self) {
+        let answers = self.0.iter().map(|caller| caller.stream.readable());
+        join_all(answers).await;
+    }
+
     /// Makes all callers send `len` bytes in pieces, all the first one before any sends the second.
     pub async fn send_in_pieces(&mut self, len: usize, piece_len: usize) {
         let piece = vec![b'x'; piece_len];
--- a/tests/hostile/main.rs
+++ b/tests/hostile/main.rs
@@ -1,9 +1,15 @@
-//! Crowds of callers that take memory and connections of an ingress and don't give them back.
+//! Crowds of callers that take memory and connections of a process and don't give them back.
 //!
 //! Each test holds one crowd open and checks that the process lives, that its memory and descriptors
 //! stay under a bound, and that it answers an ordinary request. The tests run one at a time.
 
+mod client;
+mod control;
 mod crowd;
+mod gate;
+mod ingress;
+mod links;
+mod machine;
 #[expect(dead_code, reason = "the testsuite uses the rest")]
 #[path = "../testsuite/platform_support.rs"]
 mod platform_support;
--- a/tests/hostile/system.rs
+++ b/tests/hostile/system.rs
@@ -1,55 +1,64 @@
 //! An ingress process with few descriptors, a control instance and two services.
 
 use std::net::SocketAddr;
-use std::os::unix::fs::PermissionsExt as _;
-use std::path::{Path, PathBuf};
-use std::time::Duration;
 
-use http::Request;
 use tempfile::TempDir;
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 use toucanshelf_control::Control;
-use toucanshelf_soak::process::Process;
+use toucanshelf_replay::layout::Addresses;
 
+use crate::client::Call;
 use crate::crowd::Crowd;
+use crate::machine::{Machine, Watched};
 use crate::platform_support::{
-    DeploymentBuilder, Target, TargetAction, WAIT_TIMEOUT, ingress_settings_text, send,
-    start_control,
+    DeploymentBuilder, Target, TargetAction, WAIT_TIMEOUT, ingress_settings_text, start_control,
 };
-use crate::usage::{Usage, queued_bytes};
 
-/// Memory of the machine of an ingress, in bytes.
-///
-/// Bytes that have arrived for the process and are unread count towards it.
-const MACHINE_BYTES: u64 = 160_000_000;
-/// Descriptors that the process may open.
-const MAX_DESCRIPTORS: usize = 256;
-/// Descriptors of the process that callers leave to targets, control and operators.
-const RESERVED_DESCRIPTORS: usize = 48;
+/// Machine of an ingress, whose process may open few descriptors.
+pub const SMALL_MACHINE: Machine = Machine {
+    bytes: 160_000_000,
+    descriptors: 256,
+    reserved_descriptors: 48,
+};
+/// The smallest machine of an ingress.
+pub const FULL_MACHINE: Machine = Machine {
+    bytes: 160_000_000,
+    descriptors: 4_100,
+    reserved_descriptors: 248,
+};
 /// Largest legal body, in bytes.
 pub const MAX_BODY_BYTES: usize = 4 << 20;
-/// Time after which an ordinary request is sent again.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Path of the service whose answers the test chooses.
+pub const HELD: &str = "POST /held/";
 
-/// Time for the process to read the bytes that a crowd has sent.
-const SETTLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Listeners of an ingress other than the one for callers.
+#[derive(Clone, Copy, Debug)]
+pub struct Listeners {
+    pub ready: SocketAddr,
+    pub metrics: SocketAddr,
+    pub relay: SocketAddr,
+    pub link: SocketAddr,
+}
 
 /// The processes and services of a test.
 ///
 /// Requests of a crowd go to `/held/`, ordinary ones to `/calm/`, whose service answers at once.
 pub struct System {
-    ingress: Process,
-    usage: Usage,
+    pub ingress: Watched,
+    pub listeners: Listeners,
     _control: Control,
     _targets: [Target; 2],
-    _folders: [TempDir; 2],
+    _data: TempDir,
 }
 
 impl System {
     /// Starts the processes; the service of `/held/` answers each request with `answer`.
     pub async fn start(answer: TargetAction) -> Self {
+        Self::start_on(SMALL_MACHINE, answer).await
+    }
+
+    /// Starts the processes, the ingress on this machine.
+    pub async fn start_on(machine: Machine, answer: TargetAction) -> Self {
         let (control, data) = start_control().await;
         let document = DeploymentBuilder::new(1)
             .max_body_bytes(MAX_BODY_BYTES)
@@ -58,30 +67,41 @@
             .route("calm", "a.example", "/calm/", "calm")
             .build();
         let api = control.platform_address().unwrap();
-        let deployed = async { while put(api, "/api/config", &document).await != 200 {} };
-        timeout(WAIT_TIMEOUT, deployed).await.unwrap();
-        let script = std::iter::repeat_n(answer, 1_000);
+        let deploy = Call::new(api, "PUT /api/config").with_body(document);
+        deploy.wait_until_served().await;
+        let script = std::iter::repeat_n(answer, 10_000);
         let targets = [Target::start(script).await, Target::start([]).await];
         for (n, service) in ["plain", "calm"].iter().enumerate() {
-            let heartbeat = serde_json::json!({
-                "service": service, "address": targets[n].address, "zone": "z", "version": "v1",
-                "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1000 + n
-            });
-            let path = format!("/api/instances/t{n}");
-            assert_eq!(put(api, &path, &heartbeat.to_string()).await, 200);
+            let heartbeat = heartbeat(service, targets[n].address, n);
+            heartbeat_call(api, n, &heartbeat).wait_until_served().await;
         }
-        let folder = tempfile::tempdir().unwrap();
-        let settings = folder.path().join("ingress.toml");
-        let port = control.link_address().port();
-        let text = ingress_settings_text("i1", &["127.0.0.1"], port);
-        std::fs::write(&settings, text).unwrap();
-        let ingress = Process::start(&limited_program(folder.path()), &settings).unwrap();
+        let mut addresses = Addresses::new();
+        let listeners = Listeners {
+            ready: addresses.allocate(),
+            metrics: addresses.allocate(),
+            relay: addresses.allocate(),
+            link: addresses.allocate(),
+        };
+        drop(addresses);
+        let mut text = ingress_settings_text("i1", &["127.0.0.1"], control.link_address().port());
+        let others = [
+            ("ready", listeners.ready),
+            ("metrics", listeners.metrics),
+            ("relay", listeners.relay),
+            ("link", listeners.link),
+        ];
+        for (name, address) in others {
+            let any = format!("{name}-listen = '127.0.0.1:0'");
+            text = text.replace(&any, &format!("{name}-listen = '{address}'"));
+        }
+        let program = env!("CARGO_BIN_EXE_toucanshelf-ingress");
+        let watched = others.map(|(_, address)| address);
         let system = Self {
-            usage: Usage::watch(ingress.id(), ingress.address("address")),
-            ingress,
+            ingress: Watched::start(program, &text, machine, &["address"], &watched),
+            listeners,
             _control: control,
             _targets: targets,
-            _folders: [data, folder],
+            _data: data,
         };
         system.wait_until_served(b"").await;
         system
@@ -94,86 +114,63 @@
 
     /// Opens a crowd of callers that each send a request head with these header lines.
     pub async fn open_crowd(&self, count: usize, headers: &str) -> Crowd {
-        let mut crowd = Crowd::connect(self.address(), count).await;
-        let head = format!("POST /held/ HTTP/1.1\r\nhost: a.example\r\n{headers}\r\n");
-        crowd.send(head.as_bytes()).await;
-        crowd
+        Crowd::open(self.address(), count, HELD, headers).await
     }
 
     /// Waits until the ingress answers an ordinary request with this body.
     pub async fn wait_until_served(&self, body: &[u8]) {
-        let served = async {
-            while !is_served(self.address(), body).await {
-                tokio::time::sleep(Duration::from_millis(100)).await;
-            }
-        };
-        let served = timeout(WAIT_TIMEOUT, served).await;
-        assert!(served.is_ok(), "no ordinary request was answered");
+        let call = Call::new(self.address(), "POST /calm/").with_body(body);
+        call.wait_until_served().await;
     }
 
-    /// Waits until the process has read what a crowd has sent, or has had the time to.
-    async fn settle(&self) {
-        let read = async {
-            loop {
-                let queued = queued_bytes(self.address());
-                if queued.unread + queued.unsent == 0 {
-                    return;
-                }
-                tokio::time::sleep(Duration::from_millis(100)).await;
-            }
-        };
-        // Bytes that are still unread afterwards count as memory.
-        let _ = timeout(SETTLE_TIMEOUT, read).await;
+    /// Waits until the probe, the metrics and a relayed request are answered.
+    async fn wait_until_others_served(&self) {
+        let Listeners {
+            ready,
+            metrics,
+            relay,
+            ..
+        } = self.listeners;
+        for call in [
+            Call::new(ready, "GET /api/ready"),
+            Call::new(metrics, "GET /metrics"),
+            Call::new(relay, "POST /calm/"),
+        ] {
+            call.wait_until_served().await;
+        }
     }
 
     /// Checks that the ingress withstands a crowd while it is open.
     pub async fn check(mut self, crowd: Crowd) {
-        self.settle().await;
+        self.ingress.settle().await;
         self.wait_until_served(b"").await;
+        self.wait_until_others_served().await;
         drop(crowd);
-        assert!(self.ingress.is_running().unwrap(), "the process has ended");
-        let (bytes, descriptors) = (self.usage.peak_bytes(), self.usage.peak_descriptors());
-        let text = format!("peak of {bytes} bytes and {descriptors} descriptors");
-        eprintln!("{text}");
-        assert!(bytes <= MACHINE_BYTES, "{text}");
-        assert!(
-            descriptors <= MAX_DESCRIPTORS - RESERVED_DESCRIPTORS,
-            "{text}"
-        );
+        self.ingress.check();
     }
 }
 
-/// Calls the platform's API of the control instance, and returns the HTTP status.
-async fn put(api: SocketAddr, path: &str, body: &str) -> u16 {
-    let request = Request::put(path).header("host", "control");
-    send(api, request.body(body.into()).unwrap()).await.status
+/// Returns the state that a target of a service sends.
+pub fn heartbeat(service: &str, address: SocketAddr, n: usize) -> String {
+    let heartbeat = serde_json::json!({
+        "service": service, "address": address, "zone": "z", "version": "v1",
+        "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1000 + n
+    });
+    heartbeat.to_string()
 }
 
-/// Writes a script that runs the ingress with few descriptors, and returns its path.
-fn limited_program(folder: &Path) -> PathBuf {
-    let path = folder.join("ingress.sh");
-    let program = env!("CARGO_BIN_EXE_toucanshelf-ingress");
-    let text = format!("#!/bin/sh\nulimit -n {MAX_DESCRIPTORS}\nexec '{program}' \"$@\"\n");
-    std::fs::write(&path, text).unwrap();
-    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o700)).unwrap();
-    path
+/// Returns the call that sends a heartbeat of target number `n`.
+pub fn heartbeat_call(api: SocketAddr, n: usize, heartbeat: &str) -> Call {
+    Call::new(api, &format!("PUT /api/instances/t{n}")).with_body(heartbeat)
 }
 
-/// Returns whether an ordinary request on a new connection is answered with a success.
-async fn is_served(address: SocketAddr, body: &[u8]) -> bool {
-    let call = async {
-        let mut stream = TcpStream::connect(address).await?;
-        let head = format!(
-            "POST /calm/ HTTP/1.1\r\nhost: a.example\r\nconnection: close\r\n\
-             content-length: {}\r\n\r\n",
-            body.len()
-        );
-        stream.write_all(head.as_bytes()).await?;
-        stream.write_all(body).await?;
-        let mut response = Vec::new();
-        stream.read_to_end(&mut response).await?;
-        std::io::Result::Ok(response)
+/// Waits until an ingress in this process uses a deployment of at least this version.
+pub async fn wait_for_version(ingress: &toucanshelf_ingress::Ingress, version: u64) {
+    let reached = async {
+        while ingress.shared().version() < Some(version) {
+            tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        }
     };
-    let response = timeout(ATTEMPT_TIMEOUT, call).await;
-    matches!(response, Ok(Ok(response)) if response.starts_with(b"HTTP/1.1 200 "))
+    let reached = timeout(WAIT_TIMEOUT, reached).await;
+    assert!(reached.is_ok(), "no link brought version {version}");
 }
--- a/tests/hostile/usage.rs
+++ b/tests/hostile/usage.rs
@@ -22,11 +22,12 @@
 }
 
 impl Usage {
-    /// Samples a process that accepts callers at `address`.
-    pub fn watch(process: u32, address: SocketAddr) -> Self {
+    /// Samples a process that accepts connections at `listeners`.
+    pub fn watch(process: u32, listeners: &[SocketAddr]) -> Self {
         let peaks = Arc::default();
         let weak = Arc::downgrade(&peaks);
-        std::thread::spawn(move || sample_until_dropped(&weak, process, address));
+        let listeners = listeners.to_vec();
+        std::thread::spawn(move || sample_until_dropped(&weak, process, &listeners));
         Self { peaks, process }
     }
 
@@ -43,12 +44,12 @@
     }
 }
 
-fn sample_until_dropped(peaks: &Weak<Peaks>, process: u32, address: SocketAddr) {
+fn sample_until_dropped(peaks: &Weak<Peaks>, process: u32, listeners: &[SocketAddr]) {
     while let Some(peaks) = peaks.upgrade() {
         let resident = status_bytes(process, "VmRSS:");
         let descriptors = std::fs::read_dir(format!("/proc/{process}/fd"));
         if let (Some(resident), Ok(descriptors)) = (resident, descriptors) {
-            let bytes = resident + queued_bytes(address).unread;
+            let bytes = resident + queued_bytes(listeners).unread;
             peaks.bytes.fetch_max(bytes, Ordering::Relaxed);
             let descriptors = descriptors.count();
             peaks.descriptors.fetch_max(descriptors, Ordering::Relaxed);
@@ -75,10 +76,14 @@
     pub unsent: u64,
 }
 
-/// Returns the bytes in the sockets of the connections to a local IPv4 address.
-pub fn queued_bytes(address: SocketAddr) -> QueuedBytes {
+/// Returns the bytes in the sockets of the connections to local IPv4 addresses.
+pub fn queued_bytes(listeners: &[SocketAddr]) -> QueuedBytes {
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    let port = format!(":{:04X}", address.port());
+    let ports = listeners
+        .iter()
+        .map(|address| format!(":{:04X}", address.port()));
+    let ports: Vec<_> = ports.collect();
+    let is_listener = |address: &str| ports.iter().any(|port| address.ends_with(port));
     let mut queued = QueuedBytes {
         unread: 0,
         unsent: 0,
@@ -93,9 +98,9 @@
             continue;
         }
         let (unsent, unread) = sizes.split_once(':').unwrap();
-        if local.ends_with(&port) {
+        if is_listener(local) {
             queued.unread += u64::from_str_radix(unread, 16).unwrap();
-        } else if remote.ends_with(&port) {
+        } else if is_listener(remote) {
             queued.unsent += u64::from_str_radix(unsent, 16).unwrap();
         }
     }
