Bound the receive buffers of all listeners

Cause: accepted connections had the system's own receive buffers, which grow to megabytes, and unread bytes count as memory of the process. An ingress that reads late held 393 MB for 1,000 callers. Ruled out: limits on reading, since the bytes are not read. Change: runtime::listen requests 8 KiB for a listener before it listens, so that also connections that wait to be accepted have it, and bounds how many wait. Every listener but those of dropshot uses it.

--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -26,7 +26,6 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use tokio::net::TcpListener;
 use tokio::sync::watch;
 use toucanshelf_core::crash::Finding;
 use toucanshelf_core::deployment::Deployment;
@@ -40,6 +39,7 @@
 use toucanshelf_routing::crash_ledger::CrashLedgers;
 use toucanshelf_routing::permits::{Permit, PermitBucket, permit_rate};
 use toucanshelf_runtime::connections::Connections;
+use toucanshelf_runtime::listen::{ListenLimits, listen};
 use toucanshelf_runtime::serve::{ConnectionLimits, serve_bounded};
 
 use crate::Shared;
@@ -292,14 +292,11 @@
 /// Starts the platform's API and background tasks, if the settings enable a platform.
 ///
 /// Returns the listen address of the API.
-pub(crate) async fn start(shared: &Arc<Shared>) -> Result<Option<SocketAddr>, Box<str>> {
+pub(crate) fn start(shared: &Arc<Shared>) -> Result<Option<SocketAddr>, Box<str>> {
     let (Some(settings), Some(_)) = (&shared.settings.deployment, &shared.directory) else {
         return Ok(None);
     };
-    let listen = settings.listen;
-    let listener = TcpListener::bind(listen)
-        .await
-        .map_err(|e| format!("listening on {listen}: {e}"))?;
+    let listener = listen(settings.listen, ListenLimits::CALLERS)?;
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     let context = Arc::clone(shared);
     let limits = ConnectionLimits {
--- a/crates/toucanshelf-control/src/lib.rs
+++ b/crates/toucanshelf-control/src/lib.rs
@@ -35,7 +35,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use toucanshelf_coordination::store::{DataFolder, OpenStore, StoreError};
 use toucanshelf_core::state::{CommandBody, Reply};
@@ -43,6 +42,7 @@
 use toucanshelf_link::frame::SubmitError;
 use toucanshelf_link::handshake::{Hello, PeerRole};
 use toucanshelf_link::link::{self, Link};
+use toucanshelf_runtime::listen::{ListenLimits, listen};
 
 use crate::directory::Directory;
 use crate::driver::{Driver, next_reopen_delay};
@@ -129,9 +129,7 @@
         opener: Arc<dyn OpenStore>,
     ) -> Result<Self, Box<str>> {
         let key = settings.shared_key()?;
-        let listener = TcpListener::bind(settings.link_listen)
-            .await
-            .map_err(|e| format!("listening on {}: {e}", settings.link_listen))?;
+        let listener = listen(settings.link_listen, ListenLimits::LINKS)?;
         let link_address = listener.local_addr().map_err(|e| e.to_string())?;
         let driver = open_driver(&settings, &opener)
             .await
@@ -163,7 +161,7 @@
         let (links_tx, links) = mpsc::channel(64);
         tokio::spawn(link::serve(listener, hello, key, links_tx));
         tokio::spawn(accept_links(Arc::clone(&shared), links));
-        let platform_address = directory::start(&shared).await?;
+        let platform_address = directory::start(&shared)?;
         let server = api::serve(&shared)?;
         let address = server.local_addr();
         tracing::info!(event = "TS2001", http = %address, link = %link_address, "control listens");
--- a/crates/toucanshelf-gate/src/lib.rs
+++ b/crates/toucanshelf-gate/src/lib.rs
@@ -33,10 +33,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use toucanshelf_link::handshake::Hello;
 use toucanshelf_link::link;
+use toucanshelf_runtime::listen::{ListenLimits, listen};
 
 use crate::settings::GateSettings;
 use crate::shared::Shared;
@@ -68,11 +68,13 @@
     /// # Errors
     ///
     /// Fails if the link key is invalid or an address cannot be bound.
+    #[expect(
+        clippy::unused_async,
+        reason = "listeners and tasks need the runtime of the caller"
+    )]
     pub async fn start(settings: GateSettings) -> Result<Self, Box<str>> {
         let key = settings.shared_key()?;
-        let listener = TcpListener::bind(settings.link_listen)
-            .await
-            .map_err(|e| format!("listening on {}: {e}", settings.link_listen))?;
+        let listener = listen(settings.link_listen, ListenLimits::LINKS)?;
         let link_address = listener.local_addr().map_err(|e| e.to_string())?;
         let hello = Hello::for_gate(settings.name.clone(), settings.zone.clone());
         let shared = Arc::new(Shared::new(settings));
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -56,6 +56,7 @@
 use toucanshelf_link::link;
 use toucanshelf_runtime::connections::Connections;
 use toucanshelf_runtime::in_flight::STOP_POLL_INTERVAL;
+use toucanshelf_runtime::listen::{ListenLimits, listen};
 use toucanshelf_runtime::serve::{ConnectionLimits, serve_bounded};
 
 use crate::discovery::LinkAcceptor;
@@ -126,11 +127,6 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, Box<str>> {
-    let listener = TcpListener::bind(address).await;
-    listener.map_err(|e| format!("listening on {address}: {e}").into())
-}
-
 impl Ingress {
     /// Binds the listeners, connects to the control instances and serves callers.
     ///
@@ -149,23 +145,25 @@
     /// # Errors
     ///
     /// Fails as [`Ingress::start`] does.
+    #[expect(
+        clippy::unused_async,
+        reason = "listeners and tasks need the runtime of the caller"
+    )]
     pub async fn start_with_connector(
         settings: IngressSettings,
         dialect: Arc<dyn Dialect>,
         connector: Arc<dyn Connector>,
     ) -> Result<Self, Box<str>> {
         let key = settings.shared_key()?;
-        let front = listen(settings.listen).await?;
-        let ready = listen(settings.ready_listen).await?;
-        let metrics = listen(settings.metrics_listen).await?;
-        let relay = match settings.relay_listen {
-            Some(address) => Some(listen(address).await?),
-            None => None,
-        };
-        let links = match settings.link_listen {
-            Some(address) => Some(listen(address).await?),
-            None => None,
-        };
+        let front = listen(settings.listen, ListenLimits::CALLERS)?;
+        let ready = listen(settings.ready_listen, ListenLimits::FEW)?;
+        let metrics = listen(settings.metrics_listen, ListenLimits::FEW)?;
+        let relay = settings.relay_listen;
+        let relay = relay.map(|address| listen(address, ListenLimits::FEW));
+        let relay = relay.transpose()?;
+        let links = settings.link_listen;
+        let links = links.map(|address| listen(address, ListenLimits::FEW));
+        let links = links.transpose()?;
         let address = front.local_addr().map_err(|e| e.to_string())?;
         let shared = Arc::new(Shared::new(settings, dialect, connector));
         let context = Arc::clone(&shared);
--- a/crates/toucanshelf-runtime/src/lib.rs
+++ b/crates/toucanshelf-runtime/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod credentials;
 pub mod http;
 pub mod in_flight;
+pub mod listen;
 pub mod log_throttle;
 pub mod logs;
 pub mod memory_budget;
