Keep connections for others while requests wait

Cause: half of an ingress's descriptors were for callers, each waiting request takes another one towards its target, and a connection with a request never gave way. A service that doesn't answer took all 4,100, and callers of others got 502. The sum of the limits left out what connections take. Ruled out: a leak, since descriptors are free again when the requests end. Change: the connection table tells a request whose body is being read, which gives way, from one that was read; the requests of one class leave connections to others (crowded, 503, at once). 512 connections of callers, 256 idle ones to targets, 16 MiB of bodies and of answers.

--- a/crates/toucanshelf-ingress/src/front.rs
+++ b/crates/toucanshelf-ingress/src/front.rs
@@ -14,7 +14,7 @@
 use toucanshelf_routing::matcher::MatchError;
 use toucanshelf_routing::startup::configuration_wait;
 use toucanshelf_runtime::body::{BodyError, BodyLimits};
-use toucanshelf_runtime::serve::PeerAddress;
+use toucanshelf_runtime::connections::Caller;
 
 use crate::relay::{History, RelayMetadata};
 use crate::request::CallerRequest;
@@ -34,6 +34,9 @@
 /// `Retry-After` time sent to callers whose bodies find no memory.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// `Retry-After` time sent to callers of a service whose requests use too many connections.
+const CROWDED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// Forwards a caller's request to a target and returns the response to the caller.
 ///
 /// If this ingress reaches no target, another one receives the request.
@@ -117,6 +120,7 @@
         Refusal::NotConfigured => Some(UNCONFIGURED_RETRY_AFTER),
         Refusal::Outdated => Some(OUTDATED_RETRY_AFTER),
         Refusal::NoMemory => Some(NO_MEMORY_RETRY_AFTER),
+        Refusal::Crowded => Some(CROWDED_RETRY_AFTER),
         _ => None,
     };
     refusal_response(refusal, retry_after)
@@ -148,16 +152,19 @@
         Some(ms) => route.timeout.min(Duration::from_millis(ms)),
         None => route.timeout,
     };
-    let peer = parts.extensions.remove::<PeerAddress>();
+    let caller = parts.extensions.remove::<Caller>();
     let limits = &table.deployment().limits;
     let limits = BodyLimits {
         max_bytes: limits.max_body_bytes,
         idle_timeout: limits.idle_timeout,
         due: started + deadline,
     };
-    let body = read_body(shared, body, limits, peer).await?;
+    let body = read_body(shared, body, limits, caller.as_ref()).await?;
     strip_connection_headers(&mut parts.headers);
     let service = found.service(rand::rng().random());
+    if caller.is_some_and(|caller| !caller.run_request(service)) {
+        return Err(Refusal::Crowded);
+    }
     Ok(CallerRequest {
         method: parts.method,
         uri: parts.uri,
@@ -189,14 +196,14 @@
     header.or(parts.uri.host()).unwrap_or("").into()
 }
 
-/// Reads the body of a request from the address `peer`.
+/// Reads the body of a request.
 async fn read_body(
     shared: &Shared,
     body: Incoming,
     limits: BodyLimits,
-    peer: Option<PeerAddress>,
+    caller: Option<&Caller>,
 ) -> Result<Bytes, Refusal> {
-    let owner = peer.map(|PeerAddress(address)| address);
+    let owner = caller.map(|caller| caller.address);
     let body = shared.bodies.read(body, limits, owner).await;
     body.map_err(|e| match e {
         BodyError::TooLarge => Refusal::BodyTooLarge,
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -54,7 +54,7 @@
 use tokio::task::JoinHandle;
 use toucanshelf_link::dialect::Dialect;
 use toucanshelf_link::link;
-use toucanshelf_runtime::connections::Connections;
+use toucanshelf_runtime::connections::{Connections, share_of_descriptors};
 use toucanshelf_runtime::in_flight::STOP_POLL_INTERVAL;
 use toucanshelf_runtime::listen::{ListenLimits, listen};
 use toucanshelf_runtime::serve::{ConnectionLimits, serve_bounded};
@@ -70,6 +70,8 @@
 const STOP_GRACE_PERIOD: Duration = Duration::from_millis(2_800);
 /// Maximum number of connections for readiness probes, and of those for metrics.
 const MAX_PROBE_CONNECTIONS: usize = 32;
+/// Descriptors of the process for each such connection.
+const PROBES_DIVISOR: usize = 32;
 
 /// A running ingress with its listeners for callers, readiness probes and metrics.
 pub struct Ingress {
@@ -290,7 +292,8 @@
 {
     let (_limits, limits) = watch::channel(ConnectionLimits::default());
     let (_stop, stop) = watch::channel(false);
-    let connections = Connections::new(MAX_PROBE_CONNECTIONS);
+    let max = share_of_descriptors(PROBES_DIVISOR, MAX_PROBE_CONNECTIONS);
+    let connections = Connections::new(max);
     serve_bounded(listener, limits, connections, stop, handler).await;
 }
 
--- a/crates/toucanshelf-ingress/src/pool.rs
+++ b/crates/toucanshelf-ingress/src/pool.rs
@@ -29,6 +29,8 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 /// Maximum number of idle connections per target.
 const MAX_IDLE_PER_TARGET: usize = 64;
+/// Maximum number of idle connections.
+const MAX_IDLE: usize = 256;
 
 /// Receive buffer that is requested for a connection to a target, in bytes.
 ///
@@ -48,6 +50,12 @@
     usable_until: Instant,
 }
 
+impl IdleConnection {
+    fn is_usable(&self, now: Instant) -> bool {
+        self.sender.is_ready() && !self.sender.is_closed() && now < self.usable_until
+    }
+}
+
 /// Opens TCP connections to targets.
 ///
 /// A caller drops the future when it takes too long.
@@ -116,8 +124,7 @@
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
         while let Some(connection) = connections.pop() {
-            let usable = connection.sender.is_ready() && !connection.sender.is_closed();
-            if usable && now < connection.usable_until {
+            if connection.is_usable(now) {
                 return Some(connection.sender);
             }
         }
@@ -136,9 +143,17 @@
         }
         let usable_until = Instant::now() + idle_time;
         let mut idle = self.idle();
+        if idle.values().map(Vec::len).sum::<usize>() >= MAX_IDLE {
+            let now = Instant::now();
+            idle.retain(|_, connections| {
+                connections.retain(|connection| connection.is_usable(now));
+                !connections.is_empty()
+            });
+        }
+        let all: usize = idle.values().map(Vec::len).sum();
         let connections = idle.entry(address).or_default();
         connections.retain(|connection| !connection.sender.is_closed());
-        if connections.len() < MAX_IDLE_PER_TARGET {
+        if all < MAX_IDLE && connections.len() < MAX_IDLE_PER_TARGET {
             connections.push(IdleConnection {
                 sender,
                 usable_until,
--- a/crates/toucanshelf-ingress/src/response.rs
+++ b/crates/toucanshelf-ingress/src/response.rs
@@ -54,6 +54,8 @@
     BodyStopped,
     /// The bodies of other requests take the memory; no target has received any of this one.
     NoMemory,
+    /// Requests of the same service use too many connections; this one has not run.
+    Crowded,
     /// No target can accept the request now; it has not run.
     NoTarget,
     /// The engines have no room for a request of this rank now; it has not run.
@@ -76,6 +78,7 @@
             | Self::Outdated
             | Self::NoRoom
             | Self::NoMemory
+            | Self::Crowded
             | Self::NoTarget
             | Self::Quarantined
             | Self::ExpiredUnrun => StatusCode::SERVICE_UNAVAILABLE,
@@ -109,6 +112,7 @@
             Self::NoRoom => "no-room",
             Self::BodyStopped => "body-stopped",
             Self::NoMemory => "no-memory",
+            Self::Crowded => "crowded",
             Self::NoTarget => "no-target",
             Self::Quarantined => "quarantined",
             Self::ExpiredUnrun => "expired-unrun",
--- a/crates/toucanshelf-ingress/src/response_buffer.rs
+++ b/crates/toucanshelf-ingress/src/response_buffer.rs
@@ -16,7 +16,7 @@
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 /// Maximum size of all response bodies that are buffered at the same time, in bytes.
 // An ingress may have as little as 160 MB of memory.
-const MAX_BUFFERED_BYTES: usize = 64 * 1024 * 1024;
+const MAX_BUFFERED_BYTES: usize = 16 * 1024 * 1024;
 /// Memory beyond that, in bytes, for small bodies while others wait to be sent.
 const SMALL_RESPONSE_RESERVE: usize = 4 * 1024 * 1024;
 /// Size up to which a body may use the reserve, in bytes.
--- a/crates/toucanshelf-ingress/src/settings.rs
+++ b/crates/toucanshelf-ingress/src/settings.rs
@@ -7,8 +7,8 @@
 use toucanshelf_core::target::check_text;
 use toucanshelf_link::handshake::SharedKey;
 use toucanshelf_routing::budget::BudgetLimits;
-use toucanshelf_runtime::connections::descriptor_limit;
-use toucanshelf_runtime::memory_budget::MemoryLimits;
+use toucanshelf_runtime::connections::share_of_descriptors;
+use toucanshelf_runtime::memory_budget::{MIN_BODY_RATE, MemoryLimits};
 use toucanshelf_runtime::program::DaemonSettings;
 use toucanshelf_runtime::settings::{LogSettings, SettingsFile, milliseconds};
 
@@ -19,6 +19,10 @@
 /// Smallest value of the setting `body-memory-bytes`, in bytes.
 const MIN_BODY_MEMORY_BYTES: usize = 1024 * 1024;
 
+/// Default maximum of connections of callers.
+// See "Bounds of an ingress" in docs/CAPACITY.md.
+const MAX_CONNECTIONS: usize = 512;
+
 /// Settings of an ingress, which stay the same while it runs, except that seeds may be added.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -97,7 +101,7 @@
     pub min_body_rate: usize,
     /// Maximum number of connections of callers.
     ///
-    /// Without it, callers may use half of the descriptors of the process.
+    /// Without it, callers may use a quarter of the descriptors of the process, but no more than 512.
     #[serde(default)]
     pub max_connections: Option<usize>,
     /// Settings of logs and traces.
@@ -126,11 +130,11 @@
 
 // See "Bounds of an ingress" in docs/CAPACITY.md.
 fn default_body_memory() -> usize {
-    24 * 1024 * 1024
+    16 * 1024 * 1024
 }
 
 fn default_min_body_rate() -> usize {
-    1_024
+    MIN_BODY_RATE
 }
 
 impl IngressSettings {
@@ -162,8 +166,8 @@
     /// Returns the maximum number of connections of callers.
     pub fn max_connections(&self) -> usize {
         // A request that is being served needs another descriptor for the connection to its target.
-        let half = || descriptor_limit().map_or(usize::MAX, |limit| limit / 2);
-        self.max_connections.unwrap_or_else(half)
+        let quarter = || share_of_descriptors(4, MAX_CONNECTIONS);
+        self.max_connections.unwrap_or_else(quarter)
     }
 
     /// Returns the limits on repeated sends, from the settings `repeat_*`.
--- a/crates/toucanshelf-runtime/src/lib.rs
+++ b/crates/toucanshelf-runtime/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 pub mod body;
+pub mod connection_table;
 pub mod connections;
 pub mod credentials;
 pub mod http;
--- a/crates/toucanshelf-runtime/src/memory_budget.rs
+++ b/crates/toucanshelf-runtime/src/memory_budget.rs
@@ -8,6 +8,8 @@
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 
+/// Usual rate below which a body is too slow while memory is short, in bytes a second.
+pub const MIN_BODY_RATE: usize = 1_024;
 /// Time within which a body that is being read must make progress, in milliseconds.
 const PROGRESS_SPAN_MS: u64 = 5_000;
 /// Size up to which a body may use the reserve, in bytes.
--- a/crates/toucanshelf-runtime/src/serve.rs
+++ b/crates/toucanshelf-runtime/src/serve.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,7 +17,8 @@
 use tokio::sync::watch;
 use tokio::task::{AbortHandle, JoinSet};
 
-use crate::connections::{Connection, ConnectionKey, Connections};
+use crate::connection_table::ConnectionKey;
+use crate::connections::{Connection, Connections};
 
 /// Delay before the server accepts connections again after a failure to accept one.
 ///
@@ -56,14 +56,11 @@
     }
 }
 
-/// IP address from which a request was sent, an extension of the request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct PeerAddress(pub IpAddr);
-
 /// Serves HTTP connections until `stop` becomes true or its sender is dropped.
 ///
 /// Open connections then complete their current request and close, and the function returns with the
-/// last of them. Changed `limits` apply to connections that are accepted afterwards.
+/// last of them. Changed `limits` apply to connections that are accepted afterwards. Each request has a
+/// [`Caller`](crate::connections::Caller) as an extension.
 pub async fn serve<H, F, B>(
     listener: TcpListener,
     limits: watch::Receiver<ConnectionLimits>,
@@ -80,7 +77,8 @@
 
 /// Serves HTTP connections as [`serve`] does, with a limit on their number.
 ///
-/// If all are in use, a new connection takes the place of one that has no request, or is closed.
+/// If there are too many, a new connection takes the place of one whose request hasn't been read in
+/// full, or is closed.
 pub async fn serve_bounded<H, F, B>(
     listener: TcpListener,
     limits: watch::Receiver<ConnectionLimits>,
@@ -123,7 +121,7 @@
                 let limits = *limits.borrow();
                 let (stop, handler) = (stop.clone(), handler.clone());
                 let key = connection.key();
-                let task = serve_connection(stream, peer.ip(), connection, limits, stop, handler);
+                let task = serve_connection(stream, connection, limits, stop, handler);
                 tasks.insert(key, connections.spawn(task));
             }
             Err(e) => {
@@ -144,7 +142,6 @@
 
 async fn serve_connection<H, F, B>(
     stream: TcpStream,
-    peer: IpAddr,
     connection: Connection,
     limits: ConnectionLimits,
     mut stop: watch::Receiver<bool>,
@@ -164,9 +161,11 @@
     let unread_timeout = limits.idle_timeout.as_millis().try_into();
     let _ = set_tcp_user_timeout(&stream, unread_timeout.unwrap_or(u32::MAX));
     let key = connection.key();
-    let service = service_fn(move |mut req| {
-        req.extensions_mut().insert(PeerAddress(peer));
-        let response = connection.begin_request().map(|busy| (busy, handler(req)));
+    let service = service_fn(move |mut req: Request<Incoming>| {
+        let busy = connection.begin_request(!req.body().is_end_stream());
+        req.extensions_mut().insert(connection.caller());
+        // The connection keeps room for this future all the time, so that only its address counts.
+        let response = busy.map(|busy| (busy, Box::pin(handler(req))));
         async move {
             let Some((busy, response)) = response else {
                 // The connection is being closed.
