Bound the connections on which ingresses relay

Cause: relay-listen had no limit of connections, and any caller on the network reaches it. 300 silent ones took all descriptors. Change: max-relay-connections, an eighth of those of callers by default, with the same table.

--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -272,7 +272,8 @@
             front::handle_relayed(context, req).await
         }
     };
-    StoppableServer::new(listener, shared, Connections::unlimited(), handler)
+    let connections = Connections::new(shared.settings.max_relay_connections());
+    StoppableServer::new(listener, shared, connections, handler)
 }
 
 fn start_probes(shared: &Arc<Shared>, ready: TcpListener, metrics: TcpListener) {
--- a/crates/toucanshelf-ingress/src/settings.rs
+++ b/crates/toucanshelf-ingress/src/settings.rs
@@ -22,6 +22,8 @@
 /// Default maximum of connections of callers.
 // See "Bounds of an ingress" in docs/CAPACITY.md.
 const MAX_CONNECTIONS: usize = 512;
+/// Connections of callers for each one of another ingress.
+const RELAY_CONNECTIONS_DIVISOR: usize = 8;
 
 /// Settings of an ingress, which stay the same while it runs, except that seeds may be added.
 #[derive(Clone, Debug, Deserialize)]
@@ -104,6 +106,11 @@
     /// Without it, callers may use a quarter of the descriptors of the process, but no more than 512.
     #[serde(default)]
     pub max_connections: Option<usize>,
+    /// Maximum number of connections on which other ingresses relay requests.
+    ///
+    /// Without it, an eighth of `max_connections`.
+    #[serde(default)]
+    pub max_relay_connections: Option<usize>,
     /// Settings of logs and traces.
     #[serde(default)]
     pub log: LogSettings,
@@ -170,6 +177,12 @@
         self.max_connections.unwrap_or_else(quarter)
     }
 
+    /// Returns the maximum number of connections on which other ingresses relay requests.
+    pub fn max_relay_connections(&self) -> usize {
+        let eighth = || self.max_connections().div_ceil(RELAY_CONNECTIONS_DIVISOR);
+        self.max_relay_connections.unwrap_or_else(eighth)
+    }
+
     /// Returns the limits on repeated sends, from the settings `repeat_*`.
     pub fn budget_limits(&self) -> BudgetLimits {
         BudgetLimits {
@@ -213,6 +226,9 @@
         if self.max_connections == Some(0) {
             return Err("max-connections: must be at least 1".into());
         }
+        if self.max_relay_connections == Some(0) {
+            return Err("max-relay-connections: must be at least 1".into());
+        }
         Ok(())
     }
 
