Read the bodies of control's calls into its account

Ruled out: the decoder and the log, which these bodies never reach. Change: the body memory reads any kind of body, and control has one account for all its listeners (body-memory-bytes). A call may have 4 MiB and 30 s; one that finds no memory gets 503 and Retry-After; a body that is too large gets 413 in place of 400. The memory of a configuration is held until it is stored, and one large body is decoded at a time. Calls of one kind leave connections to the others.

--- a/crates/toucanshelf-control/src/directory/calls.rs
+++ b/crates/toucanshelf-control/src/directory/calls.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::CONTENT_TYPE;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderValue, Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, Full, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use serde_bytes::ByteBuf;
 use tokio::time::Instant;
@@ -17,39 +17,51 @@
 use toucanshelf_core::registry::RegistryChange;
 use toucanshelf_core::state::{CommandBody, DeploymentDocument, Reply};
 use toucanshelf_link::dialect::ControlCall;
+use toucanshelf_runtime::body::{BodyError, BodyLimits, discard};
+use toucanshelf_runtime::connections::Caller;
 
-use crate::Shared;
 use crate::directory::{Directory, deployments, forward_registrations};
+use crate::{BODY_IDLE_TIMEOUT, BODY_TIMEOUT, Shared};
 
 /// Maximum size of the body of an API request, in bytes.
-const MAX_CALL_BYTES: usize = 16 * 1024 * 1024;
+const MAX_CALL_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum time that a read waits for this instance to apply the latest deployment.
 ///
 /// The leader may have committed a deployment version that this instance has not applied yet.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Time after which a caller may come back that found no memory or connection, in seconds.
+const BUSY_RETRY_AFTER_S: u32 = 1;
+
 type CallResponse = Response<Full<Bytes>>;
 
 /// Handles one request to the platform's API.
-pub(crate) async fn handle(shared: Arc<Shared>, req: Request<Incoming>) -> CallResponse {
+pub(crate) async fn handle(shared: Arc<Shared>, mut req: Request<Incoming>) -> CallResponse {
+    let caller = req.extensions_mut().remove::<Caller>();
+    let (parts, body) = req.into_parts();
     let Some(directory) = &shared.directory else {
-        return error_response(StatusCode::NOT_FOUND, "no platform is served here");
+        return refuse_unread(body, StatusCode::NOT_FOUND, "no platform is served here");
     };
     let call = directory
         .dialect
-        .control_call(req.method(), req.uri().path());
+        .control_call(&parts.method, parts.uri.path());
     let Some(call) = call else {
-        return error_response(StatusCode::NOT_FOUND, "there is no such call");
+        return refuse_unread(body, StatusCode::NOT_FOUND, "there is no such call");
     };
-    let body = match Limited::new(req.into_body(), MAX_CALL_BYTES)
-        .collect()
-        .await
-    {
-        Ok(body) => body.to_bytes(),
-        Err(e) => {
-            return error_response(StatusCode::BAD_REQUEST, &format!("reading the body: {e}"));
-        }
+    let limits = BodyLimits {
+        max_bytes: MAX_CALL_BYTES,
+        idle_timeout: BODY_IDLE_TIMEOUT,
+        due: Instant::now() + BODY_TIMEOUT,
     };
+    let owner = caller.as_ref().map(|caller| caller.address);
+    let body = match shared.bodies.read(body, limits, owner).await {
+        Ok(body) => body,
+        Err(e) => return body_error_response(e),
+    };
+    if caller.is_some_and(|caller| !caller.run_request(class(&call))) {
+        let message = "such calls use too many connections";
+        return busy_response(message);
+    }
     match call {
         ControlCall::PutDeployment => put_deployment(&shared, directory, body).await,
         ControlCall::GetDeployment => get_deployment(&shared).await,
@@ -58,11 +70,48 @@
     }
 }
 
+/// Returns the class of a call, whose calls in progress must leave connections to others.
+fn class(call: &ControlCall) -> &'static str {
+    match call {
+        ControlCall::PutDeployment => "put",
+        ControlCall::GetDeployment => "get",
+        ControlCall::Renew { .. } => "renew",
+        ControlCall::Leave { .. } => "leave",
+    }
+}
+
+/// Answers a call whose body is dropped unread.
+fn refuse_unread(body: Incoming, status: StatusCode, message: &str) -> CallResponse {
+    discard(body);
+    error_response(status, message)
+}
+
+/// Answers a call whose body could not be read; it has changed nothing.
+fn body_error_response(error: BodyError) -> CallResponse {
+    let status = match error {
+        BodyError::NoMemory => return busy_response(&error.to_string()),
+        BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::Broken => StatusCode::BAD_REQUEST,
+        BodyError::Stopped => StatusCode::REQUEST_TIMEOUT,
+    };
+    error_response(status, &error.to_string())
+}
+
+/// Tells a caller to come back, or to call another instance.
+fn busy_response(message: &str) -> CallResponse {
+    let mut response = error_response(StatusCode::SERVICE_UNAVAILABLE, message);
+    let seconds = HeaderValue::from(BUSY_RETRY_AFTER_S);
+    response.headers_mut().insert(RETRY_AFTER, seconds);
+    response
+}
+
 /// Commits a deployment and answers once the linked ingresses use it, within a time limit.
 async fn put_deployment(shared: &Arc<Shared>, directory: &Directory, body: Bytes) -> CallResponse {
     let submitted = Instant::now();
+    let decoding = directory.begin_decoding(&body).await;
     let decoded = directory.dialect.deployment(&body);
     let checked = decoded.and_then(|deployment| deployment.check().map(|()| deployment.version));
+    drop(decoding);
     let version = match checked {
         Ok(version) => version,
         Err(e) => {
@@ -86,7 +135,7 @@
         version,
         bytes: ByteBuf::from(body.to_vec()),
     };
-    drop(body);
+    // The memory of `body` is held until the end; it stands for that of the document.
     match deployments::submit(shared, &document).await {
         Ok(reply) => {
             tracing::info!(event = "TS2511", version, known = current, outcome = ?reply, "deployment submitted");
@@ -157,7 +206,10 @@
 }
 
 async fn renew(shared: &Arc<Shared>, directory: &Directory, id: &str, body: &[u8]) -> CallResponse {
-    let record = match directory.dialect.registration(id, body) {
+    let decoding = directory.begin_decoding(body).await;
+    let decoded = directory.dialect.registration(id, body);
+    drop(decoding);
+    let record = match decoded {
         Ok(record) => record,
         Err(e) => {
             tracing::warn!(event = "TS2513", target_id = %id, cause = %e, "heartbeat rejected");
@@ -206,7 +258,10 @@
 }
 
 async fn leave(shared: &Arc<Shared>, directory: &Directory, id: &str, body: &[u8]) -> CallResponse {
-    let incarnation = match directory.dialect.leaving_incarnation(body) {
+    let decoding = directory.begin_decoding(body).await;
+    let decoded = directory.dialect.leaving_incarnation(body);
+    drop(decoding);
+    let incarnation = match decoded {
         Ok(incarnation) => incarnation,
         Err(e) => {
             tracing::warn!(event = "TS2527", target_id = %id, cause = %e, "departure refused");
--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -26,7 +26,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, SemaphorePermit, watch};
 use toucanshelf_core::crash::Finding;
 use toucanshelf_core::deployment::Deployment;
 use toucanshelf_core::deployment_patch::DeploymentPatch;
@@ -49,6 +49,13 @@
 use loads::ZoneCollectors;
 use refreshes::Refreshes;
 
+/// Maximum number of connections from targets and operators.
+// See "Bounds of a control instance" in docs/CAPACITY.md.
+const MAX_CONNECTIONS: usize = 2_304;
+/// Maximum size of the headers of a call, in bytes.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+/// Size up to which bodies are decoded at the same time as others, in bytes.
+const SMALL_BODY_BYTES: usize = 64 * 1024;
 /// Time for which an ingress's suspicion of a target is kept, in milliseconds.
 const SUSPICION_RETENTION_MS: u64 = 5_000;
 /// Time after the last request for a permit for which a target's permits are counted.
@@ -91,6 +98,8 @@
     decoded_deployment: Mutex<Option<Arc<Deployment>>>,
     /// Whole document that was compressed last, for ingresses that have no earlier version.
     whole_document: Mutex<Option<Arc<DeploymentPatch>>>,
+    /// Permit for a large body to be decoded, of which there is one.
+    decoding: Semaphore,
     /// Expected interval between a target's heartbeats, in milliseconds.
     heartbeat_ms: u64,
     /// Weight of a shortage of slots on the first engines of routes.
@@ -114,12 +123,24 @@
             loads: ZoneCollectors::default(),
             decoded_deployment: Mutex::default(),
             whole_document: Mutex::default(),
+            decoding: Semaphore::new(1),
             heartbeat_ms: settings.heartbeat_ms,
             entry_weight: settings.entry_weight,
             started: Instant::now(),
         }
     }
 
+    /// Waits until a body may be decoded; one large body is decoded at a time.
+    ///
+    /// Decoded, a body may take several times its size.
+    pub(crate) async fn begin_decoding(&self, body: &[u8]) -> Option<SemaphorePermit<'_>> {
+        if body.len() <= SMALL_BODY_BYTES {
+            return None;
+        }
+        let permit = self.decoding.acquire().await;
+        Some(permit.expect("the semaphore is never closed"))
+    }
+
     /// Returns the time since this directory was created, in milliseconds.
     pub fn now(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
@@ -300,10 +321,12 @@
     let address = listener.local_addr().map_err(|e| e.to_string())?;
     let context = Arc::clone(shared);
     let limits = ConnectionLimits {
+        max_head_bytes: MAX_HEAD_BYTES,
         idle_timeout: Duration::from_millis(settings.heartbeat_ms) * IDLE_TIMEOUT_HEARTBEATS,
-        ..ConnectionLimits::default()
     };
-    let connections = Connections::with_excess(settings.max_connections());
+    // One in seventeen is the excess while all others are in use.
+    let max = settings.max_connections().min(MAX_CONNECTIONS);
+    let connections = Connections::with_excess((max - max / 17).max(1));
     let handler = move |req| calls::handle(Arc::clone(&context), req);
     tokio::spawn(async move {
         // The server stops when `_stop` is dropped, so this task keeps it until the process ends.
--- a/crates/toucanshelf-control/src/lib.rs
+++ b/crates/toucanshelf-control/src/lib.rs
@@ -42,6 +42,7 @@
 use toucanshelf_link::frame::SubmitError;
 use toucanshelf_link::handshake::{Hello, PeerRole};
 use toucanshelf_link::link::{self, Link};
+use toucanshelf_runtime::body::BodyMemory;
 use toucanshelf_runtime::listen::{ListenLimits, listen};
 
 use crate::directory::Directory;
@@ -54,6 +55,10 @@
 const SUBMIT_TIMEOUT: Duration = Duration::from_secs(3);
 /// Delay before [`Shared::submit`] retries a command.
 const SUBMIT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Time without any byte after which the body of a call counts as stopped.
+pub(crate) const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time within which the body of a call must arrive.
+pub(crate) const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// A running control instance.
 pub struct Control {
@@ -83,6 +88,8 @@
     pub peers: Peers,
     /// Gates that are linked to this instance or were within the last minute.
     pub sessions: Sessions,
+    /// Memory of the bodies of all calls.
+    pub bodies: Arc<BodyMemory>,
     /// Deployment and targets of the platform whose API this instance serves.
     ///
     /// It is `None` if [`ControlSettings::deployment`] is, which means that no platform is served.
@@ -147,6 +154,7 @@
             (None, _) => None,
         };
         let shared = Arc::new(Shared {
+            bodies: BodyMemory::new(settings.memory_limits()),
             settings,
             driver,
             peers,
--- a/crates/toucanshelf-control/src/settings.rs
+++ b/crates/toucanshelf-control/src/settings.rs
@@ -7,6 +7,7 @@
 use toucanshelf_core::digest::Digest;
 use toucanshelf_core::target::check_text;
 use toucanshelf_link::handshake::SharedKey;
+use toucanshelf_runtime::memory_budget::{MIN_BODY_RATE, MemoryLimits};
 use toucanshelf_runtime::program::DaemonSettings;
 use toucanshelf_runtime::settings::{LogSettings, SettingsFile, milliseconds};
 
@@ -15,6 +16,10 @@
 /// Above it, placement would give up memory of later layers for slots that no request could use.
 const MAX_ENTRY_WEIGHT: f64 = 100.0;
 
+/// Smallest value of the setting `body-memory-bytes`, in bytes.
+///
+/// The largest body of a call is held twice while its parts are joined.
+const MIN_BODY_MEMORY_BYTES: usize = 12 * 1024 * 1024;
 /// Share of the open files that is for connections from targets and operators.
 const CALLERS_SHARE: f64 = 0.75;
 
@@ -44,6 +49,9 @@
     pub bootstrap: bool,
     /// SHA-256 digests of the operators' bearer tokens.
     pub operator_token_digests: Vec<Digest>,
+    /// Memory for the bodies of all calls, in bytes.
+    #[serde(default = "default_body_memory")]
+    pub body_memory_bytes: usize,
     /// Settings for the platform's API and deployment.
     ///
     /// Without them, the instance does not run the platform's API, the registry of targets or the
@@ -97,6 +105,11 @@
     pub entry_weight: f64,
 }
 
+// See "Bounds of a control instance" in docs/CAPACITY.md.
+fn default_body_memory() -> usize {
+    MIN_BODY_MEMORY_BYTES
+}
+
 fn default_entry_weight() -> f64 {
     1.0
 }
@@ -124,6 +137,14 @@
 }
 
 impl ControlSettings {
+    /// Returns the limits on the memory of bodies.
+    pub fn memory_limits(&self) -> MemoryLimits {
+        MemoryLimits {
+            max_bytes: self.body_memory_bytes,
+            min_rate: MIN_BODY_RATE,
+        }
+    }
+
     /// Returns the validated key that authenticates links between processes.
     ///
     /// # Errors
@@ -172,6 +193,9 @@
         if weight.is_some_and(|weight| !(1.0..=MAX_ENTRY_WEIGHT).contains(&weight)) {
             return Err("deployment.entry-weight: must lie in 1..=100".into());
         }
+        if self.body_memory_bytes < MIN_BODY_MEMORY_BYTES {
+            return Err("body-memory-bytes: must be at least 12582912".into());
+        }
         if self.replicas.len() > 4 {
             return Err("replicas: at most 4 other control instances".into());
         }
--- a/crates/toucanshelf-replay/src/layout.rs
+++ b/crates/toucanshelf-replay/src/layout.rs
@@ -21,6 +21,8 @@
 pub const MODEL: &str = "model";
 /// Id of the plain service, which accepts `POST` requests and runs no model.
 pub const SERVICE: &str = "dispatch-app";
+/// Memory for the bodies of calls to a control instance, in bytes.
+const CONTROL_BODY_MEMORY_BYTES: usize = 12 * 1024 * 1024;
 const LINK_KEY: &str = "replay-link-key-0123456789";
 pub(crate) const TARGET_TOKEN: &str = "replay-target";
 const OPERATOR_TOKEN: &str = "replay-operator";
@@ -107,6 +109,7 @@
         replicas: others.map(|(_, address)| *address).collect(),
         bootstrap: n == 0,
         operator_token_digests: vec![Digest::of(OPERATOR_TOKEN.as_bytes())],
+        body_memory_bytes: CONTROL_BODY_MEMORY_BYTES,
         deployment: None,
         file: None,
         log: LogSettings::default(),
--- a/crates/toucanshelf-runtime/src/body.rs
+++ b/crates/toucanshelf-runtime/src/body.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -94,29 +94,36 @@
     ///
     /// Fails if the body is too long, stops before its end or finds no memory. The rest of the body is
     /// then read and dropped for a short time.
-    pub async fn read(
+    pub async fn read<B>(
         self: &Arc<Self>,
-        mut body: Incoming,
+        mut body: B,
         limits: BodyLimits,
         owner: Option<IpAddr>,
-    ) -> Result<Bytes, BodyError> {
+    ) -> Result<Bytes, BodyError>
+    where
+        B: Body<Data = Bytes> + Send + Unpin + 'static,
+        B::Error: Send,
+    {
         if body.size_hint().exact() == Some(0) {
             return Ok(Bytes::new());
         }
         let read = timeout_at(limits.due, self.read_all(&mut body, limits, owner));
         let result = read.await.unwrap_or(Err(BodyError::Stopped));
         if matches!(result, Err(e) if e != BodyError::Broken) {
-            tokio::spawn(timeout(DRAIN_TIMEOUT, drain(body)));
+            discard(body);
         }
         result
     }
 
-    async fn read_all(
+    async fn read_all<B>(
         self: &Arc<Self>,
-        body: &mut Incoming,
+        body: &mut B,
         limits: BodyLimits,
         owner: Option<IpAddr>,
-    ) -> Result<Bytes, BodyError> {
+    ) -> Result<Bytes, BodyError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+    {
         let announced = body.size_hint().exact();
         if announced.is_some_and(|len| len > limits.max_bytes as u64) {
             return Err(BodyError::TooLarge);
@@ -168,9 +175,17 @@
     }
 }
 
-/// Reads the rest of a body and drops it.
-async fn drain(mut body: Incoming) {
-    while let Some(Ok(_)) = body.frame().await {}
+/// Reads the rest of a refused body for a short time and drops it, without using memory.
+pub fn discard<B>(mut body: B)
+where
+    B: Body<Data = Bytes> + Send + Unpin + 'static,
+    B::Error: Send,
+{
+    if body.is_end_stream() {
+        return;
+    }
+    let drain = async move { while let Some(Ok(_)) = body.frame().await {} };
+    tokio::spawn(timeout(DRAIN_TIMEOUT, drain));
 }
 
 /// Memory that one body holds, given back when dropped.
