Know a caller before its body is read, on bounded connections

Cause: dropshot's server reads a body before the handler sees the token, and accepts any number of connections with receive buffers that grow, over HTTP/2 too; none of that can be set. Ruled out: the streaming extractor alone, which leaves the connections (docs/design/crowds.md). Change: runtime::api serves the endpoints, which dropshot describes as before, on the same bounded connections as everything else. A handler knows the caller and then reads the body into the account of the process; an unread body is dropped as it arrives. HTTP/1.1 only. A gate has body-memory-bytes and max-connections, and holds the memory of a prompt's body until the request ends. The response's x-request-id is now the one in the gate's log, which dropshot replaced. The OpenAPI documents are unchanged.

--- a/crates/toucanshelf-control/src/api.rs
+++ b/crates/toucanshelf-control/src/api.rs
@@ -5,77 +5,112 @@
 
 use std::sync::Arc;
 
-use dropshot::{
-    ApiDescription, Body, ConfigDropshot, HttpServer, Path, Query, RequestContext, ServerBuilder,
-    UntypedBody, endpoint,
-};
-use http::Response;
+use dropshot::{ApiDescription, Path, Query, StubContext, UntypedBody};
 use prometheus::{IntGauge, Registry};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::time::Instant;
 use toucanshelf_core::document::ObjectKind;
 use toucanshelf_core::ids::TicketNumber;
 use toucanshelf_core::outcome::{Code, Refusal};
 use toucanshelf_core::state::{CommandBody, Reply};
 use toucanshelf_core::ticket::{MAX_TICKET_BYTES, Ticket, TicketRecord, Verdict};
 use toucanshelf_link::frame::SubmitError;
-use toucanshelf_runtime::credentials;
-use toucanshelf_runtime::http::{
-    ApiError, bytes_response, handler_response, json_response, refusal_response,
-};
-use toucanshelf_runtime::logs::slog_bridge;
+use toucanshelf_runtime::api::{Api, ApiRequest, ApiServer, HandlerResult};
+use toucanshelf_runtime::body::BodyLimits;
+use toucanshelf_runtime::connections::{Connections, share_of_descriptors};
+use toucanshelf_runtime::http::{bytes_response, json_response};
+use toucanshelf_runtime::{credentials, endpoint};
 
-use crate::Shared;
+use crate::{BODY_IDLE_TIMEOUT, BODY_TIMEOUT, Shared};
 
 /// Maximum number of tickets in one response of the ticket list.
 const MAX_LISTED_TICKETS: usize = 1_000;
+/// Maximum number of connections of operators and of those that read the metrics.
+const MAX_OPERATOR_CONNECTIONS: usize = 64;
+/// Descriptors of the process for each such connection.
+const OPERATORS_DIVISOR: usize = 16;
 
-type Context = RequestContext<Arc<Shared>>;
-type EndpointResult = Result<Response<Body>, ApiError>;
+type Request = ApiRequest<Arc<Shared>>;
 
-/// Returns the endpoints of the operators' API.
+/// Returns the description of the operators' API.
 ///
 /// # Panics
 ///
 /// Panics when an endpoint is malformed; a test guards against this.
-pub fn description() -> ApiDescription<Arc<Shared>> {
-    let mut api = ApiDescription::new();
-    api.register(ticket_put)
-        .expect("the endpoint is well-formed");
-    api.register(ticket_get)
-        .expect("the endpoint is well-formed");
-    api.register(ticket_list)
-        .expect("the endpoint is well-formed");
-    api.register(status_get)
-        .expect("the endpoint is well-formed");
-    api.register(name_resolve)
-        .expect("the endpoint is well-formed");
-    api.register(object_list)
-        .expect("the endpoint is well-formed");
-    api.register(health_live)
-        .expect("the endpoint is well-formed");
-    api.register(health_ready)
-        .expect("the endpoint is well-formed");
-    api.register(metrics).expect("the endpoint is well-formed");
+pub fn description() -> ApiDescription<StubContext> {
+    api().into_description()
+}
+
+/// Returns the endpoints of the operators' API.
+fn api() -> Api<Arc<Shared>> {
+    type Ticket = (Path<TicketPath>,);
+    type PutTicket = (Path<TicketPath>, UntypedBody);
+    type Name = (Path<NamePath>,);
+    let mut api = Api::new();
+    api.register(
+        endpoint!(PUT "/v1/tickets/{number}", "ticket_put", PutTicket)
+            .summary("Submit a ticket")
+            .description(
+                "The body is the ticket in TOML format. Sending an unchanged ticket again returns the \
+                 first verdict again.",
+            ),
+        submit_ticket,
+    );
+    api.register(
+        endpoint!(GET "/v1/tickets/{number}", "ticket_get", Ticket)
+            .summary("Get the verdict on a ticket"),
+        lookup_ticket,
+    );
+    api.register(
+        endpoint!(GET "/v1/tickets", "ticket_list", (Query<ListQuery>,))
+            .summary("List tickets in ascending order of their numbers"),
+        list_tickets,
+    );
+    api.register(
+        endpoint!(GET "/v1/status", "status_get", ())
+            .summary("Get the leader, the applied revision and the linked gates"),
+        get_status,
+    );
+    api.register(
+        endpoint!(GET "/v1/names/{kind}/{name}", "name_resolve", Name).summary("Resolve a name"),
+        resolve_name,
+    );
+    api.register(
+        endpoint!(GET "/v1/objects/{kind}", "object_list", (Path<KindPath>,))
+            .summary("List the objects of one kind"),
+        list_objects,
+    );
+    api.register(
+        endpoint!(GET "/health/live", "health_live", ())
+            .summary("Check whether the process is running"),
+        health_live,
+    );
+    api.register(
+        endpoint!(GET "/health/ready", "health_ready", ()).summary(
+            "Check whether the instance follows a known leader, or leads with a valid lease",
+        ),
+        health_ready,
+    );
+    api.register(
+        endpoint!(GET "/metrics", "metrics", ())
+            .summary("Get the metrics in the Prometheus text format"),
+        metrics,
+    );
     api
 }
 
-pub(crate) fn serve(shared: &Arc<Shared>) -> Result<HttpServer<Arc<Shared>>, Box<str>> {
-    let listen = shared.settings.listen;
-    let config = ConfigDropshot {
-        bind_address: listen,
-        default_request_body_max_bytes: MAX_TICKET_BYTES,
-        ..ConfigDropshot::default()
-    };
-    ServerBuilder::new(description(), Arc::clone(shared), slog_bridge())
-        .config(config)
-        .start()
-        .map_err(|e| format!("listening on {listen}: {e}").into())
+/// Serves the operators' API on `listener`.
+pub(crate) fn serve(shared: &Arc<Shared>, listener: TcpListener) -> Result<ApiServer, Box<str>> {
+    let max = share_of_descriptors(OPERATORS_DIVISOR, MAX_OPERATOR_CONNECTIONS);
+    let connections = Connections::new(max);
+    ApiServer::start(api(), Arc::clone(shared), listener, connections)
 }
 
-fn authorize(rqctx: &Context) -> Result<(), Refusal> {
-    let allowed = &rqctx.context().settings.operator_token_digests;
-    if credentials::is_allowed(rqctx.request.headers(), allowed) {
+fn authorize(req: &Request) -> Result<(), Refusal> {
+    let allowed = &req.context().settings.operator_token_digests;
+    if credentials::is_allowed(req.headers(), allowed) {
         return Ok(());
     }
     Err(Refusal::not_run(
@@ -96,30 +131,32 @@
 }
 
 #[derive(Debug, Deserialize, JsonSchema)]
+#[expect(dead_code, reason = "the type describes the parameter")]
 struct TicketPath {
     /// Number of the ticket.
     number: u64,
 }
 
-/// Submit a ticket
-///
-/// The body is the ticket in TOML format. Sending an unchanged ticket again returns the first
-/// verdict again.
-#[endpoint { method = PUT, path = "/v1/tickets/{number}" }]
-async fn ticket_put(rqctx: Context, path: Path<TicketPath>, body: UntypedBody) -> EndpointResult {
-    handler_response(submit_ticket(&rqctx, path.into_inner().number, &body).await)
+/// Parses the number of a ticket in the path.
+fn ticket_number(req: &Request) -> Result<TicketNumber, Refusal> {
+    let number = req.variable("number").parse().map(TicketNumber);
+    number.map_err(|e| Refusal::not_run(Code::BadRequest, format!("reading the number: {e}")))
 }
 
-async fn submit_ticket(
-    rqctx: &Context,
-    number: u64,
-    body: &UntypedBody,
-) -> Result<Response<Body>, Refusal> {
-    authorize(rqctx)?;
-    let text = std::str::from_utf8(body.as_bytes())
+async fn submit_ticket(mut req: Request) -> HandlerResult {
+    authorize(&req)?;
+    let number = ticket_number(&req)?;
+    let shared = Arc::clone(req.context());
+    let limits = BodyLimits {
+        max_bytes: MAX_TICKET_BYTES,
+        idle_timeout: BODY_IDLE_TIMEOUT,
+        due: Instant::now() + BODY_TIMEOUT,
+    };
+    let body = req.read_body(&shared.bodies, limits, "tickets").await?;
+    let text = std::str::from_utf8(&body)
         .map_err(|e| Refusal::not_run(Code::BadRequest, format!("reading the ticket: {e}")))?;
     let ticket = Ticket::parse(text).map_err(|e| Refusal::not_run(Code::Invalid, e.to_string()))?;
-    if ticket.number != TicketNumber(number) {
+    if ticket.number != number {
         let message = format!(
             "the ticket's number is {}, but {number} was asked for",
             ticket.number
@@ -127,15 +164,14 @@
         return Err(Refusal::not_run(Code::BadRequest, message));
     }
     let operator = ticket.operator.clone();
-    let reply = rqctx
-        .context()
+    let reply = shared
         .submit(CommandBody::Ticket(Box::new(ticket)), true)
         .await;
     let verdict = match reply.map_err(|e| submit_refusal(&e))? {
         Reply::Verdict(verdict) => verdict,
         other => return Err(unexpected_reply(&other)),
     };
-    tracing::info!(event = "TS2401", ticket = number, %operator, verdict = ?verdict, "ticket processed");
+    tracing::info!(event = "TS2401", ticket = number.0, %operator, verdict = ?verdict, "ticket processed");
     let status = match verdict {
         Verdict::Applied { .. } => 200,
         Verdict::Superseded { .. } | Verdict::Conflict { .. } => 409,
@@ -148,22 +184,16 @@
     Refusal::not_run(Code::ProtocolBroken, format!("unexpected answer {reply:?}"))
 }
 
-/// Get the verdict on a ticket
-#[endpoint { method = GET, path = "/v1/tickets/{number}" }]
-async fn ticket_get(rqctx: Context, path: Path<TicketPath>) -> EndpointResult {
-    let number = TicketNumber(path.into_inner().number);
-    handler_response(lookup_ticket(&rqctx, number).await)
-}
-
-async fn lookup_ticket(rqctx: &Context, number: TicketNumber) -> Result<Response<Body>, Refusal> {
-    authorize(rqctx)?;
-    let local = rqctx.context().driver.state().ticket(number).cloned();
+async fn lookup_ticket(req: Request) -> HandlerResult {
+    authorize(&req)?;
+    let number = ticket_number(&req)?;
+    let local = req.context().driver.state().ticket(number).cloned();
     if let Some(record) = local {
         return Ok(json_response(200, &record));
     }
     // This instance may lag behind the leader, so only a read through the replicated log can show
     // that the ticket has no verdict.
-    let reply = rqctx
+    let reply = req
         .context()
         .submit(CommandBody::Lookup { number }, true)
         .await;
@@ -184,16 +214,13 @@
     after: u64,
 }
 
-/// List tickets in ascending order of their numbers
-#[endpoint { method = GET, path = "/v1/tickets" }]
-async fn ticket_list(rqctx: Context, query: Query<ListQuery>) -> EndpointResult {
-    let after = TicketNumber(query.into_inner().after);
-    handler_response(authorize(&rqctx).map(|()| {
-        let state = rqctx.context().driver.state();
-        let later = state.tickets().filter(|record| record.number > after);
-        let records: Vec<&TicketRecord> = later.take(MAX_LISTED_TICKETS).collect();
-        json_response(200, &records)
-    }))
+async fn list_tickets(req: Request) -> HandlerResult {
+    authorize(&req)?;
+    let after = TicketNumber(req.query::<ListQuery>()?.after);
+    let state = req.context().driver.state();
+    let later = state.tickets().filter(|record| record.number > after);
+    let records: Vec<&TicketRecord> = later.take(MAX_LISTED_TICKETS).collect();
+    Ok(json_response(200, &records))
 }
 
 /// Status of a control instance.
@@ -240,10 +267,9 @@
     pub connected: bool,
 }
 
-/// Get the leader, the applied revision and the linked gates
-#[endpoint { method = GET, path = "/v1/status" }]
-async fn status_get(rqctx: Context) -> EndpointResult {
-    handler_response(authorize(&rqctx).map(|()| json_response(200, &status_body(rqctx.context()))))
+async fn get_status(req: Request) -> HandlerResult {
+    authorize(&req)?;
+    Ok(json_response(200, &status_body(req.context())))
 }
 
 fn status_body(shared: &Shared) -> StatusBody {
@@ -276,6 +302,7 @@
 }
 
 #[derive(Debug, Deserialize, JsonSchema)]
+#[expect(dead_code, reason = "the type describes the parameters")]
 struct NamePath {
     /// Kind of the configuration object: `scheme`, `organisation`, `service`, `model`, `engine`,
     /// `placement` or `permission`.
@@ -290,17 +317,11 @@
         .map_err(|_| Refusal::not_run(Code::BadRequest, format!("`{text}` is no kind of object")))
 }
 
-/// Resolve a name
-#[endpoint { method = GET, path = "/v1/names/{kind}/{name}" }]
-async fn name_resolve(rqctx: Context, path: Path<NamePath>) -> EndpointResult {
-    let NamePath { kind, name } = path.into_inner();
-    handler_response(resolve_name(&rqctx, &kind, &name))
-}
-
-fn resolve_name(rqctx: &Context, kind: &str, name: &str) -> Result<Response<Body>, Refusal> {
-    authorize(rqctx)?;
-    let kind = parse_kind(kind)?;
-    let state = rqctx.context().driver.state();
+async fn resolve_name(req: Request) -> HandlerResult {
+    authorize(&req)?;
+    let kind = parse_kind(req.variable("kind"))?;
+    let name = req.variable("name");
+    let state = req.context().driver.state();
     let configuration = state.configuration();
     let id = configuration.resolve(kind, name).map_err(|e| {
         let code = if e.candidates().is_empty() {
@@ -315,43 +336,35 @@
 }
 
 #[derive(Debug, Deserialize, JsonSchema)]
+#[expect(dead_code, reason = "the type describes the parameter")]
 struct KindPath {
     /// Kind of the configuration objects: `scheme`, `organisation`, `service`, `model`, `engine`,
     /// `placement` or `permission`.
     kind: Box<str>,
 }
 
-/// List the objects of one kind
-#[endpoint { method = GET, path = "/v1/objects/{kind}" }]
-async fn object_list(rqctx: Context, path: Path<KindPath>) -> EndpointResult {
-    let listed = authorize(&rqctx).and_then(|()| parse_kind(&path.into_inner().kind));
-    handler_response(listed.map(|kind| {
-        let state = rqctx.context().driver.state();
-        let objects: Vec<_> = state.configuration().objects(kind).collect();
-        json_response(200, &objects)
-    }))
+async fn list_objects(req: Request) -> HandlerResult {
+    authorize(&req)?;
+    let kind = parse_kind(req.variable("kind"))?;
+    let state = req.context().driver.state();
+    let objects: Vec<_> = state.configuration().objects(kind).collect();
+    Ok(json_response(200, &objects))
 }
 
-/// Check whether the process is running
-#[endpoint { method = GET, path = "/health/live" }]
-async fn health_live(_rqctx: Context) -> EndpointResult {
+async fn health_live(_req: Request) -> HandlerResult {
     Ok(bytes_response(200, "text/plain", b"live\n".to_vec()))
 }
 
-/// Check whether the instance follows a known leader, or leads with a valid lease
-#[endpoint { method = GET, path = "/health/ready" }]
-async fn health_ready(rqctx: Context) -> EndpointResult {
-    if rqctx.context().driver.status().current {
+async fn health_ready(req: Request) -> HandlerResult {
+    if req.context().driver.status().current {
         return Ok(bytes_response(200, "text/plain", b"ready\n".to_vec()));
     }
     let message = "no leader with a quorum can be reached";
-    Ok(refusal_response(&Refusal::not_run(Code::NoQuorum, message)))
+    Err(Refusal::not_run(Code::NoQuorum, message))
 }
 
-/// Get the metrics in the Prometheus text format
-#[endpoint { method = GET, path = "/metrics" }]
-async fn metrics(rqctx: Context) -> EndpointResult {
-    let status = status_body(rqctx.context());
+async fn metrics(req: Request) -> HandlerResult {
+    let status = status_body(req.context());
     let registry = Registry::new();
     let gauge = |name: &str, help: &str, value: u64| {
         let gauge = IntGauge::new(name, help).expect("the metric name is valid");
@@ -374,7 +387,7 @@
     gauge(
         "toucanshelf_control_suspended",
         "1 while its store fails, so that it takes no part in the log.",
-        u64::from(rqctx.context().driver.status().suspended),
+        u64::from(req.context().driver.status().suspended),
     );
     gauge("toucanshelf_control_term", "Election term.", status.term);
     gauge(
--- a/crates/toucanshelf-control/src/lib.rs
+++ b/crates/toucanshelf-control/src/lib.rs
@@ -42,6 +42,7 @@
 use toucanshelf_link::frame::SubmitError;
 use toucanshelf_link::handshake::{Hello, PeerRole};
 use toucanshelf_link::link::{self, Link};
+use toucanshelf_runtime::api::ApiServer;
 use toucanshelf_runtime::body::BodyMemory;
 use toucanshelf_runtime::listen::{ListenLimits, listen};
 
@@ -66,7 +67,7 @@
     address: SocketAddr,
     link_address: SocketAddr,
     platform_address: Option<SocketAddr>,
-    server: dropshot::HttpServer<Arc<Shared>>,
+    server: ApiServer,
 }
 
 impl fmt::Debug for Control {
@@ -170,7 +171,8 @@
         tokio::spawn(link::serve(listener, hello, key, links_tx));
         tokio::spawn(accept_links(Arc::clone(&shared), links));
         let platform_address = directory::start(&shared)?;
-        let server = api::serve(&shared)?;
+        let operators = listen(shared.settings.listen, ListenLimits::FEW)?;
+        let server = api::serve(&shared, operators)?;
         let address = server.local_addr();
         tracing::info!(event = "TS2001", http = %address, link = %link_address, "control listens");
         Ok(Self {
@@ -205,7 +207,7 @@
     /// Stops the replica's thread and the server of the operators' API.
     pub async fn stop(self) {
         self.shared.driver.stop();
-        let _ = self.server.close().await;
+        self.server.close().await;
         tracing::info!(event = "TS2002", "control stopped");
     }
 }
--- a/crates/toucanshelf-core/src/outcome.rs
+++ b/crates/toucanshelf-core/src/outcome.rs
@@ -113,6 +113,12 @@
     BadRequest "bad_request" 400;
     /// The request body exceeds the size limit.
     TooLarge "too_large" 413;
+    /// The request body stopped before its end.
+    BodyStopped "body_stopped" 408;
+    /// The bodies of other requests take the memory.
+    NoMemory "no_memory" 503;
+    /// The path exists, but not with this method.
+    MethodNotAllowed "method_not_allowed" 405;
     /// The request names an object that does not exist.
     UnknownName "unknown_name" 404;
     /// A name given without a naming scheme denotes several objects.
--- a/crates/toucanshelf-gate/src/api.rs
+++ b/crates/toucanshelf-gate/src/api.rs
@@ -4,100 +4,161 @@
 //! two objects of the same kind have the same name.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
-use dropshot::{
-    ApiDescription, Body, ConfigDropshot, HttpServer, Path, Query, RequestContext, ServerBuilder,
-    UntypedBody, endpoint,
-};
+use dropshot::{ApiDescription, Body, Path, Query, StubContext, UntypedBody};
 use http::header::CONNECTION;
-use http::{HeaderValue, Method, Response};
+use http::{HeaderMap, HeaderValue, Method, Response};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use tokio::time::Instant;
 use toucanshelf_core::configuration::Configuration;
+use toucanshelf_core::digest::Digest;
 use toucanshelf_core::outcome::{Code, Refusal};
 use toucanshelf_core::target::{Announcement, TargetRole};
 use toucanshelf_link::frame::TargetRecord;
 use toucanshelf_routing::planner::RouteRequest;
+use toucanshelf_runtime::api::{Api, ApiRequest, ApiServer, HandlerResult};
+use toucanshelf_runtime::body::BodyLimits;
+use toucanshelf_runtime::connections::Connections;
 use toucanshelf_runtime::http::{
-    ApiError, REQUEST_ID_HEADER, bytes_response, handler_response, json_response, refusal_response,
+    REQUEST_ID_HEADER, bytes_response, json_response, refusal_response,
 };
-use toucanshelf_runtime::logs::slog_bridge;
-use toucanshelf_runtime::{credentials, trace};
+use toucanshelf_runtime::{credentials, endpoint, trace};
 use tracing::Instrument as _;
 
+use crate::callers;
 use crate::completions::{self, CompletionRequest};
 use crate::fleets::canonical_name;
 use crate::services::{self, IncomingCall};
 use crate::shared::Shared;
 use crate::targets;
 
-type Context = RequestContext<Arc<Shared>>;
-type EndpointResult = Result<Response<Body>, ApiError>;
+/// Time without any byte after which a body counts as stopped.
+const BODY_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// Returns the endpoints of the HTTP interface.
-///
-/// The server and the generated description of the interface use them.
+type Request = ApiRequest<Arc<Shared>>;
+
+/// Returns the description of the HTTP interface.
 ///
 /// # Panics
 ///
 /// Panics if an endpoint is invalid, which the tests detect.
-pub fn description() -> ApiDescription<Arc<Shared>> {
-    let mut api = ApiDescription::new();
-    api.register(chat_completions).expect("endpoint is valid");
-    api.register(text_completions).expect("endpoint is valid");
-    api.register(service_get).expect("endpoint is valid");
-    api.register(service_post).expect("endpoint is valid");
-    api.register(service_put).expect("endpoint is valid");
-    api.register(service_delete).expect("endpoint is valid");
-    api.register(target_announce).expect("endpoint is valid");
-    api.register(target_list).expect("endpoint is valid");
-    api.register(target_drain).expect("endpoint is valid");
-    api.register(route_explain).expect("endpoint is valid");
-    api.register(health_live).expect("endpoint is valid");
-    api.register(health_ready).expect("endpoint is valid");
-    api.register(metrics).expect("endpoint is valid");
+pub fn description() -> ApiDescription<StubContext> {
+    api().into_description()
+}
+
+/// Returns the endpoints of the HTTP interface.
+fn api() -> Api<Arc<Shared>> {
+    type Service = (Path<ServicePath>,);
+    type ServiceCall = (Path<ServicePath>, UntypedBody);
+    let mut api = Api::new();
+    api.register(
+        endpoint!(POST "/v1/chat/completions", "chat_completions", (UntypedBody,))
+            .summary("Generate the next message of a chat"),
+        chat_completions,
+    );
+    api.register(
+        endpoint!(POST "/v1/completions", "text_completions", (UntypedBody,))
+            .summary("Generate the continuation of a text"),
+        text_completions,
+    );
+    let service = endpoint!(GET "/svc/{service}/{path:.*}", "service_get", Service);
+    api.register(service.visible(false), |req| call_service(req, Method::GET));
+    let service = endpoint!(POST "/svc/{service}/{path:.*}", "service_post", ServiceCall);
+    api.register(service.visible(false), |req| {
+        call_service(req, Method::POST)
+    });
+    let service = endpoint!(PUT "/svc/{service}/{path:.*}", "service_put", ServiceCall);
+    api.register(service.visible(false), |req| call_service(req, Method::PUT));
+    let service = endpoint!(DELETE "/svc/{service}/{path:.*}", "service_delete", Service);
+    api.register(service.visible(false), |req| {
+        call_service(req, Method::DELETE)
+    });
+    api.register(
+        endpoint!(POST "/v1/targets/announce", "target_announce", (UntypedBody,))
+            .summary("Announce a target or renew its lease"),
+        announce_target,
+    );
+    api.register(
+        endpoint!(GET "/v1/targets", "target_list", ())
+            .summary("List the targets that this gate knows"),
+        list_targets,
+    );
+    api.register(
+        endpoint!(POST "/v1/drains/{name}", "target_drain", (Path<TargetPath>,))
+            .summary("Drain a target, so that it finishes its requests and gets no new ones"),
+        drain_target,
+    );
+    api.register(
+        endpoint!(GET "/v1/explain/route", "route_explain", (Query<RouteQuery>,))
+            .summary("Explain which route a request would take now"),
+        explain_route,
+    );
+    api.register(
+        endpoint!(GET "/health/live", "health_live", ())
+            .summary("Check whether the process is running"),
+        health_live,
+    );
+    api.register(
+        endpoint!(GET "/health/ready", "health_ready", ())
+            .summary("Check whether the gate accepts new requests and which links it has"),
+        health_ready,
+    );
+    api.register(
+        endpoint!(GET "/metrics", "metrics", ())
+            .summary("Show the metrics in the Prometheus text format"),
+        metrics,
+    );
     api
 }
 
-pub(crate) fn serve(shared: &Arc<Shared>) -> Result<HttpServer<Arc<Shared>>, Box<str>> {
-    let settings = &shared.settings;
-    let config = ConfigDropshot {
-        bind_address: settings.listen,
-        default_request_body_max_bytes: settings.max_body_bytes,
-        ..ConfigDropshot::default()
+/// Serves the HTTP interface on `listener`.
+pub(crate) fn serve(shared: &Arc<Shared>, listener: TcpListener) -> Result<ApiServer, Box<str>> {
+    let connections = Connections::new(shared.settings.max_connections());
+    ApiServer::start(api(), Arc::clone(shared), listener, connections)
+}
+
+/// Reads the body of a request by its deadline and begins to run it as one of a class.
+async fn read_body(req: &mut Request, deadline: u64, class: &str) -> Result<Bytes, Refusal> {
+    let shared = Arc::clone(req.context());
+    let remaining = Duration::from_millis(deadline.saturating_sub(shared.now()));
+    let limits = BodyLimits {
+        max_bytes: shared.settings.max_body_bytes,
+        idle_timeout: BODY_IDLE_TIMEOUT,
+        due: Instant::now() + remaining,
     };
-    ServerBuilder::new(description(), Arc::clone(shared), slog_bridge())
-        .config(config)
-        .start()
-        .map_err(|e| format!("listening on {}: {e}", settings.listen).into())
+    req.read_body(&shared.bodies, limits, class).await
 }
 
 /// Runs a caller's request in its own trace span and adds common response headers.
 async fn in_span(
-    rqctx: &Context,
+    shared: &Shared,
+    headers: &HeaderMap,
     request_id: &str,
-    work: impl Future<Output = Result<Response<Body>, Refusal>>,
-) -> EndpointResult {
+    work: impl Future<Output = HandlerResult>,
+) -> HandlerResult {
     let span = tracing::info_span!(
         "request",
         request = request_id,
         trace = tracing::field::Empty
     );
-    trace::continue_trace(&span, rqctx.request.headers());
+    trace::continue_trace(&span, headers);
     span.record("trace", &*trace::trace_id(&span));
     let result = work.instrument(span.clone()).await;
     let mut response = result.unwrap_or_else(|refusal| refusal_response(&refusal));
-    let headers = response.headers_mut();
-    if rqctx.context().is_stopping() {
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    let response_headers = response.headers_mut();
+    if shared.is_stopping() {
+        response_headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
     if let Ok(value) = HeaderValue::from_str(request_id) {
-        headers.insert(REQUEST_ID_HEADER, value);
+        response_headers.insert(REQUEST_ID_HEADER, value);
     }
-    let parent = rqctx.request.headers().get(trace::TRACEPARENT).cloned();
+    let parent = headers.get(trace::TRACEPARENT).cloned();
     if let Some(value) = trace::traceparent(&span).or(parent) {
-        headers.insert(trace::TRACEPARENT, value);
+        response_headers.insert(trace::TRACEPARENT, value);
     }
     Ok(response)
 }
@@ -106,26 +167,34 @@
     uuid::Uuid::new_v4().to_string()
 }
 
-async fn complete(rqctx: &Context, parsed: Result<CompletionRequest, Refusal>) -> EndpointResult {
+/// Serves a completion, whose body is read once its caller is known.
+async fn complete(
+    mut req: Request,
+    parse: fn(&[u8]) -> Result<CompletionRequest, Refusal>,
+) -> HandlerResult {
     let id = new_request_id();
-    let shared = rqctx.context();
-    let headers = rqctx.request.headers();
-    in_span(rqctx, &id, completions::serve(shared, &id, headers, parsed)).await
+    let shared = Arc::clone(req.context());
+    let headers = req.headers().clone();
+    let work = async {
+        let caller = callers::authenticate(&shared, &headers)?;
+        let deadline = callers::deadline(&shared, &headers)?;
+        let body = read_body(&mut req, deadline, "completions").await?;
+        let parsed = parse(&body)?;
+        completions::serve(&shared, &id, caller, deadline, parsed, body).await
+    };
+    in_span(&shared, &headers, &id, work).await
 }
 
-/// Generate the next message of a chat
-#[endpoint { method = POST, path = "/v1/chat/completions" }]
-async fn chat_completions(rqctx: Context, body: UntypedBody) -> EndpointResult {
-    complete(&rqctx, completions::parse_chat(body.as_bytes())).await
+async fn chat_completions(req: Request) -> HandlerResult {
+    complete(req, completions::parse_chat).await
 }
 
-/// Generate the continuation of a text
-#[endpoint { method = POST, path = "/v1/completions" }]
-async fn text_completions(rqctx: Context, body: UntypedBody) -> EndpointResult {
-    complete(&rqctx, completions::parse_completion(body.as_bytes())).await
+async fn text_completions(req: Request) -> HandlerResult {
+    complete(req, completions::parse_completion).await
 }
 
 #[derive(Debug, Deserialize, JsonSchema)]
+#[expect(dead_code, reason = "the type describes the parameters")]
 struct ServicePath {
     /// Name of the service in any naming scheme.
     service: Box<str>,
@@ -133,57 +202,35 @@
     path: Vec<Box<str>>,
 }
 
-async fn call_service(
-    rqctx: &Context,
-    path: ServicePath,
-    method: Method,
-    body: Bytes,
-) -> EndpointResult {
-    let query = rqctx.request.uri().query();
-    let query = query.map(|query| format!("?{query}")).unwrap_or_default();
-    let call = IncomingCall {
-        service: path.service,
-        method,
-        path: format!("/{}{query}", path.path.join("/")).into(),
-        headers: rqctx.request.headers().clone(),
-        body,
-    };
+/// Calls a plain service; the body is read once the caller is known.
+async fn call_service(mut req: Request, method: Method) -> HandlerResult {
     let id = new_request_id();
-    in_span(rqctx, &id, services::serve(rqctx.context(), call)).await
-}
-
-/// Send a GET request to a plain service
-#[endpoint { method = GET, path = "/svc/{service}/{path:.*}", unpublished = true }]
-async fn service_get(rqctx: Context, path: Path<ServicePath>) -> EndpointResult {
-    call_service(&rqctx, path.into_inner(), Method::GET, Bytes::new()).await
-}
-
-/// Send a POST request to a plain service
-#[endpoint { method = POST, path = "/svc/{service}/{path:.*}", unpublished = true }]
-async fn service_post(
-    rqctx: Context,
-    path: Path<ServicePath>,
-    body: UntypedBody,
-) -> EndpointResult {
-    let body = Bytes::copy_from_slice(body.as_bytes());
-    call_service(&rqctx, path.into_inner(), Method::POST, body).await
-}
-
-/// Send a PUT request to a plain service
-#[endpoint { method = PUT, path = "/svc/{service}/{path:.*}", unpublished = true }]
-async fn service_put(rqctx: Context, path: Path<ServicePath>, body: UntypedBody) -> EndpointResult {
-    let body = Bytes::copy_from_slice(body.as_bytes());
-    call_service(&rqctx, path.into_inner(), Method::PUT, body).await
-}
-
-/// Send a DELETE request to a plain service
-#[endpoint { method = DELETE, path = "/svc/{service}/{path:.*}", unpublished = true }]
-async fn service_delete(rqctx: Context, path: Path<ServicePath>) -> EndpointResult {
-    call_service(&rqctx, path.into_inner(), Method::DELETE, Bytes::new()).await
+    let shared = Arc::clone(req.context());
+    let headers = req.headers().clone();
+    let work = async {
+        let caller = callers::authenticate(&shared, &headers)?;
+        let deadline = callers::deadline(&shared, &headers)?;
+        let service: Box<str> = req.variable("service").into();
+        let mut body = read_body(&mut req, deadline, &service).await?;
+        if !matches!(method, Method::POST | Method::PUT) {
+            body = Bytes::new();
+        }
+        let query = req.uri().query();
+        let query = query.map(|query| format!("?{query}")).unwrap_or_default();
+        let call = IncomingCall {
+            service,
+            method,
+            path: format!("/{}{query}", req.variable("path")).into(),
+            headers: headers.clone(),
+            body,
+        };
+        services::serve(&shared, call, &caller, deadline).await
+    };
+    in_span(&shared, &headers, &id, work).await
 }
 
-fn authorize(rqctx: &Context, allowed: &[toucanshelf_core::digest::Digest]) -> Result<(), Refusal> {
-    if credentials::is_allowed(rqctx.request.headers(), allowed) {
+fn authorize(req: &Request, allowed: &[Digest]) -> Result<(), Refusal> {
+    if credentials::is_allowed(req.headers(), allowed) {
         return Ok(());
     }
     Err(Refusal::not_run(
@@ -192,21 +239,20 @@
     ))
 }
 
-fn authorize_operator(rqctx: &Context) -> Result<(), Refusal> {
-    authorize(rqctx, &rqctx.context().settings.operator_token_digests)
+fn authorize_operator(req: &Request) -> Result<(), Refusal> {
+    authorize(req, &req.context().settings.operator_token_digests)
 }
 
-/// Announce a target or renew its lease
-#[endpoint { method = POST, path = "/v1/targets/announce" }]
-async fn target_announce(rqctx: Context, body: UntypedBody) -> EndpointResult {
-    let shared = rqctx.context();
-    let granted = authorize(&rqctx, &shared.settings.target_token_digests).and_then(|()| {
-        let announcement: Announcement = serde_json::from_slice(body.as_bytes()).map_err(|e| {
-            Refusal::not_run(Code::BadRequest, format!("reading the announcement: {e}"))
-        })?;
-        targets::announce(shared, announcement)
-    });
-    handler_response(granted.map(|lease| json_response(200, &lease)))
+async fn announce_target(mut req: Request) -> HandlerResult {
+    let shared = Arc::clone(req.context());
+    authorize(&req, &shared.settings.target_token_digests)?;
+    let due = shared.now() + shared.settings.lease_ms;
+    let body = read_body(&mut req, due, "announcements").await?;
+    let announcement: Announcement = serde_json::from_slice(&body).map_err(|e| {
+        Refusal::not_run(Code::BadRequest, format!("reading the announcement: {e}"))
+    })?;
+    let lease = targets::announce(&shared, announcement)?;
+    Ok(json_response(200, &lease))
 }
 
 /// A target as one gate knows it.
@@ -230,19 +276,16 @@
     pub role: Box<str>,
 }
 
-/// List the targets that this gate knows
-#[endpoint { method = GET, path = "/v1/targets" }]
-async fn target_list(rqctx: Context) -> EndpointResult {
-    handler_response(authorize_operator(&rqctx).map(|()| {
-        let view = rqctx.context().view();
-        let active = rqctx.context().active_configuration();
-        let configuration = active.configuration();
-        let bodies: Vec<_> = view
-            .records()
-            .map(|r| target_body(configuration, r))
-            .collect();
-        json_response(200, &bodies)
-    }))
+async fn list_targets(req: Request) -> HandlerResult {
+    authorize_operator(&req)?;
+    let view = req.context().view();
+    let active = req.context().active_configuration();
+    let configuration = active.configuration();
+    let bodies: Vec<_> = view
+        .records()
+        .map(|r| target_body(configuration, r))
+        .collect();
+    Ok(json_response(200, &bodies))
 }
 
 fn target_body(configuration: &Configuration, record: &TargetRecord) -> TargetBody {
@@ -263,6 +306,7 @@
 }
 
 #[derive(Debug, Deserialize, JsonSchema)]
+#[expect(dead_code, reason = "the type describes the parameter")]
 struct TargetPath {
     /// Name of the target; an engine may be named in any naming scheme.
     name: Box<str>,
@@ -273,12 +317,10 @@
     name: Box<str>,
 }
 
-/// Drain a target, so that it finishes its requests and gets no new ones
-#[endpoint { method = POST, path = "/v1/drains/{name}" }]
-async fn target_drain(rqctx: Context, path: Path<TargetPath>) -> EndpointResult {
-    let drained = authorize_operator(&rqctx)
-        .and_then(|()| targets::drain(rqctx.context(), &path.into_inner().name));
-    handler_response(drained.map(|name| json_response(200, &Drained { name })))
+async fn drain_target(req: Request) -> HandlerResult {
+    authorize_operator(&req)?;
+    let name = targets::drain(req.context(), req.variable("name"))?;
+    Ok(json_response(200, &Drained { name }))
 }
 
 #[derive(Debug, Deserialize, JsonSchema)]
@@ -309,11 +351,10 @@
     pub stages: Vec<ExplainedStage>,
 }
 
-/// Explain which route a request would take now
-#[endpoint { method = GET, path = "/v1/explain/route" }]
-async fn route_explain(rqctx: Context, query: Query<RouteQuery>) -> EndpointResult {
-    let model = query.into_inner().model;
-    handler_response(authorize_operator(&rqctx).and_then(|()| explain(rqctx.context(), &model)))
+async fn explain_route(req: Request) -> HandlerResult {
+    authorize_operator(&req)?;
+    let query: RouteQuery = req.query()?;
+    explain(req.context(), &query.model)
 }
 
 fn explain(shared: &Shared, model: &str) -> Result<Response<Body>, Refusal> {
@@ -341,9 +382,7 @@
     Ok(json_response(200, &ExplainedRoute { planner, stages }))
 }
 
-/// Check whether the process is running
-#[endpoint { method = GET, path = "/health/live" }]
-async fn health_live(_rqctx: Context) -> EndpointResult {
+async fn health_live(_req: Request) -> HandlerResult {
     Ok(bytes_response(200, "text/plain", b"live\n".to_vec()))
 }
 
@@ -360,10 +399,8 @@
     pub linked_gates: usize,
 }
 
-/// Check whether the gate accepts new requests and which links it has
-#[endpoint { method = GET, path = "/health/ready" }]
-async fn health_ready(rqctx: Context) -> EndpointResult {
-    let shared = rqctx.context();
+async fn health_ready(req: Request) -> HandlerResult {
+    let shared = req.context();
     let readiness = Readiness {
         ready: shared.is_ready(),
         revision: shared.revision().map(|revision| revision.0),
@@ -374,10 +411,8 @@
     Ok(json_response(status, &readiness))
 }
 
-/// Show the metrics in the Prometheus text format
-#[endpoint { method = GET, path = "/metrics" }]
-async fn metrics(rqctx: Context) -> EndpointResult {
-    let shared = rqctx.context();
+async fn metrics(req: Request) -> HandlerResult {
+    let shared = req.context();
     shared
         .metrics
         .requests_in_flight
--- a/crates/toucanshelf-gate/src/completions/mod.rs
+++ b/crates/toucanshelf-gate/src/completions/mod.rs
@@ -17,7 +17,7 @@
 use dropshot::Body;
 use futures_util::stream;
 use http::header::{CACHE_CONTROL, CONTENT_TYPE};
-use http::{HeaderMap, HeaderValue, Response};
+use http::{HeaderValue, Response};
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use tokio::sync::mpsc;
@@ -27,7 +27,7 @@
 use toucanshelf_runtime::http::{OUTCOME_HEADER, json_response};
 use tracing::Instrument as _;
 
-use crate::callers;
+use crate::callers::Caller;
 use crate::shared::Shared;
 
 pub use openai::{CompletionRequest, parse_chat, parse_completion};
@@ -42,6 +42,9 @@
 
 /// Serves a completion as one response or as a stream of events.
 ///
+/// `deadline` is in milliseconds of the gate's clock. The memory of `body`, from which the request was
+/// parsed, is held until the request ends.
+///
 /// # Errors
 ///
 /// Fails if the request is refused or fails before its first token. An answer that is not streamed
@@ -49,12 +52,11 @@
 pub async fn serve(
     shared: &Arc<Shared>,
     request_id: &str,
-    headers: &HeaderMap,
-    parsed: Result<CompletionRequest, Refusal>,
+    caller: Caller,
+    deadline: u64,
+    request: CompletionRequest,
+    body: Bytes,
 ) -> Result<Response<Body>, Refusal> {
-    let caller = callers::authenticate(shared, headers)?;
-    let deadline = callers::deadline(shared, headers)?;
-    let request = parsed?;
     let served = resolve_model(shared, &request.model)?;
     let job = Job {
         request_id: request_id.into(),
@@ -71,7 +73,8 @@
     let guard = shared.requests_in_flight().begin();
     let task_shared = Arc::clone(shared);
     let run_job = async move {
-        let _guard = guard;
+        // The memory of the body stands for that of the prompt.
+        let _held = (guard, body);
         let outcome = pipeline::run(&task_shared, job, &tx).await;
         task_shared.metrics.count(outcome);
     };
--- a/crates/toucanshelf-gate/src/lib.rs
+++ b/crates/toucanshelf-gate/src/lib.rs
@@ -36,6 +36,7 @@
 use tokio::sync::mpsc;
 use toucanshelf_link::handshake::Hello;
 use toucanshelf_link::link;
+use toucanshelf_runtime::api::ApiServer;
 use toucanshelf_runtime::listen::{ListenLimits, listen};
 
 use crate::settings::GateSettings;
@@ -51,7 +52,7 @@
     shared: Arc<Shared>,
     address: SocketAddr,
     link_address: SocketAddr,
-    server: dropshot::HttpServer<Arc<Shared>>,
+    server: ApiServer,
 }
 
 impl fmt::Debug for Gate {
@@ -75,6 +76,7 @@
     pub async fn start(settings: GateSettings) -> Result<Self, Box<str>> {
         let key = settings.shared_key()?;
         let listener = listen(settings.link_listen, ListenLimits::LINKS)?;
+        let callers = listen(settings.listen, ListenLimits::CALLERS)?;
         let link_address = listener.local_addr().map_err(|e| e.to_string())?;
         let hello = Hello::for_gate(settings.name.clone(), settings.zone.clone());
         let shared = Arc::new(Shared::new(settings));
@@ -82,7 +84,7 @@
         tokio::spawn(link::serve(listener, hello.clone(), key.clone(), links_tx));
         control_link::start(&shared, &hello, &key);
         gossip::start(&shared, &hello, &key, links);
-        let server = api::serve(&shared)?;
+        let server = api::serve(&shared, callers)?;
         let address = server.local_addr();
         tracing::info!(event = "TS3001", http = %address, link = %link_address, "gate listens");
         Ok(Self {
@@ -131,7 +133,7 @@
         // Callers with open connections get a refusal that tells them to close the connection.
         tokio::time::sleep(SHUTDOWN_LINGER).await;
         self.shared.mark_stopped();
-        let _ = self.server.close().await;
+        self.server.close().await;
         tracing::info!(event = "TS3004", "gate stopped");
     }
 }
--- a/crates/toucanshelf-gate/src/services.rs
+++ b/crates/toucanshelf-gate/src/services.rs
@@ -22,7 +22,7 @@
 use toucanshelf_link::service::{ServiceCall, ServiceError, ServiceResponse};
 use toucanshelf_runtime::http::bytes_response;
 
-use crate::callers::{self, Caller};
+use crate::callers::Caller;
 use crate::completions::with_outcome;
 use crate::fleets::ServiceTarget;
 use crate::shared::Shared;
@@ -72,9 +72,12 @@
 /// # Errors
 ///
 /// Fails with the outcome `not_run` only if no target has run the call.
-pub async fn serve(shared: &Arc<Shared>, call: IncomingCall) -> Result<Response<Body>, Refusal> {
-    let caller = callers::authenticate(shared, &call.headers)?;
-    let deadline = callers::deadline(shared, &call.headers)?;
+pub async fn serve(
+    shared: &Arc<Shared>,
+    call: IncomingCall,
+    caller: &Caller,
+    deadline: u64,
+) -> Result<Response<Body>, Refusal> {
     let service = find_service(shared, &call.service)?;
     let remaining_ms = deadline
         .saturating_sub(shared.now())
@@ -90,7 +93,7 @@
     let result = if is_idempotent(&service, &call) {
         call_idempotent(shared, &service, outgoing, timeout).await
     } else {
-        let key = claim_key(&caller, &service, &call.headers)?;
+        let key = claim_key(caller, &service, &call.headers)?;
         call_at_most_once(shared, &service, key, outgoing, timeout).await
     };
     let outcome = result
--- a/crates/toucanshelf-gate/src/settings.rs
+++ b/crates/toucanshelf-gate/src/settings.rs
@@ -10,9 +10,19 @@
 use toucanshelf_core::target::check_text;
 use toucanshelf_link::handshake::SharedKey;
 use toucanshelf_routing::fleet::LinkInfo;
+use toucanshelf_runtime::connections::share_of_descriptors;
+use toucanshelf_runtime::memory_budget::{MIN_BODY_RATE, MemoryLimits};
 use toucanshelf_runtime::program::DaemonSettings;
 use toucanshelf_runtime::settings::LogSettings;
 
+/// Default memory for the bodies of all requests, in bytes.
+const DEFAULT_BODY_MEMORY_BYTES: usize = 24 * 1024 * 1024;
+/// Number of bodies of the largest size for which there is room.
+// The largest body is held twice while its parts are joined.
+const BODIES_IN_MEMORY: usize = 4;
+/// Default maximum of connections.
+const MAX_CONNECTIONS: usize = 1_280;
+
 /// Settings of a gate.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "kebab-case")]
@@ -51,6 +61,16 @@
     /// Maximum size of a request body, in bytes.
     #[serde(default = "default_body_bytes")]
     pub max_body_bytes: usize,
+    /// Memory for the bodies of all requests, in bytes.
+    ///
+    /// Without it, there is room for 24 MiB, or for four bodies of the largest size if that is more.
+    #[serde(default)]
+    pub body_memory_bytes: Option<usize>,
+    /// Maximum number of connections of callers, targets and operators.
+    ///
+    /// Without it, they may use a third of the descriptors of the process, but no more than 1,280.
+    #[serde(default)]
+    pub max_connections: Option<usize>,
     /// Planner that selects the engines for each request.
     #[serde(default)]
     pub planner: PlannerKind,
@@ -120,6 +140,23 @@
 }
 
 impl GateSettings {
+    /// Returns the limits on the memory of request bodies.
+    pub fn memory_limits(&self) -> MemoryLimits {
+        let largest = self.max_body_bytes.saturating_mul(BODIES_IN_MEMORY);
+        let max_bytes = self.body_memory_bytes;
+        MemoryLimits {
+            max_bytes: max_bytes.unwrap_or_else(|| largest.max(DEFAULT_BODY_MEMORY_BYTES)),
+            min_rate: MIN_BODY_RATE,
+        }
+    }
+
+    /// Returns the maximum number of connections of callers, targets and operators.
+    pub fn max_connections(&self) -> usize {
+        // A request in progress needs another descriptor for the connection to its target.
+        let third = || share_of_descriptors(3, MAX_CONNECTIONS);
+        self.max_connections.unwrap_or_else(third)
+    }
+
     /// Returns the key for links between processes.
     ///
     /// # Errors
@@ -144,6 +181,13 @@
         if !(1..=3_600_000).contains(&self.deadline_ms) {
             return Err("deadline-ms: must lie in 1..=3600000".into());
         }
+        let least = self.max_body_bytes.saturating_mul(BODIES_IN_MEMORY);
+        if self.body_memory_bytes.is_some_and(|bytes| bytes < least) {
+            return Err("body-memory-bytes: must be at least 4 times max-body-bytes".into());
+        }
+        if self.max_connections == Some(0) {
+            return Err("max-connections: must be at least 1".into());
+        }
         let numbers = self
             .links
             .iter()
--- a/crates/toucanshelf-gate/src/shared.rs
+++ b/crates/toucanshelf-gate/src/shared.rs
@@ -16,6 +16,7 @@
 use toucanshelf_link::engine::{EngineClient, HttpEngineClient};
 use toucanshelf_link::frame::LogId;
 use toucanshelf_link::service::{HttpServiceClient, ServiceClient};
+use toucanshelf_runtime::body::BodyMemory;
 use toucanshelf_runtime::in_flight::InFlightCounter;
 
 use crate::control_link::ControlLink;
@@ -59,6 +60,8 @@
     pub control: ControlLink,
     /// Links to the other gates.
     pub gossip: Gossip,
+    /// Memory of the bodies of all requests.
+    pub bodies: Arc<BodyMemory>,
     /// Metrics that the metrics endpoint exposes.
     pub metrics: Metrics,
     active: RwLock<ActiveConfiguration>,
@@ -90,6 +93,7 @@
             stopping: AtomicBool::new(false),
             requests_in_flight: InFlightCounter::new(),
             stopped: watch::Sender::new(false),
+            bodies: BodyMemory::new(settings.memory_limits()),
             settings,
         }
     }
--- a/crates/toucanshelf-replay/src/layout.rs
+++ b/crates/toucanshelf-replay/src/layout.rs
@@ -141,6 +141,8 @@
         service_timeout_ms: 10_000,
         stop_timeout_ms: 60_000,
         max_body_bytes: 1 << 20,
+        body_memory_bytes: None,
+        max_connections: None,
         planner,
         links: Vec::new(),
         log: LogSettings::default(),
--- a/crates/toucanshelf-runtime/src/http.rs
+++ b/crates/toucanshelf-runtime/src/http.rs
@@ -118,20 +118,6 @@
     response
 }
 
-/// Converts the result of an API handler into its HTTP response.
-///
-/// A refusal becomes a response instead of an [`ApiError`], because an [`ApiError`] cannot set the
-/// outcome and retry headers.
-///
-/// # Errors
-///
-/// Never fails; the return type is the one that API handlers require.
-pub fn handler_response(
-    result: Result<Response<Body>, Refusal>,
-) -> Result<Response<Body>, ApiError> {
-    Ok(result.unwrap_or_else(|refusal| refusal_response(&refusal)))
-}
-
 /// Creates the HTTP response for a refusal, with its outcome and retry headers.
 pub fn refusal_response(refusal: &Refusal) -> Response<Body> {
     let mut response = json_response(refusal.code.http_status(), &ErrorBody::new(refusal));
--- a/crates/toucanshelf-runtime/src/lib.rs
+++ b/crates/toucanshelf-runtime/src/lib.rs
@@ -16,6 +16,7 @@
 //! assert!(error.to_string().starts_with("gate.toml:1:8: "));
 //! ```
 
+pub mod api;
 pub mod body;
 pub mod connection_table;
 pub mod connections;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the whole system and of its parts, with one module for each area.
 
 mod admission;
+mod api_requests;
 mod bad_input;
 mod budget;
 mod charts;
