Bound what strangers can send to link listeners

Cause: the limit on handshake messages was checked after a whole message had been read, and a WebSocket of ours may carry 128 MiB; the number of unfinished handshakes had no bound. Ten callers took 750 MB of a control instance, 300 silent ones all its descriptors for 3 s. Ruled out: the HTTP part of the handshake, which the library bounds. Change: until the peer has proved that it knows the key, reading fails after 64 KiB (TS1101), the read buffer has 16 KiB, and unfinished handshakes are bounded, of which the oldest gives way. A proved link gets a larger receive buffer. Tests that accept links name the bound.

--- a/crates/toucanshelf-control/src/lib.rs
+++ b/crates/toucanshelf-control/src/lib.rs
@@ -41,9 +41,10 @@
 use toucanshelf_link::dialect::Dialect;
 use toucanshelf_link::frame::SubmitError;
 use toucanshelf_link::handshake::{Hello, PeerRole};
-use toucanshelf_link::link::{self, Link};
+use toucanshelf_link::link::{self, Link, PendingHandshakes};
 use toucanshelf_runtime::api::ApiServer;
 use toucanshelf_runtime::body::BodyMemory;
+use toucanshelf_runtime::connections::share_of_descriptors;
 use toucanshelf_runtime::listen::{ListenLimits, listen};
 
 use crate::directory::Directory;
@@ -61,6 +62,11 @@
 /// Time within which the body of a call must arrive.
 pub(crate) const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Maximum number of accepted connections whose link handshake isn't complete.
+const MAX_PENDING_HANDSHAKES: usize = 512;
+/// Descriptors of the process for each such connection.
+const HANDSHAKES_DIVISOR: usize = 8;
+
 /// A running control instance.
 pub struct Control {
     shared: Arc<Shared>,
@@ -168,7 +174,9 @@
         tokio::spawn(address_book::run(Arc::clone(&shared)));
         tokio::spawn(seeds::run(Arc::clone(&shared)));
         let (links_tx, links) = mpsc::channel(64);
-        tokio::spawn(link::serve(listener, hello, key, links_tx));
+        let max_pending = share_of_descriptors(HANDSHAKES_DIVISOR, MAX_PENDING_HANDSHAKES);
+        let pending = PendingHandshakes::new(max_pending);
+        tokio::spawn(link::serve(listener, hello, key, pending, links_tx));
         tokio::spawn(accept_links(Arc::clone(&shared), links));
         let platform_address = directory::start(&shared)?;
         let operators = listen(shared.settings.listen, ListenLimits::FEW)?;
--- a/crates/toucanshelf-gate/src/lib.rs
+++ b/crates/toucanshelf-gate/src/lib.rs
@@ -35,8 +35,9 @@
 
 use tokio::sync::mpsc;
 use toucanshelf_link::handshake::Hello;
-use toucanshelf_link::link;
+use toucanshelf_link::link::{self, PendingHandshakes};
 use toucanshelf_runtime::api::ApiServer;
+use toucanshelf_runtime::connections::share_of_descriptors;
 use toucanshelf_runtime::listen::{ListenLimits, listen};
 
 use crate::settings::GateSettings;
@@ -47,6 +48,11 @@
 /// To a caller, a connection that closes during a request is indistinguishable from a crash.
 const SHUTDOWN_LINGER: Duration = Duration::from_secs(1);
 
+/// Maximum number of accepted connections whose link handshake isn't complete.
+const MAX_PENDING_HANDSHAKES: usize = 512;
+/// Descriptors of the process for each such connection.
+const HANDSHAKES_DIVISOR: usize = 8;
+
 /// A running gate.
 pub struct Gate {
     shared: Arc<Shared>,
@@ -81,7 +87,10 @@
         let hello = Hello::for_gate(settings.name.clone(), settings.zone.clone());
         let shared = Arc::new(Shared::new(settings));
         let (links_tx, links) = mpsc::channel(64);
-        tokio::spawn(link::serve(listener, hello.clone(), key.clone(), links_tx));
+        let max_pending = share_of_descriptors(HANDSHAKES_DIVISOR, MAX_PENDING_HANDSHAKES);
+        let pending = PendingHandshakes::new(max_pending);
+        let accept = link::serve(listener, hello.clone(), key.clone(), pending, links_tx);
+        tokio::spawn(accept);
         control_link::start(&shared, &hello, &key);
         gossip::start(&shared, &hello, &key, links);
         let server = api::serve(&shared, callers)?;
--- a/crates/toucanshelf-ingress/src/discovery.rs
+++ b/crates/toucanshelf-ingress/src/discovery.rs
@@ -21,7 +21,8 @@
 use tokio::time::{Instant, MissedTickBehavior, timeout};
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::handshake::{Hello, PeerRole, SharedKey};
-use toucanshelf_link::link::{self, Link};
+use toucanshelf_link::link::{self, Link, PendingHandshakes};
+use toucanshelf_runtime::connections::share_of_descriptors;
 use toucanshelf_runtime::settings::SettingsReader;
 use toucanshelf_runtime::shutdown;
 
@@ -45,6 +46,10 @@
 const ASKED_INGRESSES: usize = 3;
 /// Number of accepted links that wait to be served.
 const MAX_WAITING_LINKS: usize = 16;
+/// Maximum number of accepted connections whose link handshake isn't complete.
+const MAX_PENDING_HANDSHAKES: usize = 128;
+/// Descriptors of the process for each such connection.
+const HANDSHAKES_DIVISOR: usize = 32;
 
 /// Time for which no control instance has been linked, and what was logged of it.
 #[derive(Debug)]
@@ -136,6 +141,7 @@
     hello: Hello,
     key: SharedKey,
     links: mpsc::Sender<Link>,
+    pending: Arc<PendingHandshakes>,
 }
 
 impl LinkAcceptor {
@@ -143,6 +149,7 @@
     pub(crate) fn new(shared: &Arc<Shared>, key: &SharedKey) -> Self {
         let hello = Hello::for_ingress(shared.settings.name.clone(), shared.settings.zone.clone());
         let (links, mut rx) = mpsc::channel(MAX_WAITING_LINKS);
+        let max_pending = share_of_descriptors(HANDSHAKES_DIVISOR, MAX_PENDING_HANDSHAKES);
         let (shared, own_key) = (Arc::clone(shared), key.clone());
         tokio::spawn(async move {
             while let Some(link) = rx.recv().await {
@@ -153,19 +160,30 @@
             hello,
             key: key.clone(),
             links,
+            pending: PendingHandshakes::new(max_pending),
         }
     }
 
     /// Accepts links on `listener` until the process ends.
     pub(crate) fn listen(&self, listener: TcpListener) {
-        let Self { hello, key, links } = self.clone();
-        tokio::spawn(link::serve(listener, hello, key, links));
+        let Self {
+            hello,
+            key,
+            links,
+            pending,
+        } = self.clone();
+        tokio::spawn(link::serve(listener, hello, key, pending, links));
     }
 
     /// Accepts the link that an HTTP request opens, and returns the response.
     pub(crate) fn accept(&self, req: Request<Incoming>) -> ProxyResponse {
-        let Self { hello, key, links } = self.clone();
-        match link::accept_upgrade(req, hello, key, links) {
+        let Self {
+            hello,
+            key,
+            links,
+            pending,
+        } = self.clone();
+        match link::accept_upgrade(req, hello, key, &pending, links) {
             Ok(response) => response.map(|()| full_body(Bytes::new())),
             Err(e) => {
                 tracing::warn!(event = "TS1101", cause = %e, "link rejected");
--- a/crates/toucanshelf-link/src/activity.rs
+++ b/crates/toucanshelf-link/src/activity.rs
@@ -7,6 +7,7 @@
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
+use rustix::net::sockopt::set_socket_recv_buffer_size;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -51,6 +52,8 @@
     stream: TcpStream,
     pub(crate) read: ByteCounter,
     pub(crate) written: ByteCounter,
+    /// Number of bytes after which reading fails.
+    read_limit: u64,
 }
 
 impl CountedStream {
@@ -59,8 +62,24 @@
             stream,
             read: ByteCounter::default(),
             written: ByteCounter::default(),
+            read_limit: u64::MAX,
         }
     }
+
+    /// Makes reading fail after this number of bytes, until the limit is lifted.
+    pub(crate) fn with_read_limit(self, bytes: u64) -> Self {
+        Self {
+            read_limit: bytes,
+            ..self
+        }
+    }
+
+    /// Lifts the limit and requests a receive buffer of this size from the system.
+    pub(crate) fn lift_limits(&mut self, receive_buffer_bytes: usize) {
+        self.read_limit = u64::MAX;
+        // This fails only on a closed connection, which the next read reports.
+        let _ = set_socket_recv_buffer_size(&self.stream, receive_buffer_bytes);
+    }
 }
 
 impl AsyncRead for CountedStream {
@@ -69,6 +88,10 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.read.get() >= self.read_limit {
+            let message = "too many bytes before the handshake was complete";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, message)));
+        }
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         self.read.add(buf.filled().len() - before);
--- a/crates/toucanshelf-link/src/link.rs
+++ b/crates/toucanshelf-link/src/link.rs
@@ -2,7 +2,9 @@
 //!
 //! Each link has a queue of outgoing and a queue of incoming frames. A frame is one message.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +18,7 @@
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
@@ -49,6 +52,14 @@
 ///
 /// The limit applies until the peer has proved that it knows the key.
 const MAX_HANDSHAKE_BYTES: usize = 4_096;
+/// Maximum number of bytes that are read before the peer has proved that it knows the key.
+///
+/// The peer may send its first frames together with the last message of the handshake.
+const MAX_UNPROVED_BYTES: u64 = 64 * 1024;
+/// Size of the pieces in which a link is read, in bytes.
+const READ_BUFFER_BYTES: usize = 16 * 1024;
+/// Receive buffer that is requested for a link, once the peer has proved that it knows the key, in bytes.
+const RECEIVE_BUFFER_BYTES: usize = 128 * 1024;
 
 /// Reason why a link to another process could not be established.
 #[derive(Debug, thiserror::Error)]
@@ -122,7 +133,15 @@
 }
 
 /// Accepts links on `listener` and passes them to `links` until its receiver is dropped.
-pub async fn serve(listener: TcpListener, hello: Hello, key: SharedKey, links: mpsc::Sender<Link>) {
+///
+/// Until the handshake of a link is complete, it counts towards `pending`.
+pub async fn serve(
+    listener: TcpListener,
+    hello: Hello,
+    key: SharedKey,
+    pending: Arc<PendingHandshakes>,
+    links: mpsc::Sender<Link>,
+) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -134,7 +153,39 @@
             continue;
         };
         let (hello, key, links) = (hello.clone(), key.clone(), links.clone());
-        tokio::spawn(async move { pass_on(address, accept(stream, &hello, &key), &links).await });
+        let handshake = async move { pass_on(address, accept(stream, &hello, &key), &links).await };
+        pending.add(handshake);
+    }
+}
+
+/// Handshakes of accepted connections that are not complete.
+///
+/// If there are too many, the oldest one gives way to a new one.
+#[derive(Debug)]
+pub struct PendingHandshakes {
+    max: usize,
+    tasks: Mutex<VecDeque<JoinHandle<()>>>,
+}
+
+impl PendingHandshakes {
+    /// Creates an empty set for at most `max` handshakes.
+    pub fn new(max: usize) -> Arc<Self> {
+        Arc::new(Self {
+            max,
+            tasks: Mutex::default(),
+        })
+    }
+
+    /// Runs a handshake, for which the oldest one may give way.
+    fn add(&self, handshake: impl Future<Output = ()> + Send + 'static) {
+        let mut tasks = self.tasks.lock().expect("no holder panics");
+        tasks.retain(|task| !task.is_finished());
+        if tasks.len() >= self.max
+            && let Some(oldest) = tasks.pop_front()
+        {
+            oldest.abort();
+        }
+        tasks.push_back(tokio::spawn(handshake));
     }
 }
 
@@ -145,7 +196,7 @@
 
 /// Accepts a link on an HTTP connection, for which `req` has asked, and returns the response.
 ///
-/// Once the handshake is complete, the link is passed to `links`.
+/// Until the handshake is complete, it counts towards `pending`. Then the link is passed to `links`.
 ///
 /// # Errors
 ///
@@ -154,12 +205,13 @@
     mut req: Request<Incoming>,
     hello: Hello,
     key: SharedKey,
+    pending: &PendingHandshakes,
     links: mpsc::Sender<Link>,
 ) -> Result<Response<()>, LinkError> {
     let upgrade = hyper::upgrade::on(&mut req);
     let response = create_response(&req.map(|_| ()));
     let response = response.map_err(|e| LinkError::Handshake(e.to_string().into()))?;
-    tokio::spawn(async move {
+    pending.add(async move {
         let stream = match upgraded_stream(upgrade).await {
             Ok(stream) => stream,
             Err(cause) => {
@@ -172,7 +224,7 @@
         };
         let accepted = async {
             let config = Some(socket_config());
-            let stream = CountedStream::new(stream);
+            let stream = CountedStream::new(stream).with_read_limit(MAX_UNPROVED_BYTES);
             let mut socket = WebSocketStream::from_raw_socket(stream, Role::Server, config).await;
             let peer = accept_handshake(&mut socket, &hello, &key).await?;
             Ok(spawn_link(socket, peer))
@@ -213,7 +265,7 @@
 async fn accept(stream: TcpStream, hello: &Hello, key: &SharedKey) -> Result<Link, LinkError> {
     let _ = stream.set_nodelay(true);
     let config = Some(socket_config());
-    let stream = CountedStream::new(stream);
+    let stream = CountedStream::new(stream).with_read_limit(MAX_UNPROVED_BYTES);
     let mut socket = tokio_tungstenite::accept_async_with_config(stream, config)
         .await
         .map_err(|e| LinkError::Handshake(e.to_string().into()))?;
@@ -223,6 +275,7 @@
 
 fn socket_config() -> WebSocketConfig {
     WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER_BYTES)
         .max_message_size(Some(MAX_FRAME_BYTES))
         .max_frame_size(Some(MAX_FRAME_BYTES))
 }
@@ -306,6 +359,7 @@
             "the peer's proof does not match the link key".into(),
         ));
     }
+    socket.get_mut().lift_limits(RECEIVE_BUFFER_BYTES);
     Ok(peer)
 }
 
--- a/tests/testsuite/control_discovery.rs
+++ b/tests/testsuite/control_discovery.rs
@@ -13,7 +13,7 @@
 use toucanshelf_ingress::settings::IngressSettings;
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::handshake::{Hello, SharedKey};
-use toucanshelf_link::link::{Link, connect, serve};
+use toucanshelf_link::link::{Link, PendingHandshakes, connect, serve};
 use toucanshelf_platform::PlatformDialect;
 use toucanshelf_runtime::settings::SettingsFile;
 
@@ -47,7 +47,13 @@
         let port = listener.local_addr().unwrap().port();
         let (tx, links) = mpsc::channel(4);
         let key = SharedKey::new(link_key()).unwrap();
-        tokio::spawn(serve(listener, control_hello("z"), key, tx));
+        tokio::spawn(serve(
+            listener,
+            control_hello("z"),
+            key,
+            PendingHandshakes::new(8),
+            tx,
+        ));
         Self { links, port }
     }
 
--- a/tests/testsuite/deployment_distribution.rs
+++ b/tests/testsuite/deployment_distribution.rs
@@ -9,7 +9,7 @@
 use toucanshelf_coordination::replica::ReplicaId;
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::handshake::{Hello, SharedKey};
-use toucanshelf_link::link;
+use toucanshelf_link::link::{self, PendingHandshakes};
 
 use crate::platform_support::{
     DeploymentBuilder, Platform, WAIT_TIMEOUT, link_key, start_control, start_linked_ingress,
@@ -95,7 +95,13 @@
     let (tx, mut links) = mpsc::channel(4);
     let hello = Hello::for_control(ip, "z", ReplicaId(1));
     let key = SharedKey::new(link_key()).unwrap();
-    tokio::spawn(link::serve(listener, hello, key, tx));
+    tokio::spawn(link::serve(
+        listener,
+        hello,
+        key,
+        PendingHandshakes::new(8),
+        tx,
+    ));
     tokio::spawn(async move {
         while let Some(mut link) = links.recv().await {
             let members = serde_json::json!({ "Members": { "links": [], "ingress_zones": ["z"] } });
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -14,7 +14,7 @@
 use toucanshelf_core::ticket::{Ticket, TicketRecord, Verdict};
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::handshake::{Hello, SharedKey};
-use toucanshelf_link::link::{IDLE_TIMEOUT, Link, LinkError, connect, serve};
+use toucanshelf_link::link::{IDLE_TIMEOUT, Link, LinkError, PendingHandshakes, connect, serve};
 
 fn key(text: &str) -> SharedKey {
     SharedKey::new(text).unwrap()
@@ -26,7 +26,13 @@
     let address = listener.local_addr().unwrap();
     let (tx, rx) = mpsc::channel(4);
     let hello = Hello::for_gate("server", "a");
-    tokio::spawn(serve(listener, hello, key("the shared key of tests"), tx));
+    tokio::spawn(serve(
+        listener,
+        hello,
+        key("the shared key of tests"),
+        PendingHandshakes::new(8),
+        tx,
+    ));
     (address, rx)
 }
 
--- a/tests/testsuite/load_links.rs
+++ b/tests/testsuite/load_links.rs
@@ -11,7 +11,7 @@
 use toucanshelf_ingress::targets::TargetKey;
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::handshake::SharedKey;
-use toucanshelf_link::link::{Link, serve};
+use toucanshelf_link::link::{Link, PendingHandshakes, serve};
 use toucanshelf_platform::PlatformDialect;
 use toucanshelf_routing::load_exchange::{EngineLoad, EngineTag, KnownLoads, LoadPage};
 use toucanshelf_runtime::program::DaemonSettings as _;
@@ -265,7 +265,13 @@
     let address = listener.local_addr().unwrap();
     let (tx, links) = mpsc::channel(4);
     let key = SharedKey::new(stand_in_key()).unwrap();
-    tokio::spawn(serve(listener, control_hello(zone), key, tx));
+    tokio::spawn(serve(
+        listener,
+        control_hello(zone),
+        key,
+        PendingHandshakes::new(8),
+        tx,
+    ));
     (address, links)
 }
 
