Hold a configuration once for all that read it

Cause: each read of the deployment copied the stored document until the reader had taken it. Ruled out: the buffers of the connections. Change: the answers share the document.

--- a/crates/toucanshelf-control/src/directory/calls.rs
+++ b/crates/toucanshelf-control/src/directory/calls.rs
@@ -197,12 +197,17 @@
                 "there is no deployment yet",
             )
         },
-        |document| json_response(StatusCode::OK, document_bytes(&document)),
+        |document| json_response(StatusCode::OK, Bytes::from_owner(SharedDocument(document))),
     )
 }
 
-fn document_bytes(document: &DeploymentDocument) -> Bytes {
-    Bytes::copy_from_slice(&document.bytes)
+/// Document that a response shares with the state, so that many unread responses hold it once.
+struct SharedDocument(Arc<DeploymentDocument>);
+
+impl AsRef<[u8]> for SharedDocument {
+    fn as_ref(&self) -> &[u8] {
+        &self.0.bytes
+    }
 }
 
 async fn renew(shared: &Arc<Shared>, directory: &Directory, id: &str, body: &[u8]) -> CallResponse {
--- a/tests/hostile/control.rs
+++ b/tests/hostile/control.rs
@@ -305,6 +305,22 @@
     });
 }
 
+/// Readers of a large configuration must not hold it once each.
+#[test]
+fn large_answers_never_read() {
+    run_alone(async {
+        let system = ControlSystem::start().await;
+        let mut document = DeploymentBuilder::new(2).build().into_bytes();
+        document.resize(BODY_BYTES, b' ');
+        let put = Call::new(system.platform, CONFIGURATION).with_body(document);
+        put.wait_until_served().await;
+        wait_for_version(&system.ingress, 2).await;
+        let crowd = system.open_crowd(2 * CROWD, "GET /api/config", "").await;
+        crowd.wait_for_answers().await;
+        system.check(crowd).await;
+    });
+}
+
 /// Valid configurations that are as large as a body may be, and wait to be stored.
 #[test]
 fn large_configurations_at_once() {
