Test waiting calls at a gate and upgrades at relays, and part a file

Cause: two shapes of the issue had no test: calls that wait for a target at a gate, and links asked for at relay-listen. link.rs had two jobs.

--- a/crates/toucanshelf-gate/src/lib.rs
+++ b/crates/toucanshelf-gate/src/lib.rs
@@ -35,7 +35,8 @@
 
 use tokio::sync::mpsc;
 use toucanshelf_link::handshake::Hello;
-use toucanshelf_link::link::{self, PendingHandshakes};
+use toucanshelf_link::link;
+use toucanshelf_link::pending::PendingHandshakes;
 use toucanshelf_runtime::api::ApiServer;
 use toucanshelf_runtime::connections::share_of_descriptors;
 use toucanshelf_runtime::listen::{ListenLimits, listen};
--- a/crates/toucanshelf-link/src/lib.rs
+++ b/crates/toucanshelf-link/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod frame;
 pub mod handshake;
 pub mod link;
+pub mod pending;
 pub mod service;
--- a/crates/toucanshelf-link/src/link.rs
+++ b/crates/toucanshelf-link/src/link.rs
@@ -2,9 +2,8 @@
 //!
 //! Each link has a queue of outgoing and a queue of incoming frames. A frame is one message.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,7 +17,6 @@
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
-use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout};
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
@@ -28,6 +26,7 @@
 use crate::activity::CountedStream;
 use crate::frame::{Frame, PROTOCOL_VERSION};
 use crate::handshake::{HandshakeMessage, Hello, SharedKey};
+use crate::pending::PendingHandshakes;
 
 /// Maximum size of an encoded frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 128 * 1024 * 1024;
@@ -158,37 +157,6 @@
     }
 }
 
-/// Handshakes of accepted connections that are not complete.
-///
-/// If there are too many, the oldest one gives way to a new one.
-#[derive(Debug)]
-pub struct PendingHandshakes {
-    max: usize,
-    tasks: Mutex<VecDeque<JoinHandle<()>>>,
-}
-
-impl PendingHandshakes {
-    /// Creates an empty set for at most `max` handshakes.
-    pub fn new(max: usize) -> Arc<Self> {
-        Arc::new(Self {
-            max,
-            tasks: Mutex::default(),
-        })
-    }
-
-    /// Runs a handshake, for which the oldest one may give way.
-    fn add(&self, handshake: impl Future<Output = ()> + Send + 'static) {
-        let mut tasks = self.tasks.lock().expect("no holder panics");
-        tasks.retain(|task| !task.is_finished());
-        if tasks.len() >= self.max
-            && let Some(oldest) = tasks.pop_front()
-        {
-            oldest.abort();
-        }
-        tasks.push_back(tokio::spawn(handshake));
-    }
-}
-
 /// Returns whether an HTTP request opens a link, and isn't one that is served otherwise.
 pub fn is_link_request<B>(req: &Request<B>) -> bool {
     req.headers().contains_key(UPGRADE) && req.uri().path().starts_with(PATH_PREFIX)
--- a/tests/hostile/gate.rs
+++ b/tests/hostile/gate.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use tempfile::TempDir;
+use tokio::net::TcpListener;
 use toucanshelf_control::Control;
 use toucanshelf_core::digest::Digest;
 use toucanshelf_replay::layout::{Addresses, SERVICE, caller_token};
@@ -45,7 +46,7 @@
     gate: Watched,
     http: SocketAddr,
     links: SocketAddr,
-    _control: Control,
+    control: Control,
     _service: StandinService,
     _data: TempDir,
 }
@@ -84,7 +85,7 @@
             gate,
             http,
             links,
-            _control: control,
+            control,
             _service: service,
             _data: data,
         };
@@ -102,6 +103,26 @@
             .with_header("idempotency-key", &format!("ordinary-{key}"))
     }
 
+    /// Adds the service `held`, whose target accepts connections and never answers.
+    async fn add_silent_service(&self) -> TcpListener {
+        let ticket =
+            "number = 2\noperator = 'crowd'\n[[service]]\nid = 'held'\nclass = 'interactive'\n";
+        let put = Call::new(self.control.address(), "PUT /v1/tickets/2")
+            .with_header("authorization", &format!("Bearer {OPERATOR_TOKEN}"))
+            .with_body(ticket);
+        put.wait_until_served().await;
+        let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let announcement = serde_json::json!({
+            "name": "h1", "incarnation": 1, "zone": "z", "address": target.local_addr().unwrap(),
+            "role": { "kind": "service", "service": "held" }, "slots": 1_000
+        });
+        let announce = Call::new(self.http, ANNOUNCE)
+            .with_header("authorization", &format!("Bearer {TARGET_TOKEN}"))
+            .with_body(announcement.to_string());
+        announce.wait_until_served().await;
+        target
+    }
+
     /// Opens a crowd that sends this token, if any.
     async fn open_crowd(
         &self,
@@ -273,6 +294,19 @@
     });
 }
 
+/// Each call in progress takes a descriptor for its caller and one for its target.
+#[test]
+fn calls_that_wait_for_a_target() {
+    run_alone(async {
+        let system = GateSystem::start().await;
+        let _silent = system.add_silent_service().await;
+        let token = caller_token(ORGANISATION);
+        let crowd = system.open_crowd(CONNECTIONS, "GET /svc/held/runs", Some(&token), "");
+        let crowd = crowd.await;
+        system.check(crowd).await;
+    });
+}
+
 #[test]
 fn largest_body_in_calm() {
     run_alone(async {
--- a/tests/hostile/ingress.rs
+++ b/tests/hostile/ingress.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use crate::crowd::Crowd;
+use crate::links::UPGRADE;
 use crate::platform_support::TargetAction;
 use crate::system::{FULL_MACHINE, HELD, Listeners, MAX_BODY_BYTES, System};
 use crate::{CHUNKED, CONNECTIONS, CROWD, ENDLESS, PIECE_BYTES, content_length, run_alone};
@@ -56,6 +57,12 @@
     run_alone(hold_listener(|listeners| listeners.relay, UNFINISHED));
 }
 
+/// A relayed connection that asks for a link leaves the bound of relays.
+#[test]
+fn relays_upgraded() {
+    run_alone(hold_listener(|listeners| listeners.relay, UPGRADE));
+}
+
 #[test]
 fn links_silent() {
     run_alone(hold_listener(|listeners| listeners.link, b""));
--- a/tests/hostile/links.rs
+++ b/tests/hostile/links.rs
@@ -5,7 +5,7 @@
 use crate::{CONNECTIONS, PIECE_BYTES, run_alone};
 
 /// Request that opens a WebSocket.
-const UPGRADE: &[u8] = b"GET /link/v1 HTTP/1.1\r\nhost: a.example\r\nconnection: upgrade\r\n\
+pub const UPGRADE: &[u8] = b"GET /link/v1 HTTP/1.1\r\nhost: a.example\r\nconnection: upgrade\r\n\
     upgrade: websocket\r\nsec-websocket-version: 13\r\nsec-websocket-key: dGhlIHNhbXBsZSBub25jZQ==\r\n\r\n";
 /// Size of a message of an unknown caller, in bytes.
 const MESSAGE_BYTES: usize = 64 << 20;
--- a/tests/testsuite/control_discovery.rs
+++ b/tests/testsuite/control_discovery.rs
@@ -13,7 +13,8 @@
 use toucanshelf_ingress::settings::IngressSettings;
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::handshake::{Hello, SharedKey};
-use toucanshelf_link::link::{Link, PendingHandshakes, connect, serve};
+use toucanshelf_link::link::{Link, connect, serve};
+use toucanshelf_link::pending::PendingHandshakes;
 use toucanshelf_platform::PlatformDialect;
 use toucanshelf_runtime::settings::SettingsFile;
 
--- a/tests/testsuite/deployment_distribution.rs
+++ b/tests/testsuite/deployment_distribution.rs
@@ -9,7 +9,8 @@
 use toucanshelf_coordination::replica::ReplicaId;
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::handshake::{Hello, SharedKey};
-use toucanshelf_link::link::{self, PendingHandshakes};
+use toucanshelf_link::link;
+use toucanshelf_link::pending::PendingHandshakes;
 
 use crate::platform_support::{
     DeploymentBuilder, Platform, WAIT_TIMEOUT, link_key, start_control, start_linked_ingress,
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -14,7 +14,8 @@
 use toucanshelf_core::ticket::{Ticket, TicketRecord, Verdict};
 use toucanshelf_link::frame::Frame;
 use toucanshelf_link::handshake::{Hello, SharedKey};
-use toucanshelf_link::link::{IDLE_TIMEOUT, Link, LinkError, PendingHandshakes, connect, serve};
+use toucanshelf_link::link::{IDLE_TIMEOUT, Link, LinkError, connect, serve};
+use toucanshelf_link::pending::PendingHandshakes;
 
 fn key(text: &str) -> SharedKey {
     SharedKey::new(text).unwrap()
