Don't wait long for connections without a request when an API server closes

Found in the code. Change: the API server waits 3 s, then closes the rest. Requests in flight are waited for before that, as they were.

--- a/crates/toucanshelf-runtime/src/api/mod.rs
+++ b/crates/toucanshelf-runtime/src/api/mod.rs
@@ -13,6 +13,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use dropshot::{ApiDescription, ApiEndpoint, Body, StubContext};
 use http::{HeaderValue, Method, Request, Response, StatusCode};
@@ -20,6 +21,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::timeout;
 use toucanshelf_core::outcome::{Code, Refusal};
 
 use crate::connections::Connections;
@@ -29,6 +31,9 @@
 
 pub use request::ApiRequest;
 
+/// Time for which a server that closes waits for its connections.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Response of a handler, or its refusal of the request.
 pub type HandlerResult = Result<Response<Body>, Refusal>;
 
@@ -180,11 +185,15 @@
         self.address
     }
 
-    /// Accepts no more connections, and waits until the open ones have completed their requests.
-    pub async fn close(self) {
+    /// Accepts no more connections, and waits for a short time until the open ones have completed
+    /// their requests.
+    ///
+    /// Connections that have sent no request, or whose request is unfinished, must not hold up a stop.
+    pub async fn close(mut self) {
         self.stop.send_replace(true);
-        // The task ends early only if the runtime shuts down.
-        let _ = self.task.await;
+        if timeout(CLOSE_TIMEOUT, &mut self.task).await.is_err() {
+            self.task.abort();
+        }
     }
 }
 
