Bound control's callers by the descriptors of its process, too

Cause: without max-open-files, control allowed 2,304 callers on a process with fewer descriptors. Found in the read-through. Change: three quarters of the descriptors of the process are the other bound. The body memory takes the one kind of body there is.

--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -38,7 +38,7 @@
 use toucanshelf_link::frame::Frame;
 use toucanshelf_routing::crash_ledger::CrashLedgers;
 use toucanshelf_routing::permits::{Permit, PermitBucket, permit_rate};
-use toucanshelf_runtime::connections::Connections;
+use toucanshelf_runtime::connections::{Connections, descriptor_limit};
 use toucanshelf_runtime::listen::{ListenLimits, listen};
 use toucanshelf_runtime::serve::{ConnectionLimits, serve_bounded};
 
@@ -310,6 +310,16 @@
     }
 }
 
+/// Returns the number of connections above which those that give way close.
+///
+/// While all others are in use, there may be a sixteenth more.
+fn usual_connections(settings: &DeploymentSettings) -> usize {
+    let descriptors = descriptor_limit().map_or(usize::MAX, |limit| limit / 4 * 3);
+    let max = settings.max_connections().min(descriptors);
+    let max = max.min(MAX_CONNECTIONS);
+    (max - max / 17).max(1)
+}
+
 /// Starts the platform's API and background tasks, if the settings enable a platform.
 ///
 /// Returns the listen address of the API.
@@ -324,9 +334,7 @@
         max_head_bytes: MAX_HEAD_BYTES,
         idle_timeout: Duration::from_millis(settings.heartbeat_ms) * IDLE_TIMEOUT_HEARTBEATS,
     };
-    // One in seventeen is the excess while all others are in use.
-    let max = settings.max_connections().min(MAX_CONNECTIONS);
-    let connections = Connections::with_excess((max - max / 17).max(1));
+    let connections = Connections::with_excess(usual_connections(settings));
     let handler = move |req| calls::handle(Arc::clone(&context), req);
     tokio::spawn(async move {
         // The server stops when `_stop` is dropped, so this task keeps it until the process ends.
--- a/crates/toucanshelf-ingress/src/pool.rs
+++ b/crates/toucanshelf-ingress/src/pool.rs
@@ -56,6 +56,10 @@
     }
 }
 
+fn count(idle: &HashMap<SocketAddr, Vec<IdleConnection>>) -> usize {
+    idle.values().map(Vec::len).sum()
+}
+
 /// Opens TCP connections to targets.
 ///
 /// A caller drops the future when it takes too long.
@@ -143,14 +147,14 @@
         }
         let usable_until = Instant::now() + idle_time;
         let mut idle = self.idle();
-        if idle.values().map(Vec::len).sum::<usize>() >= MAX_IDLE {
+        if count(&idle) >= MAX_IDLE {
             let now = Instant::now();
             idle.retain(|_, connections| {
                 connections.retain(|connection| connection.is_usable(now));
                 !connections.is_empty()
             });
         }
-        let all: usize = idle.values().map(Vec::len).sum();
+        let all = count(&idle);
         let connections = idle.entry(address).or_default();
         connections.retain(|connection| !connection.sender.is_closed());
         if all < MAX_IDLE && connections.len() < MAX_IDLE_PER_TARGET {
--- a/crates/toucanshelf-runtime/src/body.rs
+++ b/crates/toucanshelf-runtime/src/body.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
-use hyper::body::Body;
+use hyper::body::{Body, Incoming};
 use tokio::sync::{Notify, watch};
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -94,16 +94,12 @@
     ///
     /// Fails if the body is too long, stops before its end or finds no memory. The rest of the body is
     /// then read and dropped for a short time.
-    pub async fn read<B>(
+    pub async fn read(
         self: &Arc<Self>,
-        mut body: B,
+        mut body: Incoming,
         limits: BodyLimits,
         owner: Option<IpAddr>,
-    ) -> Result<Bytes, BodyError>
-    where
-        B: Body<Data = Bytes> + Send + Unpin + 'static,
-        B::Error: Send,
-    {
+    ) -> Result<Bytes, BodyError> {
         if body.size_hint().exact() == Some(0) {
             return Ok(Bytes::new());
         }
@@ -115,15 +111,12 @@
         result
     }
 
-    async fn read_all<B>(
+    async fn read_all(
         self: &Arc<Self>,
-        body: &mut B,
+        body: &mut Incoming,
         limits: BodyLimits,
         owner: Option<IpAddr>,
-    ) -> Result<Bytes, BodyError>
-    where
-        B: Body<Data = Bytes> + Unpin,
-    {
+    ) -> Result<Bytes, BodyError> {
         let announced = body.size_hint().exact();
         if announced.is_some_and(|len| len > limits.max_bytes as u64) {
             return Err(BodyError::TooLarge);
@@ -176,11 +169,7 @@
 }
 
 /// Reads the rest of a refused body for a short time and drops it, without using memory.
-pub fn discard<B>(mut body: B)
-where
-    B: Body<Data = Bytes> + Send + Unpin + 'static,
-    B::Error: Send,
-{
+pub fn discard(mut body: Incoming) {
     if body.is_end_stream() {
         return;
     }
