End a target's limit with an answer of the same millisecond

Callers saw: 503 for want of a permit at a target that no longer names a limit. Cause: whether a request was sent before the limit was last named was told from whole milliseconds. A request sent within the millisecond of the naming counted as sent before, and its answer without a limit didn't end it. The first permit is issued at once, so that the next request follows within the millisecond. Change: the times are compared as the clock tells them.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -4,6 +4,7 @@
 //! passes the request along a route: a sequence of engines that together run all layers.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -150,7 +151,7 @@
     to: &Destination<'_>,
     due: Instant,
 ) -> Result<OpenResponse, AttemptError> {
-    let sent_ms = shared.now();
+    let sent = shared.uptime();
     // If a reused connection breaks, it is unknown whether the target has run the request. A
     // non-idempotent request, which must not run twice, therefore uses a new connection.
     let pooled = match req.kind {
@@ -174,7 +175,7 @@
         return Err(AttemptError::Lost(cause.into()));
     }
     let metadata = shared.dialect.response_metadata(response.headers());
-    record_limit(shared, req, to, metadata.request_rate_limit, sent_ms);
+    record_limit(shared, req, to, metadata.request_rate_limit, sent);
     record_notices(shared, req, to, response.status(), &metadata);
     if metadata.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
         return Err(AttemptError::NotRun {
@@ -203,10 +204,10 @@
     req: &CallerRequest,
     to: &Destination<'_>,
     rate: Option<f64>,
-    sent_ms: u64,
+    sent: Duration,
 ) {
-    let now = shared.now();
-    let change = shared.targets().record_limit(to.id, rate, sent_ms, now);
+    let now = shared.uptime();
+    let change = shared.targets().record_limit(to.id, rate, sent, now);
     if let Some(LimitChange { before, after }) = change {
         tracing::info!(
             event = "TS4314",
--- a/crates/toucanshelf-ingress/src/shared.rs
+++ b/crates/toucanshelf-ingress/src/shared.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, RwLock};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tokio::sync::watch;
 use toucanshelf_core::deployment::Deployment;
@@ -140,7 +140,12 @@
 
     /// Milliseconds since the ingress started.
     pub fn now(&self) -> u64 {
-        self.started.elapsed().as_millis() as u64
+        self.uptime().as_millis() as u64
+    }
+
+    /// Returns the time since the ingress started.
+    pub fn uptime(&self) -> Duration {
+        self.started.elapsed()
     }
 
     /// Returns the table of routes from hosts and paths to services.
--- a/crates/toucanshelf-ingress/src/targets/limits.rs
+++ b/crates/toucanshelf-ingress/src/targets/limits.rs
@@ -1,5 +1,7 @@
 //! Limits that targets name in their answers, and the time for which a target lacks a permit.
 
+use std::time::Duration;
+
 use toucanshelf_routing::permits::{Permit, PermitBucket};
 
 use super::{Target, TargetKey, Targets};
@@ -9,8 +11,8 @@
 pub(super) struct TargetLimit {
     /// Requests a second.
     rate: f64,
-    /// Time at which an answer last named the limit, in milliseconds since the ingress started.
-    named_ms: u64,
+    /// Time since the start of the ingress at which an answer last named the limit.
+    named: Duration,
     /// Time until which the target isn't chosen for lack of a permit.
     ///
     /// In milliseconds since the ingress started.
@@ -31,15 +33,15 @@
 impl Targets {
     /// Records which limit an answer of the target `id` names, if any.
     ///
-    /// `sent_ms` and `now` are the times of the request and of the answer, in milliseconds. An answer
-    /// without a limit ends it, unless the request was sent before the limit was last named.
+    /// `sent` and `now` are the times of the request and of the answer, since the ingress started. An
+    /// answer without a limit ends it, unless the request was sent before the limit was last named.
     /// Returns the change, or `None` if the limit stays the same.
     pub fn record_limit(
         &mut self,
         id: &str,
         rate: Option<f64>,
-        sent_ms: u64,
-        now: u64,
+        sent: Duration,
+        now: Duration,
     ) -> Option<LimitChange> {
         let key = *self.by_id.get(id)?;
         let target = self.arena.get_mut(key)?;
@@ -48,14 +50,14 @@
             (Some(rate), _) => {
                 let new = TargetLimit {
                     rate,
-                    named_ms: now,
+                    named: now,
                     deferred_until: 0,
-                    own_share: PermitBucket::new(now, 0.0),
+                    own_share: PermitBucket::new(now.as_millis() as u64, 0.0),
                 };
                 let limit = target.limit.get_or_insert(new);
-                (limit.rate, limit.named_ms) = (rate, now);
+                (limit.rate, limit.named) = (rate, now);
             }
-            (None, Some(known)) if sent_ms > known.named_ms => target.limit = None,
+            (None, Some(known)) if sent >= known.named => target.limit = None,
             (None, _) => return None,
         }
         let (before, after) = (known.map(|limit| limit.rate), rate);
--- a/tests/testsuite/target_limits.rs
+++ b/tests/testsuite/target_limits.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use toucanshelf_ingress::Ingress;
+use toucanshelf_ingress::targets::LimitChange;
 
 use crate::platform_support::{
     DeploymentBuilder, Platform, Target, call_ingress, start_control, start_ingress,
@@ -97,6 +98,22 @@
     }
 }
 
+/// Guards against a limit that stays because its end comes within a millisecond.
+#[tokio::test]
+async fn ends_soon_after_it_was_named() {
+    let target = Target::start([]).await;
+    let platform = Platform::start(&document().build(), &[("plain", &target)]).await;
+    let mut targets = platform.ingress.shared().targets();
+    let [sent, named, sent_later, answered] = [1, 2, 3, 4].map(Duration::from_micros);
+    let change = |before, after| Some(LimitChange { before, after });
+    let start = targets.record_limit("t0", Some(5.0), sent, named);
+    assert_eq!(start, change(None, Some(5.0)));
+    let overtaken = targets.record_limit("t0", None, sent, answered);
+    assert_eq!(overtaken, None, "the request was sent before the limit");
+    let end = targets.record_limit("t0", None, sent_later, answered);
+    assert_eq!(end, change(Some(5.0), None));
+}
+
 /// Guards against requests that wait for their deadline although no target accepts them.
 #[tokio::test]
 async fn refused_when_all_targets_are_limited() {
