Probe other targets if all of a probe refuse

Callers saw: all requests refused or relayed for half a second or more after several engines had crashed, while others served. Cause: a probe leaves out targets known to have failed, but engines that crashed while they ran a request count as failed only once they refuse a connection. Where both targets of the probe had crashed, the ingress took itself for isolated. Change: a refusal comes from the target's machine, so a probe that meets only refusals tries others, at most four rounds.

--- a/crates/toucanshelf-ingress/src/isolation.rs
+++ b/crates/toucanshelf-ingress/src/isolation.rs
@@ -13,6 +13,7 @@
 use tokio::time::timeout;
 use toucanshelf_routing::isolation::{IsolationDetector, Transition};
 
+use crate::pool::ConnectError;
 use crate::shared::Shared;
 
 /// Shortest interval between probes, and the interval while no target can be reached.
@@ -21,8 +22,10 @@
 ///
 /// When it loses its targets, it may have lost control as well.
 const RELAY_LIST_INTERVAL: Duration = Duration::from_secs(10);
-/// Number of targets in each zone to which a probe connects.
+/// Number of targets in each zone to which a probe connects in one round.
 const PROBES_PER_ZONE: usize = 2;
+/// Maximum number of rounds of a probe, each with other targets.
+const MAX_PROBE_ROUNDS: usize = 4;
 
 /// Whether this ingress reaches targets, and the evidence for it.
 #[derive(Debug)]
@@ -102,28 +105,66 @@
     }
 }
 
+/// Result of the connections to several targets.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ProbeResult {
+    /// A target has accepted a connection.
+    Connected,
+    /// All targets have refused the connection.
+    Refused,
+    /// No target has accepted a connection, and not all have refused it.
+    Failed,
+}
+
 /// Connects to some targets in each zone, and records whether any accepts a connection.
+///
+/// A target that refuses connections may have ended, which says nothing about the network of this
+/// instance. If all do so, others are tried.
 async fn probe(shared: &Shared) {
     // If no target can be reached, requests need relays at once.
     shared.control.ask_relays();
-    let failed = shared.isolation.detector().failed_targets().clone();
-    let addresses = shared.targets().probe_addresses(PROBES_PER_ZONE, &failed);
+    let mut tried = shared.isolation.detector().failed_targets().clone();
+    let mut addresses = shared.targets().probe_addresses(PROBES_PER_ZONE, &tried);
     if addresses.is_empty() {
         return;
     }
-    let count = addresses.len();
-    let mut connections: FuturesUnordered<_> = addresses
-        .into_iter()
-        .map(|address| shared.pool.connect(address))
-        .collect();
-    let mut connected = false;
-    while let Some(result) = connections.next().await {
-        if result.is_ok() {
-            connected = true;
+    let mut count = addresses.len();
+    let mut result = connect_any(shared, &addresses).await;
+    for _ in 1..MAX_PROBE_ROUNDS {
+        if result != ProbeResult::Refused {
             break;
         }
+        tried.extend(addresses);
+        addresses = shared.targets().probe_addresses(PROBES_PER_ZONE, &tried);
+        addresses.retain(|address| !tried.contains(address));
+        if addresses.is_empty() {
+            break;
+        }
+        count += addresses.len();
+        result = connect_any(shared, &addresses).await;
     }
-    drop(connections);
+    record_result(shared, result == ProbeResult::Connected, count);
+}
+
+/// Connects to all targets at once, until one accepts the connection.
+async fn connect_any(shared: &Shared, addresses: &[SocketAddr]) -> ProbeResult {
+    let connections = addresses
+        .iter()
+        .map(|address| shared.pool.connect(*address));
+    let mut connections: FuturesUnordered<_> = connections.collect();
+    let mut unconnected = ProbeResult::Refused;
+    while let Some(result) = connections.next().await {
+        match result {
+            Ok(_) => return ProbeResult::Connected,
+            Err(ConnectError::Refused(_)) => {}
+            Err(_) => unconnected = ProbeResult::Failed,
+        }
+    }
+    unconnected
+}
+
+/// Records the result of a probe of `count` targets, and logs a change.
+fn record_result(shared: &Shared, connected: bool, count: usize) {
     let now = shared.now();
     let transition = shared.isolation.detector().record_probe(connected, now);
     match transition {
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -34,6 +35,8 @@
 #[derive(Clone, Debug, Default)]
 struct CutConnector {
     cut: Arc<Mutex<CutTargets>>,
+    /// Number of connections to targets that are not behind the cut.
+    connections: Arc<AtomicUsize>,
 }
 
 impl CutConnector {
@@ -44,6 +47,10 @@
     fn heal(&self) {
         *self.cut.lock().unwrap() = None;
     }
+
+    fn connections(&self) -> usize {
+        self.connections.load(Ordering::Relaxed)
+    }
 }
 
 impl Connector for CutConnector {
@@ -55,7 +62,10 @@
             Some((Cut::Hanging, targets)) if targets.contains(&address) => {
                 std::future::pending().boxed()
             }
-            _ => TcpConnector.connect(address),
+            _ => {
+                self.connections.fetch_add(1, Ordering::Relaxed);
+                TcpConnector.connect(address)
+            }
         }
     }
 }
@@ -204,6 +214,41 @@
     }
 }
 
+/// Guards against an ingress that takes itself for isolated because a probe meets only ended targets.
+///
+/// Six of seven targets refuse connections, and two of them are known to have failed.
+#[tokio::test(flavor = "multi_thread")]
+async fn ended_targets_prove_nothing() {
+    let mut targets = Vec::new();
+    for _ in 0..7 {
+        targets.push(Target::start([]).await);
+    }
+    let document = DeploymentBuilder::new(1).route("read", "a.example", "/read/", "plain");
+    let document = document.build();
+    let (control, folder) = start_control().await;
+    let connector = CutConnector::default();
+    let ingress = start_ingress_with_connector("i1", &control, connector.clone()).await;
+    let registered: Vec<_> = targets.iter().map(|target| ("plain", target)).collect();
+    let started = Platform::with_ingress(control, folder, ingress, &document, &registered);
+    let platform = started.await;
+    let ended: Vec<_> = targets[1..].iter().map(|target| target.address).collect();
+    connector.cut(Cut::Refused, &ended);
+    let isolation = &platform.ingress.shared().isolation;
+    for _ in 0..8 {
+        let before = connector.connections();
+        let probed = async {
+            while connector.connections() == before && !isolation.is_isolated() {
+                for address in &ended[..2] {
+                    isolation.record_failure(*address, platform.ingress.shared().now());
+                }
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        };
+        tokio::time::timeout(WAIT_TIMEOUT, probed).await.unwrap();
+        assert!(!isolation.is_isolated(), "a target accepts connections");
+    }
+}
+
 /// Guards against a request that goes in circles between ingresses without targets.
 #[tokio::test(flavor = "multi_thread")]
 async fn both_ingresses_isolated() {
