Test crowds that come back whenever their connection is closed

Cause: each hostile test held one set of connections. A client that is refused or closed mostly connects again at once, and nothing showed what that takes from others. System::check waits for unread bytes first, which a crowd that goes on sending always has; check_beside is the rest of it.

--- a/tests/hostile/control.rs
+++ b/tests/hostile/control.rs
@@ -9,10 +9,15 @@
 
 use crate::client::Call;
 use crate::crowd::Crowd;
+use crate::links::UPGRADE;
 use crate::machine::{Machine, Watched};
 use crate::platform_support::{DeploymentBuilder, link_key, start_linked_ingress};
+use crate::returning::ReturningCrowd;
 use crate::system::{heartbeat, heartbeat_call, wait_for_version};
-use crate::{CHUNKED, CONNECTIONS, CROWD, PIECE_BYTES, content_length, run_alone};
+use crate::{
+    CHUNKED, CONNECTIONS, CROWD, PIECE_BYTES, RETURNING, content_length, run_alone,
+    unfinished_request,
+};
 
 /// Machine of a control instance, whose process may open few descriptors.
 const SMALL_MACHINE: Machine = Machine {
@@ -116,8 +121,13 @@
     /// Checks that the control instance withstands a crowd while it is open.
     ///
     /// Heartbeats, deployments, operators and links have to get through beside it.
-    pub async fn check(mut self, crowd: Crowd) {
+    pub async fn check(self, crowd: Crowd) {
         self.control.settle().await;
+        self.check_beside(crowd).await;
+    }
+
+    /// Does the same with any crowd, whether its bytes are read or not.
+    pub async fn check_beside<C>(mut self, crowd: C) {
         let address = SocketAddr::from(([127, 0, 0, 1], 9));
         let heartbeat = heartbeat_call(self.platform, 1, &heartbeat("plain", address, 1));
         heartbeat.wait_until_served().await;
@@ -421,3 +431,44 @@
         system.check(crowd).await;
     });
 }
+
+/// Holds a crowd of callers that send these bytes whenever they come back.
+async fn hold_returning(choose: fn(&ControlSystem) -> SocketAddr, bytes: Vec<u8>) {
+    let system = ControlSystem::start().await;
+    let crowd = ReturningCrowd::start(choose(&system), RETURNING, bytes).await;
+    system.check_beside(crowd).await;
+}
+
+#[test]
+fn configurations_that_return() {
+    let bytes = unfinished_request(CONFIGURATION, BODY_BYTES);
+    run_alone(hold_returning(|system| system.platform, bytes));
+}
+
+#[test]
+fn configurations_that_return_with_a_small_processor_share() {
+    run_alone(async {
+        let system = ControlSystem::start().await;
+        let share = system.control.share_processor();
+        let bytes = unfinished_request(CONFIGURATION, BODY_BYTES);
+        let crowd = ReturningCrowd::start(system.platform, RETURNING, bytes).await;
+        system.check_beside((crowd, share)).await;
+    });
+}
+
+#[test]
+fn heartbeats_that_return() {
+    let bytes = unfinished_request(HEARTBEAT, BODY_BYTES);
+    run_alone(hold_returning(|system| system.platform, bytes));
+}
+
+#[test]
+fn tickets_that_return() {
+    let bytes = unfinished_request(TICKET, TICKET_BYTES);
+    run_alone(hold_returning(|system| system.operators, bytes));
+}
+
+#[test]
+fn links_that_return() {
+    run_alone(hold_returning(|system| system.links, UPGRADE.into()));
+}
--- a/tests/hostile/gate.rs
+++ b/tests/hostile/gate.rs
@@ -13,9 +13,14 @@
 
 use crate::client::Call;
 use crate::crowd::Crowd;
+use crate::links::UPGRADE;
 use crate::machine::{Machine, Watched};
 use crate::platform_support::{link_key, start_control};
-use crate::{CHUNKED, CONNECTIONS, CROWD, PIECE_BYTES, content_length, run_alone};
+use crate::returning::ReturningCrowd;
+use crate::{
+    CHUNKED, CONNECTIONS, CROWD, PIECE_BYTES, RETURNING, content_length, run_alone,
+    unfinished_request,
+};
 
 /// Machine of a gate, whose process may open few descriptors.
 const SMALL_MACHINE: Machine = Machine {
@@ -137,8 +142,13 @@
     }
 
     /// Checks that the gate withstands a crowd while it is open.
-    async fn check(mut self, crowd: Crowd) {
+    async fn check(self, crowd: Crowd) {
         self.gate.settle().await;
+        self.check_beside(crowd).await;
+    }
+
+    /// Does the same with any crowd, whether its bytes are read or not.
+    async fn check_beside<C>(mut self, crowd: C) {
         self.ordinary_call().wait_until_served().await;
         // The service renews its lease at the same listener.
         for line in ["GET /health/ready", "GET /metrics"] {
@@ -321,3 +331,26 @@
         system.check(crowd).await;
     });
 }
+
+/// Holds a crowd of callers that send these bytes whenever they come back.
+async fn hold_returning(choose: fn(&GateSystem) -> SocketAddr, bytes: Vec<u8>) {
+    let system = GateSystem::start().await;
+    let crowd = ReturningCrowd::start(choose(&system), RETURNING, bytes).await;
+    system.check_beside(crowd).await;
+}
+
+#[test]
+fn bodies_that_return() {
+    let bytes = unfinished_request(CHAT, MAX_BODY_BYTES);
+    run_alone(hold_returning(|system| system.http, bytes));
+}
+
+#[test]
+fn heads_that_return() {
+    run_alone(hold_returning(|system| system.http, b"GET /met".into()));
+}
+
+#[test]
+fn links_that_return() {
+    run_alone(hold_returning(|system| system.links, UPGRADE.into()));
+}
--- a/tests/hostile/ingress.rs
+++ b/tests/hostile/ingress.rs
@@ -5,8 +5,12 @@
 use crate::crowd::Crowd;
 use crate::links::UPGRADE;
 use crate::platform_support::TargetAction;
+use crate::returning::ReturningCrowd;
 use crate::system::{FULL_MACHINE, HELD, Listeners, MAX_BODY_BYTES, System};
-use crate::{CHUNKED, CONNECTIONS, CROWD, ENDLESS, PIECE_BYTES, content_length, run_alone};
+use crate::{
+    CHUNKED, CONNECTIONS, CROWD, ENDLESS, PIECE_BYTES, RETURNING, content_length, run_alone,
+    unfinished_request,
+};
 
 /// Callers whose bodies fill the receive buffers of a process that reads late.
 const LARGE_CROWD: usize = 1_000;
@@ -230,3 +234,50 @@
         system.check(crowd).await;
     });
 }
+
+/// Holds a crowd of callers that send these bytes whenever they come back.
+async fn hold_returning(choose: fn(&System) -> SocketAddr, bytes: Vec<u8>) {
+    let system = System::start(ENDLESS).await;
+    let crowd = ReturningCrowd::start(choose(&system), RETURNING, bytes).await;
+    system.check_beside(crowd).await;
+}
+
+#[test]
+fn bodies_that_return() {
+    let bytes = unfinished_request(HELD, MAX_BODY_BYTES);
+    run_alone(hold_returning(System::address, bytes));
+}
+
+#[test]
+fn bodies_that_return_with_a_small_processor_share() {
+    run_alone(async {
+        let system = System::start(ENDLESS).await;
+        let share = system.ingress.share_processor();
+        let bytes = unfinished_request(HELD, MAX_BODY_BYTES);
+        let crowd = ReturningCrowd::start(system.address(), RETURNING, bytes).await;
+        system.check_beside((crowd, share)).await;
+    });
+}
+
+#[test]
+fn heads_that_return() {
+    run_alone(hold_returning(System::address, b"GET /held/ HT".into()));
+}
+
+#[test]
+fn requests_that_return() {
+    let bytes = b"POST /held/ HTTP/1.1\r\nhost: a.example\r\ncontent-length: 0\r\n\r\n";
+    run_alone(hold_returning(System::address, bytes.into()));
+}
+
+#[test]
+fn relayed_bodies_that_return() {
+    let bytes = unfinished_request(HELD, MAX_BODY_BYTES);
+    run_alone(hold_returning(|system| system.listeners.relay, bytes));
+}
+
+#[test]
+fn probes_that_return() {
+    let bytes = b"GET /api/ready HT".into();
+    run_alone(hold_returning(|system| system.listeners.ready, bytes));
+}
--- a/tests/hostile/main.rs
+++ b/tests/hostile/main.rs
@@ -13,6 +13,7 @@
 #[expect(dead_code, reason = "the testsuite uses the rest")]
 #[path = "../testsuite/platform_support.rs"]
 mod platform_support;
+mod returning;
 mod system;
 mod usage;
 
@@ -28,6 +29,8 @@
 const PIECE_BYTES: usize = 256 << 10;
 /// Callers whose connections need more descriptors than the process may open.
 const CONNECTIONS: usize = 300;
+/// Callers that come back whenever their connection is closed.
+const RETURNING: usize = 280;
 /// Header lines of a request with a chunked body.
 const CHUNKED: &str = "transfer-encoding: chunked\r\n";
 /// An answer whose body never ends.
@@ -41,6 +44,14 @@
     runtime.block_on(test);
 }
 
+/// Returns the bytes of a request whose body lacks its last byte; `head` is its line and headers.
+fn unfinished_request(head: &str, len: usize) -> Vec<u8> {
+    let length = content_length(len);
+    let mut bytes = format!("{head} HTTP/1.1\r\nhost: a.example\r\n{length}\r\n").into_bytes();
+    bytes.resize(bytes.len() + len - 1, b'x');
+    bytes
+}
+
 fn content_length(len: usize) -> String {
     format!("content-length: {len}\r\n")
 }
--- a/tests/hostile/system.rs
+++ b/tests/hostile/system.rs
@@ -141,8 +141,13 @@
     }
 
     /// Checks that the ingress withstands a crowd while it is open.
-    pub async fn check(mut self, crowd: Crowd) {
+    pub async fn check(self, crowd: Crowd) {
         self.ingress.settle().await;
+        self.check_beside(crowd).await;
+    }
+
+    /// Does the same with any crowd, whether its bytes are read or not.
+    pub async fn check_beside<C>(mut self, crowd: C) {
         self.wait_until_served(b"").await;
         self.wait_until_others_served().await;
         drop(crowd);
