Read no more of a stream than its caller takes

Callers saw: an ingress that ends for lack of memory while some callers don't read streams with large events. Cause: 64 events of each stream could wait for its caller, each of up to 256 KiB; buffers of streams doubled up to that, too. Change: a stream is read on while less than 8 KiB of it is outstanding; events of more than 16 KiB need one of 64 buffers, which are used again and count among the 16 MiB of responses; without one the stream is cut (TS4326). The decisions have no I/O. Large events beside a crowd that holds their buffers are cut; stands in the design note.

--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod control;
 pub mod deployments;
 pub mod discovery;
+pub mod event_sender;
 pub mod events;
 pub mod front;
 pub mod isolation;
--- a/crates/toucanshelf-ingress/src/live_route.rs
+++ b/crates/toucanshelf-ingress/src/live_route.rs
@@ -20,7 +20,9 @@
 use toucanshelf_link::dialect::{EngineInstance, EngineReport};
 use toucanshelf_link::exchange::{ExchangeError, exchange};
 
+use crate::events::SplitError;
 use crate::request::{CallerRequest, InFlight};
+use crate::response_buffer::BufferError;
 use crate::shared::Shared;
 use crate::targets::{DownCause, RouteHop, TargetKey};
 
@@ -71,6 +73,18 @@
     /// The deadline of the request has passed.
     #[error("the deadline has passed")]
     Expired,
+    /// An event is large, and other responses use the memory of the ingress.
+    #[error(transparent)]
+    NoMemory(BufferError),
+}
+
+impl From<SplitError> for StreamFailure {
+    fn from(error: SplitError) -> Self {
+        match error {
+            SplitError::TooLong => Self::Broken(error.to_string().into()),
+            SplitError::NoMemory(e) => Self::NoMemory(e),
+        }
+    }
 }
 
 impl StreamFailure {
@@ -193,8 +207,7 @@
 
     /// Records that data has arrived from the first engine, and restarts the check timer.
     pub fn record_activity(&mut self) {
-        self.last_activity = Instant::now();
-        self.check_due = self.last_activity + EVENT_GAP_CHECK_DELAY;
+        self.resume_watch();
         if std::mem::take(&mut self.first_suspected) {
             self.record_first_alive();
         }
@@ -209,6 +222,12 @@
         }
     }
 
+    /// Waits for data from the first engine anew, after a time in which none was read.
+    pub fn resume_watch(&mut self) {
+        self.last_activity = Instant::now();
+        self.check_due = self.last_activity + EVENT_GAP_CHECK_DELAY;
+    }
+
     /// Suspends checks and repairs of the route for 150 ms (`RECHECK_INTERVAL`).
     pub fn extend_wait(&mut self) {
         self.paused_until = Instant::now() + RECHECK_INTERVAL;
--- a/crates/toucanshelf-ingress/src/relay/mod.rs
+++ b/crates/toucanshelf-ingress/src/relay/mod.rs
@@ -13,7 +13,6 @@
 mod headers;
 mod table;
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,17 +21,17 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
 use tokio::time::Instant;
 use toucanshelf_core::deployment::RequestKind;
 use toucanshelf_runtime::in_flight::InFlightGuard;
 
 use crate::attempt::{AttemptError, read_body, send_request};
-use crate::events::EventSplitter;
+use crate::event_sender::EventSender;
+use crate::events::{EventSplitter, SplitError, warn_of_memory};
 use crate::pool::Sender;
 use crate::request::CallerRequest;
 use crate::response::{
-    ProxyResponse, Refusal, channel_body, full_body, refusal_response, strip_connection_headers,
+    ProxyResponse, Refusal, full_body, refusal_response, strip_connection_headers,
 };
 use crate::shared::Shared;
 use headers::{RelayNotices, is_marked_unable, take_runs};
@@ -120,9 +119,9 @@
     if !relayed.response.status().is_success() {
         return session.read_to_end(&req, relayed).await;
     }
-    let (mut head, upstream) = relayed.into_stream();
+    let (mut head, upstream) = relayed.into_stream(&shared);
     strip_connection_headers(&mut head.headers);
-    let (tx, body) = channel_body();
+    let (tx, body) = EventSender::new();
     tokio::spawn(async move {
         session.forward_events(&req, upstream, &tx).await;
         drop(under_way);
@@ -149,7 +148,7 @@
     req: &CallerRequest,
     last_event: Option<u64>,
     earlier_runs: u32,
-    tx: &mpsc::Sender<io::Result<Bytes>>,
+    tx: &EventSender,
 ) {
     let history = History {
         earlier_runs: Some(earlier_runs),
@@ -328,7 +327,7 @@
     async fn reopen(&mut self, req: &CallerRequest) -> Option<RelayedStream> {
         let relayed = self.open(req).await?;
         let success = relayed.response.status().is_success();
-        success.then(|| relayed.into_stream().1)
+        success.then(|| relayed.into_stream(&self.shared).1)
     }
 
     /// Sends events to the caller until the stream ends or can't be continued.
@@ -336,34 +335,47 @@
         &mut self,
         req: &CallerRequest,
         mut upstream: RelayedStream,
-        tx: &mpsc::Sender<io::Result<Bytes>>,
+        tx: &EventSender,
     ) {
         let mut sent = self.last_event.is_some();
         loop {
-            while let Some(event) = upstream.splitter.next_event() {
-                if event.id.is_some() && event.id <= self.last_event {
-                    continue;
+            let next = upstream.splitter.next_queued();
+            let broken = match next {
+                Ok(Some(event)) => {
+                    if event.id.is_some() && event.id <= self.last_event {
+                        continue;
+                    }
+                    self.last_event = event.id.or(self.last_event);
+                    sent = true;
+                    if tx.send(event.bytes).await.is_err() {
+                        return self.finish(req, "caller-left");
+                    }
+                    false
                 }
-                self.last_event = event.id.or(self.last_event);
-                sent = true;
-                if tx.send(Ok(event.bytes)).await.is_err() {
-                    return self.finish(req, "caller-left");
+                Ok(None) => {
+                    let frame = tokio::select! {
+                        frame = upstream.body.frame() => frame,
+                        () = tx.closed() => return self.finish(req, "caller-left"),
+                    };
+                    match frame {
+                        Some(Ok(frame)) => {
+                            upstream
+                                .splitter
+                                .queue(frame.into_data().unwrap_or_default());
+                            false
+                        }
+                        Some(Err(_)) => true,
+                        None if upstream.splitter.holds_partial_event() => true,
+                        None => {
+                            upstream.return_connection(&self.shared);
+                            return self.finish(req, "served");
+                        }
+                    }
                 }
-            }
-            let frame = tokio::select! {
-                frame = upstream.body.frame() => frame,
-                () = tx.closed() => return self.finish(req, "caller-left"),
-            };
-            let broken = match frame {
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(bytes) => upstream.splitter.push(&bytes).is_err(),
-                    Err(_) => false,
-                },
-                Some(Err(_)) => true,
-                None if upstream.splitter.holds_partial_event() => true,
-                None => {
-                    upstream.return_connection(&self.shared);
-                    return self.finish(req, "served");
+                Err(SplitError::TooLong) => true,
+                Err(SplitError::NoMemory(e)) => {
+                    warn_of_memory(req, e);
+                    return self.abort(req, tx).await;
                 }
             };
             if !broken {
@@ -383,10 +395,9 @@
     }
 
     /// Aborts the caller's response, which would otherwise look complete.
-    async fn abort(&self, req: &CallerRequest, tx: &mpsc::Sender<io::Result<Bytes>>) {
-        let error = io::Error::other("the stream can't be continued at any ingress");
-        // The caller may have left meanwhile.
-        let _ = tx.send(Err(error)).await;
+    async fn abort(&self, req: &CallerRequest, tx: &EventSender) {
+        tx.abort("the stream can't be continued at any ingress")
+            .await;
         self.finish(req, "cut");
     }
 
@@ -433,13 +444,13 @@
 }
 
 impl RelayedResponse {
-    fn into_stream(self) -> (http::response::Parts, RelayedStream) {
+    fn into_stream(self, shared: &Shared) -> (http::response::Parts, RelayedStream) {
         let (parts, body) = self.response.into_parts();
         let stream = RelayedStream {
             body,
             sender: self.sender,
             headers: parts.headers.clone(),
-            splitter: EventSplitter::new(),
+            splitter: EventSplitter::new().with_buffers(shared.response_buffers.clone()),
             load: self.load,
         };
         (parts, stream)
--- a/crates/toucanshelf-ingress/src/response.rs
+++ b/crates/toucanshelf-ingress/src/response.rs
@@ -148,15 +148,14 @@
 /// Creates a response body that sends the chunks from a channel to the caller.
 ///
 /// An error in the channel aborts the caller's connection.
-pub fn channel_body() -> (mpsc::Sender<io::Result<Bytes>>, ProxyBody) {
-    let (tx, rx) = mpsc::channel(64);
+pub fn chunks_body(rx: mpsc::Receiver<io::Result<Bytes>>) -> ProxyBody {
     let chunks = stream::unfold(rx, |mut rx| async move {
         let chunk: io::Result<Bytes> = rx.recv().await?;
         Some((chunk.map(Frame::data), rx))
     });
     // Only one task polls the body, but `BoxBody` requires a type that is `Sync`.
     let body = StreamBody::new(chunks.boxed());
-    (tx, SyncBody(std::sync::Mutex::new(body)).boxed())
+    SyncBody(std::sync::Mutex::new(body)).boxed()
 }
 
 /// Wrapper that makes a body `Sync`, as `BoxBody` requires.
--- a/crates/toucanshelf-ingress/src/response_buffer.rs
+++ b/crates/toucanshelf-ingress/src/response_buffer.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll};
 
+use crate::events::MAX_EVENT_BYTES;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use toucanshelf_runtime::segments::{
@@ -27,6 +28,8 @@
 pub struct ResponseBuffers {
     counts: Arc<Mutex<Counts>>,
     segments: Arc<SegmentPool>,
+    /// Empty buffers for large events, which other streams use again.
+    event_buffers: Arc<Mutex<Vec<Vec<u8>>>>,
 }
 
 /// Bytes of response bodies that an ingress holds.
@@ -34,7 +37,7 @@
 struct Counts {
     /// Bytes of bodies that are being read.
     buffered: usize,
-    /// Bytes of bodies that were read and that callers have not received yet.
+    /// Bytes of bodies that were read, and buffers of large events, that callers have not received yet.
     unsent: usize,
 }
 
@@ -69,11 +72,79 @@
         }
     }
 
+    /// Returns an empty buffer for one large event.
+    ///
+    /// # Errors
+    ///
+    /// Fails if too many bytes are buffered.
+    pub fn new_event_buffer(&self) -> Result<EventBuffer, BufferError> {
+        let mut counts = self.counts();
+        let used = counts.buffered + counts.unsent + MAX_EVENT_BYTES;
+        let unused = MAX_BUFFERED_BYTES
+            .checked_sub(used)
+            .ok_or(BufferError::NoMemory)?;
+        counts.unsent += MAX_EVENT_BYTES;
+        drop(counts);
+        let free = self.free_event_buffers().pop();
+        self.trim(unused);
+        Ok(EventBuffer {
+            buffers: self.clone(),
+            buf: free.unwrap_or_else(|| Vec::with_capacity(MAX_EVENT_BYTES)),
+        })
+    }
+
+    /// Frees empty buffers beyond this number of bytes.
+    fn trim(&self, max_bytes: usize) {
+        let mut free = self.free_event_buffers();
+        free.truncate(max_bytes / MAX_EVENT_BYTES);
+        let kept = free.len() * MAX_EVENT_BYTES;
+        drop(free);
+        self.segments.trim(max_bytes - kept);
+    }
+
+    fn free_event_buffers(&self) -> MutexGuard<'_, Vec<Vec<u8>>> {
+        self.event_buffers.lock().expect("no holder panics")
+    }
+
     fn counts(&self) -> MutexGuard<'_, Counts> {
         self.counts.lock().expect("no holder panics")
     }
 }
 
+/// Buffer for one large event of a stream, which counts as unsent until dropped.
+#[derive(Debug)]
+pub struct EventBuffer {
+    buffers: ResponseBuffers,
+    buf: Vec<u8>,
+}
+
+impl EventBuffer {
+    /// Appends bytes, of which there are no more than [`MAX_EVENT_BYTES`] together.
+    pub fn extend(&mut self, bytes: &[u8]) {
+        self.buf.extend_from_slice(bytes);
+    }
+
+    /// Removes all bytes but the first `len`.
+    pub fn truncate(&mut self, len: usize) {
+        self.buf.truncate(len);
+    }
+}
+
+impl AsRef<[u8]> for EventBuffer {
+    fn as_ref(&self) -> &[u8] {
+        &self.buf
+    }
+}
+
+impl Drop for EventBuffer {
+    fn drop(&mut self) {
+        let mut buf = std::mem::take(&mut self.buf);
+        buf.clear();
+        self.buffers.free_event_buffers().push(buf);
+        self.buffers.counts().unsent -= MAX_EVENT_BYTES;
+    }
+}
+
 /// Buffer for one response body, which counts towards [`ResponseBuffers`] until dropped.
 #[derive(Debug)]
 pub struct ResponseBuffer {
@@ -116,7 +187,7 @@
         counts.buffered = buffered;
         let unused = MAX_BUFFERED_BYTES.saturating_sub(buffered + counts.unsent);
         drop(counts);
-        self.buffers.segments.trim(unused);
+        self.buffers.trim(unused);
         let mut rest = self.buf.fill(chunk);
         while !rest.is_empty() {
             self.buf.grow(self.next_segment);
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -7,7 +7,6 @@
 
 mod opening;
 
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,7 +14,6 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
-use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until};
 use toucanshelf_core::ids::CrashId;
 use toucanshelf_routing::runs::{AttemptKey, AttemptState, RunLedger};
@@ -23,11 +21,12 @@
 
 use crate::attempt::ReusableConnection;
 use crate::content_guard::ContentAttempt;
-use crate::events::EventSplitter;
+use crate::event_sender::EventSender;
+use crate::events::{EventSplitter, warn_of_memory};
 use crate::live_route::{LiveRoute, StreamFailure};
 use crate::relay::{self, History};
 use crate::request::CallerRequest;
-use crate::response::{ProxyResponse, Refusal, channel_body, full_body, refusal_response};
+use crate::response::{ProxyResponse, Refusal, full_body, refusal_response};
 use crate::rooms;
 use crate::shared::Shared;
 use crate::targets::TargetKey;
@@ -54,7 +53,7 @@
     loop {
         match session.next_item(&mut upstream, None).await {
             StreamItem::Event(event) => {
-                let (tx, body) = channel_body();
+                let (tx, body) = EventSender::new();
                 session.record_first_event();
                 if session.req.relayed {
                     relay::set_runs(&mut head.headers, session.runs());
@@ -109,7 +108,7 @@
 /// Waits until the caller disconnects.
 ///
 /// `caller` is the channel to the caller's response body. Without one, the future never completes.
-async fn caller_disconnected(caller: Option<&mpsc::Sender<io::Result<Bytes>>>) {
+async fn caller_disconnected(caller: Option<&EventSender>) {
     match caller {
         Some(tx) => tx.closed().await,
         None => std::future::pending().await,
@@ -235,13 +234,13 @@
     /// Meanwhile failed engines of the route are replaced where possible.
     ///
     /// `caller` is the channel to the caller's response body, once there is one.
-    async fn next_item(
-        &self,
-        upstream: &mut Upstream,
-        caller: Option<&mpsc::Sender<io::Result<Bytes>>>,
-    ) -> StreamItem {
+    async fn next_item(&self, upstream: &mut Upstream, caller: Option<&EventSender>) -> StreamItem {
         loop {
-            if let Some(event) = upstream.splitter.next_event() {
+            let next = match upstream.splitter.next_queued() {
+                Ok(next) => next,
+                Err(e) => return StreamItem::Failed(e.into()),
+            };
+            if let Some(event) = next {
                 if !crate::events::is_well_formed(&event.bytes) {
                     let cause = "the engine sent bytes that are no event";
                     return StreamItem::Failed(StreamFailure::Broken(cause.into()));
@@ -257,9 +256,7 @@
                     Some(Ok(frame)) => {
                         let Ok(bytes) = frame.into_data() else { continue };
                         upstream.route.record_activity();
-                        if let Err(e) = upstream.splitter.push(&bytes) {
-                            return StreamItem::Failed(StreamFailure::Broken(e.to_string().into()));
-                        }
+                        upstream.splitter.queue(bytes);
                     }
                     Some(Err(e)) => {
                         upstream.record_crash(&self.req);
@@ -375,20 +372,16 @@
     ///
     /// `event` is the first event, which was read already. If the stream fails on its route, it
     /// moves to another one.
-    async fn forward_events(
-        mut self,
-        upstream: Box<Upstream>,
-        event: Bytes,
-        tx: mpsc::Sender<io::Result<Bytes>>,
-    ) {
+    async fn forward_events(mut self, upstream: Box<Upstream>, event: Bytes, tx: EventSender) {
         let mut upstream = upstream;
         let mut event = Some(event);
         loop {
             if let Some(bytes) = event.take() {
                 self.record_delivery(&bytes);
-                if tx.send(Ok(bytes)).await.is_err() {
+                if tx.send(bytes).await.is_err() {
                     return self.finish("caller-left", 200);
                 }
+                upstream.route.resume_watch();
             }
             match self.next_item(&mut upstream, Some(&tx)).await {
                 StreamItem::Event(bytes) => event = Some(bytes),
@@ -408,10 +401,7 @@
                         return self.finish("relayed", 200);
                     }
                     if matches!(failover, Failover::Ended) {
-                        // The error aborts the caller's connection. Otherwise the interrupted
-                        // response would look complete.
-                        let error = io::Error::other("the stream can't be continued on any route");
-                        drop(tx.send(Err(error)).await);
+                        tx.abort("the stream can't be continued on any route").await;
                         return self.finish("cut", 200);
                     }
                 }
@@ -426,8 +416,12 @@
         &mut self,
         upstream: &mut Box<Upstream>,
         failure: &StreamFailure,
-        caller: Option<&mpsc::Sender<io::Result<Bytes>>>,
+        caller: Option<&EventSender>,
     ) -> Failover {
+        if let StreamFailure::NoMemory(e) = failure {
+            warn_of_memory(&self.req, *e);
+            return Failover::Ended;
+        }
         if self.req.relayed && caller.is_some() {
             return self.return_to_sender(upstream, failure);
         }
@@ -493,7 +487,7 @@
     async fn open_alternative(
         &mut self,
         avoided: AvoidedEngines,
-        caller: Option<&mpsc::Sender<io::Result<Bytes>>>,
+        caller: Option<&EventSender>,
     ) -> Option<(http::response::Parts, Box<Upstream>)> {
         let opened = tokio::select! {
             opened = self.open(avoided) => opened,
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -195,7 +195,7 @@
         let upstream = Upstream {
             body,
             connection,
-            splitter: EventSplitter::new(),
+            splitter: EventSplitter::new().with_buffers(self.shared.response_buffers.clone()),
             route: live_route,
             attempt,
             ends_with_connection,
--- a/tests/hostile/ingress.rs
+++ b/tests/hostile/ingress.rs
@@ -4,14 +4,23 @@
 
 use crate::crowd::Crowd;
 use crate::links::UPGRADE;
+use crate::machine::Machine;
 use crate::platform_support::TargetAction;
 use crate::returning::ReturningCrowd;
-use crate::system::{FULL_MACHINE, HELD, Listeners, MAX_BODY_BYTES, System};
+use crate::system::{
+    FULL_MACHINE, HELD, Listeners, MAX_BODY_BYTES, SMALL_MACHINE, STREAMED, System,
+};
 use crate::{
     CHUNKED, CONNECTIONS, CROWD, ENDLESS, PIECE_BYTES, RETURNING, content_length, run_alone,
     unfinished_request,
 };
 
+/// Size of the data of large events, in bytes.
+const LARGE_EVENT_BYTES: usize = 100_000;
+/// Size of the data of small events, in bytes.
+const SMALL_EVENT_BYTES: usize = 400;
+/// Size of the data of all events of a stream, in bytes.
+const STREAM_BYTES: usize = 8_000_000;
 /// Callers whose bodies fill the receive buffers of a process that reads late.
 const LARGE_CROWD: usize = 1_000;
 /// Callers that need all descriptors of a machine for themselves.
@@ -235,6 +244,31 @@
     });
 }
 
+/// Holds a crowd of callers that read nothing of streams with events of this size.
+async fn hold_streams(machine: Machine, count: usize, event_bytes: usize) {
+    let data = "x".repeat(event_bytes);
+    let event = |id: usize| &*format!("id: {id}\ndata: {data}\n\n").leak();
+    let events: Vec<_> = (1..=STREAM_BYTES / event_bytes).map(event).collect();
+    let system = System::start_on(machine, TargetAction::Stream(events.leak())).await;
+    let crowd = Crowd::open(system.address(), count, STREAMED, &content_length(0)).await;
+    system.check(crowd).await;
+}
+
+#[test]
+fn streams_never_read() {
+    run_alone(hold_streams(SMALL_MACHINE, CROWD, LARGE_EVENT_BYTES));
+}
+
+#[test]
+fn streams_never_read_up_to_the_descriptors() {
+    run_alone(hold_streams(FULL_MACHINE, LARGE_CROWD, LARGE_EVENT_BYTES));
+}
+
+#[test]
+fn small_events_never_read_up_to_the_descriptors() {
+    run_alone(hold_streams(FULL_MACHINE, LARGE_CROWD, SMALL_EVENT_BYTES));
+}
+
 /// Holds a crowd of callers that send these bytes whenever they come back.
 async fn hold_returning(choose: fn(&System) -> SocketAddr, bytes: Vec<u8>) {
     let system = System::start(ENDLESS).await;
--- a/tests/hostile/system.rs
+++ b/tests/hostile/system.rs
@@ -30,6 +30,8 @@
 pub const MAX_BODY_BYTES: usize = 4 << 20;
 /// Path of the service whose answers the test chooses.
 pub const HELD: &str = "POST /held/";
+/// Path of a model, whose first engine answers as that service does.
+pub const STREAMED: &str = "POST /streamed/";
 
 /// Listeners of an ingress other than the one for callers.
 #[derive(Clone, Copy, Debug)]
@@ -47,7 +49,7 @@
     pub ingress: Watched,
     pub listeners: Listeners,
     _control: Control,
-    _targets: [Target; 2],
+    _targets: [Target; 4],
     _data: TempDir,
 }
 
@@ -63,6 +65,8 @@
         let document = DeploymentBuilder::new(1)
             .max_body_bytes(MAX_BODY_BYTES)
             .service("calm")
+            .model_service("model")
+            .timed_route("streamed", "/streamed/", "model", "streaming", 600_000)
             .route("held", "a.example", "/held/", "plain")
             .route("calm", "a.example", "/calm/", "calm")
             .build();
@@ -70,11 +74,26 @@
         let deploy = Call::new(api, "PUT /api/config").with_body(document);
         deploy.wait_until_served().await;
         let script = std::iter::repeat_n(answer, 10_000);
-        let targets = [Target::start(script).await, Target::start([]).await];
+        let targets = [
+            Target::start(script.clone()).await,
+            Target::start([]).await,
+            Target::start(script).await,
+            Target::start([]).await,
+        ];
         for (n, service) in ["plain", "calm"].iter().enumerate() {
             let heartbeat = heartbeat(service, targets[n].address, n);
             heartbeat_call(api, n, &heartbeat).wait_until_served().await;
         }
+        // Only the first engine of a model is asked.
+        for (n, from) in [(2, 0), (3, 2)] {
+            let heartbeat = serde_json::json!({
+                "service": "model", "address": targets[n].address, "zone": "z", "version": "v1",
+                "slots": 1_000, "state": "ready", "cold_left_ms": 0, "seq": 1, "born": 1000 + n,
+                "kind": "card", "layers": { "from": from, "target": from + 2, "version": 1 }
+            });
+            let call = heartbeat_call(api, n, &heartbeat.to_string());
+            call.wait_until_served().await;
+        }
         let mut addresses = Addresses::new();
         let listeners = Listeners {
             ready: addresses.allocate(),
