--- a/crates/toucanshelf-ingress/src/event_sender.rs
+++ b/crates/toucanshelf-ingress/src/event_sender.rs
@@ -55,8 +55,10 @@
         }
         let mut unsent = self.unsent.subscribe();
         tokio::select! {
-            _ = unsent.wait_for(|unsent| *unsent < MAX_UNSENT_BYTES) => Ok(()),
+            biased;
+            // The caller's events are dropped as well when it leaves.
             () = self.tx.closed() => Err(CallerLeft),
+            _ = unsent.wait_for(|unsent| *unsent < MAX_UNSENT_BYTES) => Ok(()),
         }
     }
 
--- a/crates/toucanshelf-ingress/src/events.rs
+++ b/crates/toucanshelf-ingress/src/events.rs
@@ -37,7 +37,7 @@
 /// Error when the buffered bytes of a stream would exceed a limit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum SplitError {
-    /// The stream has more than [`MAX_EVENT_BYTES`].
+    /// An event has more than [`MAX_EVENT_BYTES`].
     #[error("event exceeds {MAX_EVENT_BYTES} bytes")]
     TooLong,
     /// The event is large, and other responses use the memory.
--- a/crates/toucanshelf-ingress/src/isolation.rs
+++ b/crates/toucanshelf-ingress/src/isolation.rs
@@ -124,26 +124,23 @@
     // If no target can be reached, requests need relays at once.
     shared.control.ask_relays();
     let mut tried = shared.isolation.detector().failed_targets().clone();
-    let mut addresses = shared.targets().probe_addresses(PROBES_PER_ZONE, &tried);
-    if addresses.is_empty() {
-        return;
-    }
-    let mut count = addresses.len();
-    let mut result = connect_any(shared, &addresses).await;
-    for _ in 1..MAX_PROBE_ROUNDS {
-        if result != ProbeResult::Refused {
-            break;
+    let mut count = 0;
+    let mut result = ProbeResult::Refused;
+    for round in 0..MAX_PROBE_ROUNDS {
+        let mut addresses = shared.targets().probe_addresses(PROBES_PER_ZONE, &tried);
+        if round > 0 {
+            addresses.retain(|address| !tried.contains(address));
         }
-        tried.extend(addresses);
-        addresses = shared.targets().probe_addresses(PROBES_PER_ZONE, &tried);
-        addresses.retain(|address| !tried.contains(address));
-        if addresses.is_empty() {
+        if addresses.is_empty() || result != ProbeResult::Refused {
             break;
         }
         count += addresses.len();
         result = connect_any(shared, &addresses).await;
+        tried.extend(addresses);
+    }
+    if count > 0 {
+        record_result(shared, result == ProbeResult::Connected, count);
     }
-    record_result(shared, result == ProbeResult::Connected, count);
 }
 
 /// Connects to all targets at once, until one accepts the connection.
--- a/crates/toucanshelf-ingress/src/response_buffer.rs
+++ b/crates/toucanshelf-ingress/src/response_buffer.rs
@@ -6,13 +6,14 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll};
 
-use crate::events::MAX_EVENT_BYTES;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use toucanshelf_runtime::segments::{
     FIRST_SEGMENT_BYTES, SEGMENT_BYTES, SegmentBuffer, SegmentPool,
 };
 
+use crate::events::MAX_EVENT_BYTES;
+
 /// Maximum size of one response body, in bytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 /// Maximum size of all response bodies that are buffered at the same time, in bytes.
