Review: a resumed stream keeps the length of the engine that crashed

Cause: the head of the first engine is passed on with its Content-Length while the body consists of runs on several engines, so that a longer rest is cut off. Change: case 12, with its part of the stand-in. Conclusion: kept; not fixed, as the review changes no product code.

--- a/review/stand-in-3/main.rs
+++ b/review/stand-in-3/main.rs
@@ -2,7 +2,9 @@
 
 mod engine;
 mod http;
+mod idle;
 mod platform;
+mod sized;
 mod stale;
 
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -27,12 +29,20 @@
 
 fn main() {
     let args: Vec<_> = std::env::args().collect();
+    if args.get(1).is_some_and(|arg| arg == "engine") {
+        if let Err(e) = sized::run_engine(&args[2..]) {
+            eprintln!("engine: {e}");
+        }
+        std::process::exit(2);
+    }
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     let (Some(case), Some(record)) = (args.get(1), args.get(2)) else {
         eprintln!("usage: stand-in CASE RECORD");
         std::process::exit(2);
     };
     let result = match case.as_str() {
+        "idle" => idle::play(trouble),
+        "sized" => sized::play(trouble),
         "stale" => stale::play(trouble),
         _ => Err(format!("there is no case `{case}`")),
     };
--- a/review/stand-in-3/platform.rs
+++ b/review/stand-in-3/platform.rs
@@ -17,7 +17,7 @@
     folder: PathBuf,
     pub control: Vec<SocketAddr>,
     pub ingress: Vec<SocketAddr>,
-    children: Vec<(String, Option<Child>)>,
+    children: Vec<Child>,
 }
 
 impl Platform {
@@ -94,7 +94,7 @@
     }
 
     /// Starts the program of `name`, such as `ingress-0`.
-    pub fn spawn(&mut self, name: &str) -> Result<(), String> {
+    fn spawn(&mut self, name: &str) -> Result<(), String> {
         let program = name.split('-').next().unwrap_or("");
         let log = self.folder.join(format!("{name}.log"));
         let log = fs::OpenOptions::new().create(true).append(true).open(log);
@@ -107,50 +107,13 @@
             .stdout(log)
             .spawn();
         let child = child.map_err(|e| format!("starting toucanshelf-{program}: {e}"))?;
-        self.children.retain(|(known, _)| known != name);
-        self.children.push((name.to_owned(), Some(child)));
+        self.children.push(child);
         Ok(())
     }
 
-    /// Sends a signal to a process, such as `TERM`.
-    pub fn signal(&mut self, name: &str, signal: &str) {
-        let found = self.children.iter_mut().find(|(known, _)| known == name);
-        let Some((_, Some(child))) = found else { return };
-        let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
-        if signal == "KILL" {
-            let _ = child.wait();
-        }
-    }
-
-    /// Starts a process again if it ends within `time`, or has ended.
-    pub fn respawn_when_gone(&mut self, name: &str, time: Duration) -> Result<(), String> {
-        std::thread::sleep(time);
-        let found = self.children.iter_mut().find(|(known, _)| known == name);
-        if let Some((_, Some(child))) = found
-            && child.try_wait().is_ok_and(|status| status.is_none())
-        {
-            return Ok(());
-        }
-        self.spawn(name)
-    }
-
-    /// Starts all processes again that have ended; returns their names.
-    pub fn respawn_ended(&mut self) -> Vec<String> {
-        let mut ended = Vec::new();
-        for (name, child) in &mut self.children {
-            if child.as_mut().is_some_and(|child| child.try_wait().is_ok_and(|s| s.is_some())) {
-                ended.push(name.clone());
-            }
-        }
-        for name in &ended {
-            let _ = self.spawn(name);
-        }
-        ended
-    }
-
-    /// Log of a process, for the search of a cause.
-    pub fn log(&self, name: &str) -> String {
-        fs::read_to_string(self.folder.join(format!("{name}.log"))).unwrap_or_default()
+    /// Path of a file in the folder of this deployment.
+    pub fn path(&self, name: &str) -> PathBuf {
+        self.folder.join(name)
     }
 
     /// Sends a configuration until it is acknowledged.
@@ -206,11 +169,9 @@
 
 impl Drop for Platform {
     fn drop(&mut self) {
-        for (_, child) in &mut self.children {
-            if let Some(mut child) = child.take() {
-                let _ = child.kill();
-                let _ = child.wait();
-            }
+        for child in &mut self.children {
+            let _ = child.kill();
+            let _ = child.wait();
         }
         if std::env::var_os("KEEP").is_none() {
             let _ = fs::remove_dir_all(&self.folder);
