--- a/review/stand-in-3/engine.rs
+++ b/review/stand-in-3/engine.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crate::http::{Conn, Message, call};
 use crate::unix_ms;
@@ -67,6 +67,9 @@
         let beating = Arc::clone(&engine);
         thread::spawn(move || {
             loop {
+                if *beating.state.lock().unwrap() == "gone" {
+                    return;
+                }
                 beating.beat();
                 thread::sleep(Duration::from_millis(1_200));
             }
@@ -98,9 +101,15 @@
         })
     }
 
-    /// Whether the engine holds all `layers` of the model.
-    pub fn holds(&self, layers: u64) -> bool {
-        *self.layers.lock().unwrap() == (0, layers)
+    /// Leaves without having drained; returns whether a control instance has acknowledged it.
+    pub fn leave(&self) -> bool {
+        *self.state.lock().unwrap() = "gone";
+        let path = format!("/api/instances/{}", self.id);
+        let body = format!("{{\"born\":{}}}", self.born);
+        self.control.iter().any(|control| {
+            let response = call(*control, "DELETE", &path, &body, Duration::from_secs(1));
+            response.is_ok_and(|response| response.status() == 200)
+        })
     }
 
     fn serve(&self, mut conn: Conn) {
@@ -158,19 +167,3 @@
         conn.write(head.as_bytes()).is_ok() && conn.write(body.as_bytes()).is_ok()
     }
 }
-
-/// Waits until each engine holds all `layers`, and control has been told.
-pub fn wait_for_layers(engines: &[Arc<Engine>], layers: u64) -> Result<(), String> {
-    let until = Instant::now() + Duration::from_secs(30);
-    while !engines.iter().all(|engine| engine.holds(layers)) {
-        if Instant::now() > until {
-            return Err("the engines did not get their layers within 30 s".to_owned());
-        }
-        thread::sleep(Duration::from_millis(100));
-    }
-    for engine in engines {
-        engine.beat();
-    }
-    thread::sleep(Duration::from_millis(1_500));
-    Ok(())
-}
--- a/review/stand-in-3/main.rs
+++ b/review/stand-in-3/main.rs
@@ -1,11 +1,11 @@
 //! Plays the cases of the third review: starts the project's programs, engines and clients.
 
+mod departed;
 mod engine;
 mod http;
 mod idle;
 mod platform;
 mod sized;
-mod stale;
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -41,9 +41,9 @@
         std::process::exit(2);
     };
     let result = match case.as_str() {
+        "departed" => departed::play(trouble),
         "idle" => idle::play(trouble),
         "sized" => sized::play(trouble),
-        "stale" => stale::play(trouble),
         _ => Err(format!("there is no case `{case}`")),
     };
     let (code, text) = match result {
--- a/review/stand-in-3/platform.rs
+++ b/review/stand-in-3/platform.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::process::CommandExt as _;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -11,21 +12,28 @@
 const CONTROL_PORT: u16 = 8229;
 const LINK_PORT: u16 = 7340;
 
+/// Signals of Linux that the cases send.
+#[derive(Clone, Copy)]
+pub enum Signal {
+    Stop = 19,
+    Continue = 18,
+}
+
 /// The processes of a small deployment, which end when this value is dropped.
 pub struct Platform {
     net: [u8; 2],
     folder: PathBuf,
     pub control: Vec<SocketAddr>,
     pub ingress: Vec<SocketAddr>,
-    children: Vec<Child>,
+    children: Vec<(String, Child)>,
 }
 
 impl Platform {
     /// Starts `controls` control instances and `ingresses` ingresses.
     pub fn start(controls: u8, ingresses: u8) -> Result<Self, String> {
         let net = free_net()?;
-        let id = std::process::id();
-        let folder = std::env::temp_dir().join(format!("toucanshelf-review-3-{id}"));
+        let folder = std::env::var_os("CASE_FOLDER").ok_or("CASE_FOLDER is not set")?;
+        let folder = PathBuf::from(folder);
         fs::create_dir_all(&folder).map_err(|e| format!("creating a folder: {e}"))?;
         let mut platform = Self {
             net,
@@ -99,15 +107,40 @@
         let log = self.folder.join(format!("{name}.log"));
         let log = fs::OpenOptions::new().create(true).append(true).open(log);
         let log = log.map_err(|e| e.to_string())?;
-        let child = Command::new(format!("target/release/toucanshelf-{program}"))
-            .arg("--settings")
-            .arg(self.folder.join(format!("{name}.toml")))
-            .stdin(Stdio::null())
-            .stderr(log.try_clone().map_err(|e| e.to_string())?)
-            .stdout(log)
-            .spawn();
+        let mut command = Command::new(format!("target/release/toucanshelf-{program}"));
+        command.arg("--settings").arg(self.folder.join(format!("{name}.toml")));
+        command.stdin(Stdio::null()).stdout(log.try_clone().map_err(|e| e.to_string())?);
+        let child = ends_with_parent(&mut command).stderr(log).spawn();
         let child = child.map_err(|e| format!("starting toucanshelf-{program}: {e}"))?;
-        self.children.push(child);
+        self.children.push((name.to_owned(), child));
+        Ok(())
+    }
+
+    /// Sends a signal to the running process of `name`.
+    pub fn signal(&self, name: &str, signal: Signal) {
+        unsafe extern "C" {
+            fn kill(pid: i32, signal: i32) -> i32;
+        }
+        let mut children = self.children.iter().filter(|(known, _)| known == name);
+        if let Some((_, child)) = children.next_back() {
+            // SAFETY: the call takes no pointers, and the child was not waited for.
+            unsafe { kill(child.id() as i32, signal as i32) };
+        }
+    }
+
+    /// Kills all control instances at the same moment and starts them again after `down_time`.
+    pub fn kill_control(&mut self, down_time: Duration) -> Result<(), String> {
+        for (_, child) in self.children.iter_mut().filter(|(name, _)| name.starts_with("control")) {
+            let _ = child.kill();
+        }
+        for (_, child) in self.children.iter_mut().filter(|(name, _)| name.starts_with("control")) {
+            let _ = child.wait();
+        }
+        self.children.retain(|(name, _)| !name.starts_with("control"));
+        std::thread::sleep(down_time);
+        for n in 0..self.control.len() {
+            self.spawn(&format!("control-{n}"))?;
+        }
         Ok(())
     }
 
@@ -169,13 +202,26 @@
 
 impl Drop for Platform {
     fn drop(&mut self) {
-        for child in &mut self.children {
+        for (_, child) in &mut self.children {
             let _ = child.kill();
             let _ = child.wait();
         }
-        if std::env::var_os("KEEP").is_none() {
-            let _ = fs::remove_dir_all(&self.folder);
-        }
+    }
+}
+
+/// Makes a process end with the thread that starts it, also if that is killed.
+pub fn ends_with_parent(command: &mut Command) -> &mut Command {
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    unsafe extern "C" {
+        fn prctl(option: i32, value: u64) -> i32;
+    }
+    // SAFETY: the call is safe between fork and exec; it takes no pointers.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
+            Ok(())
+        })
     }
 }
 
--- a/review/stand-in-3/sized.rs
+++ b/review/stand-in-3/sized.rs
@@ -13,7 +13,7 @@
 
 use crate::engine::Engine;
 use crate::http::{Conn, Message, call};
-use crate::platform::Platform;
+use crate::platform::{Platform, ends_with_parent};
 use crate::unix_ms;
 
 /// Number of the model's layers.
@@ -106,7 +106,7 @@
         let mut command = Command::new(program);
         command.args(["engine", id, &address.to_string(), zone]).arg(&self.runs);
         command.args(self.control.iter().map(SocketAddr::to_string));
-        let child = command.spawn().map_err(|e| format!("starting an engine: {e}"))?;
+        let child = ends_with_parent(&mut command).spawn().map_err(|e| format!("starting an engine: {e}"))?;
         self.children.insert(address, child);
         Ok(())
     }
