--- a/review/stand-in-3/engine.rs
+++ b/review/stand-in-3/engine.rs
@@ -1,5 +1,6 @@
 //! Engine of a platform: registers, takes orders and answers requests as a script tells.
 
+use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -14,6 +15,9 @@
 /// Returns whether the connection stays open.
 pub type Answer = dyn Fn(&Engine, &mut Conn, &Message) -> bool + Send + Sync;
 
+/// Requests that wait for the last engine of their route, with its address and the next one's.
+pub type Stalls = Arc<Mutex<HashMap<String, (SocketAddr, Option<SocketAddr>)>>>;
+
 /// A running engine.
 pub struct Engine {
     pub id: String,
@@ -29,6 +33,7 @@
     pub state: Mutex<&'static str>,
     control: Vec<SocketAddr>,
     answer: Box<Answer>,
+    stalls: Stalls,
 }
 
 impl Engine {
@@ -41,6 +46,22 @@
         kind: Option<&'static str>,
         control: &[SocketAddr],
         answer: Box<Answer>,
+    ) -> Result<Arc<Self>, String> {
+        let stalls = Stalls::default();
+        Self::start_with_stalls(id, address, service, zone, kind, control, answer, stalls)
+    }
+
+    /// Does the same with a list of stalled requests, which its reports name.
+    #[expect(clippy::too_many_arguments, reason = "each is a property of the engine")]
+    pub fn start_with_stalls(
+        id: &str,
+        address: SocketAddr,
+        service: &str,
+        zone: &'static str,
+        kind: Option<&'static str>,
+        control: &[SocketAddr],
+        answer: Box<Answer>,
+        stalls: Stalls,
     ) -> Result<Arc<Self>, String> {
         let listener = TcpListener::bind(address).map_err(|e| format!("listening: {e}"))?;
         let engine = Arc::new(Self {
@@ -56,6 +77,7 @@
             state: Mutex::new("ready"),
             control: control.to_vec(),
             answer,
+            stalls,
         });
         let server = Arc::clone(&engine);
         thread::spawn(move || {
@@ -131,6 +153,19 @@
         }
     }
 
+    /// Sends a stalled request to the last engine of another path; returns whether it is known.
+    fn repath(&self, text: &str) -> bool {
+        let field = |name: &str| {
+            let rest = text.split(&format!("\"{name}\":\"")).nth(1)?;
+            rest.split('"').next()
+        };
+        let (Some(id), Some(path)) = (field("id"), field("path")) else { return false };
+        let last = path.rsplit(',').next().and_then(|hop| hop.split('=').next());
+        let Some(last) = last.and_then(|address| address.parse().ok()) else { return false };
+        let mut stalls = self.stalls.lock().unwrap();
+        stalls.get_mut(id).map(|stall| stall.1 = Some(last)).is_some()
+    }
+
     /// Answers a report or an order.
     fn control_call(&self, conn: &mut Conn, request: &Message) -> bool {
         let mut status = "200 OK";
@@ -147,18 +182,27 @@
                 *self.layers.lock().unwrap() = (from, target);
                 self.orders.fetch_add(1, Ordering::SeqCst);
                 status = "202 Accepted";
+            } else if text.contains("\"repath\"") {
+                status = if self.repath(&text) { "200 OK" } else { "404 Not Found" };
             } else {
                 status = "400 Bad Request";
             }
         }
         let (from, target) = *self.layers.lock().unwrap();
+        let stalls = self.stalls.lock().unwrap();
+        let stalled: Vec<_> = stalls
+            .iter()
+            .map(|(id, (at, _))| format!("{{\"id\":\"{id}\",\"address\":\"{at}\"}}"))
+            .collect();
+        drop(stalls);
         let body = format!(
             "{{\"stage\":\"hybrid\",\"models\":[{{\"name\":\"m0\",\"version\":1,\"adapters\":[]}}],\
              \"busy\":false,\"seq\":{},\"queued\":0,\"running\":0,\"kv_used\":0,\"kv_total\":100000,\
              \"handles\":0,\"pace\":1.0,\"born\":{},\
-             \"layers\":{{\"from\":{from},\"target\":{target},\"version\":1}},\"stalled\":[]}}",
+             \"layers\":{{\"from\":{from},\"target\":{target},\"version\":1}},\"stalled\":[{}]}}",
             self.orders.load(Ordering::SeqCst),
-            self.born
+            self.born,
+            stalled.join(",")
         );
         let head = format!(
             "HTTP/1.1 {status}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
--- a/review/stand-in-3/main.rs
+++ b/review/stand-in-3/main.rs
@@ -6,6 +6,7 @@
 mod idle;
 mod platform;
 mod sized;
+mod writer;
 
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -29,8 +30,13 @@
 
 fn main() {
     let args: Vec<_> = std::env::args().collect();
-    if args.get(1).is_some_and(|arg| arg == "engine") {
-        if let Err(e) = sized::run_engine(&args[2..]) {
+    let engine = match args.get(1).map(String::as_str) {
+        Some("engine") => Some(sized::run_engine(&args[2..])),
+        Some("hop-engine") => Some(writer::run_engine(&args[2..])),
+        _ => None,
+    };
+    if let Some(result) = engine {
+        if let Err(e) = result {
             eprintln!("engine: {e}");
         }
         std::process::exit(2);
@@ -44,6 +50,7 @@
         "departed" => departed::play(trouble),
         "idle" => idle::play(trouble),
         "sized" => sized::play(trouble),
+        "writer" => writer::play(trouble),
         _ => Err(format!("there is no case `{case}`")),
     };
     let (code, text) = match result {
