--- a/review/stand-in-3/departed.rs
+++ b/review/stand-in-3/departed.rs
@@ -86,7 +86,7 @@
 /// Plays the case; returns whether the rule was broken, and the record.
 pub fn play(trouble: bool) -> Result<(bool, String), String> {
     let started = Instant::now();
-    let mut platform = Platform::start(3, 2)?;
+    let mut platform = Platform::start(3, 10)?;
     platform.configure(&document())?;
     platform.wait_ready()?;
     let arrivals = Arrivals::default();
