Send streams in chunks, without what one engine states about its bytes

Callers got streams with status 200 and a Content-Length that ended inside an event, exactly at the stated length and on a connection that stayed open, so that they looked complete.

Cause: the head of a stream's first run is passed on with its Content-Length, and the body is then built from the events of several runs; hyper cuts it off at that length. A single run is cut the same way if it repeats an event, which is left out. Ruled out: resumption (the second engine got the right Last-Event-Id, TS4306 counts all events) and relays (none in the case). Change: the heads of runs, also those from relays, lose what they state about their exact bytes; hyper then sends chunks, and a stream that is cut lacks the last one. A run with another status, or a partial one, doesn't continue a response. Plain answers are one run and keep their heads. No stated length reaches a caller whose body the ingress builds, so none can be wrong.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -18,7 +18,7 @@
 
 use crate::pool::{ConnectError, Sender};
 use crate::request::CallerRequest;
-use crate::response::strip_connection_headers;
+use crate::response::{may_follow, strip_connection_headers, strip_stream_headers};
 use crate::response_buffer::{BufferedBody, ResponseBuffers};
 use crate::shared::Shared;
 use crate::targets::LimitChange;
@@ -98,6 +98,10 @@
     /// `None` if the ingress has sent no event to the caller yet. Then the `Last-Event-ID` header
     /// of the caller's request applies, if there is one.
     pub last_event: Option<u64>,
+    /// Status of the response whose events the attempt continues.
+    ///
+    /// `None` if the caller has no response yet.
+    pub continued: Option<StatusCode>,
 }
 
 /// A target's response whose head has arrived and whose body is still unread.
@@ -191,6 +195,14 @@
     if !metadata.signed {
         return Err(AttemptError::Lost("the response is not signed".into()));
     }
+    let status = response.status();
+    if let Some(first) = to.continued
+        && status.is_success()
+        && !may_follow(first, status)
+    {
+        let cause = format!("{status} doesn't continue a response with status {first}");
+        return Err(AttemptError::Lost(cause.into()));
+    }
     Ok(OpenResponse {
         response,
         sender,
@@ -380,7 +392,8 @@
 
     /// Splits the response into its head, its unread body and its connection.
     ///
-    /// Headers that apply only to the connection to the target are removed from the head.
+    /// Headers that apply only to the connection to the target, or to the exact bytes of the body, are
+    /// removed from the head.
     pub fn into_stream(self) -> (http::response::Parts, Incoming, ReusableConnection) {
         let (mut parts, body) = self.response.into_parts();
         let connection = ReusableConnection {
@@ -388,7 +401,7 @@
             sender: self.sender,
             headers: parts.headers.clone(),
         };
-        strip_connection_headers(&mut parts.headers);
+        strip_stream_headers(&mut parts.headers);
         (parts, body, connection)
     }
 }
--- a/crates/toucanshelf-ingress/src/plain.rs
+++ b/crates/toucanshelf-ingress/src/plain.rs
@@ -186,6 +186,7 @@
             address: target.address,
             hops: &[],
             last_event: None,
+            continued: None,
         };
         let attempt = self.ledger.begin(target.key);
         let may_run_twice = self.may_run_again();
--- a/crates/toucanshelf-ingress/src/relay/mod.rs
+++ b/crates/toucanshelf-ingress/src/relay/mod.rs
@@ -31,7 +31,8 @@
 use crate::pool::Sender;
 use crate::request::CallerRequest;
 use crate::response::{
-    ProxyResponse, Refusal, full_body, refusal_response, strip_connection_headers,
+    ProxyResponse, Refusal, full_body, may_follow, refusal_response, strip_connection_headers,
+    strip_stream_headers,
 };
 use crate::shared::Shared;
 use headers::{RelayNotices, is_marked_unable, take_runs};
@@ -63,8 +64,8 @@
     earlier_runs: Option<u32>,
     /// Whether an ingress has counted the request for its budget of repeated sends.
     counted: bool,
-    /// Number of the last event that the caller has; `None` before the first event.
-    last_event: Option<u64>,
+    /// What the caller has of the response.
+    delivered: Delivered,
 }
 
 /// Returns whether a request must go to another ingress.
@@ -90,6 +91,15 @@
     notices.set(response.headers_mut());
 }
 
+/// What the caller of a stream has of its response.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Delivered {
+    /// Status of the response; `None` before its head.
+    pub status: Option<StatusCode>,
+    /// Number of the last event; `None` before the first event.
+    pub last_event: Option<u64>,
+}
+
 /// What has happened to a request before it is relayed.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct History {
@@ -120,7 +130,8 @@
         return session.read_to_end(&req, relayed).await;
     }
     let (mut head, upstream) = relayed.into_stream(&shared);
-    strip_connection_headers(&mut head.headers);
+    strip_stream_headers(&mut head.headers);
+    session.delivered.status = Some(head.status);
     let (tx, body) = EventSender::new();
     tokio::spawn(async move {
         session.forward_events(&req, upstream, &tx).await;
@@ -146,7 +157,7 @@
 pub(crate) async fn continue_stream(
     shared: &Arc<Shared>,
     req: &CallerRequest,
-    last_event: Option<u64>,
+    delivered: Delivered,
     earlier_runs: u32,
     tx: &EventSender,
 ) {
@@ -155,7 +166,7 @@
         counted: true,
     };
     let mut session = RelaySession::new(shared, history);
-    session.last_event = last_event;
+    session.delivered = delivered;
     match session.reopen(req).await {
         Some(upstream) => session.forward_events(req, upstream, tx).await,
         None => session.abort(req, tx).await,
@@ -170,7 +181,7 @@
             sends: 0,
             earlier_runs: history.earlier_runs,
             counted: history.counted,
-            last_event: None,
+            delivered: Delivered::default(),
         }
     }
 
@@ -253,7 +264,7 @@
             event = "TS4322",
             request = req.id(),
             %address,
-            last_event = self.last_event,
+            last_event = self.delivered.last_event,
             runs = self.earlier_runs,
             age_ms = req.age_ms(),
             outcome,
@@ -291,7 +302,7 @@
         let mut request = req.to_request();
         let headers = request.headers_mut();
         let dialect = &self.shared.dialect;
-        dialect.relay_headers(headers, deadline_ms, self.last_event);
+        dialect.relay_headers(headers, deadline_ms, self.delivered.last_event);
         let metadata = RelayMetadata {
             min_deployment: Some(req.version.max(self.shared.deployments.relayed())),
             counted: self.counted,
@@ -326,8 +337,9 @@
     /// Opens the rest of a stream at another relay.
     async fn reopen(&mut self, req: &CallerRequest) -> Option<RelayedStream> {
         let relayed = self.open(req).await?;
-        let success = relayed.response.status().is_success();
-        success.then(|| relayed.into_stream(&self.shared).1)
+        let (first, status) = (self.delivered.status, relayed.response.status());
+        let continues = first.is_none_or(|first| may_follow(first, status));
+        (status.is_success() && continues).then(|| relayed.into_stream(&self.shared).1)
     }
 
     /// Sends events to the caller until the stream ends or can't be continued.
@@ -337,15 +349,15 @@
         mut upstream: RelayedStream,
         tx: &EventSender,
     ) {
-        let mut sent = self.last_event.is_some();
+        let mut sent = self.delivered.last_event.is_some();
         loop {
             let next = upstream.splitter.next_queued();
             let broken = match next {
                 Ok(Some(event)) => {
-                    if event.id.is_some() && event.id <= self.last_event {
+                    if event.id.is_some() && event.id <= self.delivered.last_event {
                         continue;
                     }
-                    self.last_event = event.id.or(self.last_event);
+                    self.delivered.last_event = event.id.or(self.delivered.last_event);
                     sent = true;
                     if tx.send(event.bytes).await.is_err() {
                         return self.finish(req, "caller-left");
@@ -381,7 +393,7 @@
             if !broken {
                 continue;
             }
-            let resumable = !sent || self.last_event.is_some();
+            let resumable = !sent || self.delivered.last_event.is_some();
             let next = if resumable && self.may_repeat(req) {
                 self.reopen(req).await
             } else {
--- a/crates/toucanshelf-ingress/src/response.rs
+++ b/crates/toucanshelf-ingress/src/response.rs
@@ -33,6 +33,20 @@
     "upgrade",
 ];
 
+/// Names of headers that state something about the exact bytes of one response body.
+///
+/// They don't hold for the body of a stream, which the ingress builds from the events of one or
+/// several runs, and which leaves out events that the caller has already.
+const BODY_STATEMENT_HEADERS: [&str; 7] = [
+    "accept-ranges",
+    "content-digest",
+    "content-length",
+    "content-md5",
+    "digest",
+    "etag",
+    "repr-digest",
+];
+
 /// Reason for which the ingress answers a request itself, with an error.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refusal {
@@ -190,3 +204,22 @@
         headers.remove(name);
     }
 }
+
+/// Removes the headers that don't hold for a stream of events, from the response to one of its runs.
+///
+/// These are the hop-by-hop headers, and statements about the exact bytes that the run sends. Without
+/// a stated length, the response to the caller is sent in chunks, so that a stream that breaks off
+/// doesn't look complete.
+pub fn strip_stream_headers(headers: &mut HeaderMap) {
+    strip_connection_headers(headers);
+    for name in BODY_STATEMENT_HEADERS {
+        headers.remove(name);
+    }
+}
+
+/// Returns whether the events of a run with status `next` may follow those of one with status `first`.
+///
+/// A partial response has a range of the bytes of its own run.
+pub fn may_follow(first: StatusCode, next: StatusCode) -> bool {
+    first == next && first != StatusCode::PARTIAL_CONTENT
+}
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::StatusCode;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep_until};
@@ -24,7 +25,7 @@
 use crate::event_sender::EventSender;
 use crate::events::{EventSplitter, warn_of_memory};
 use crate::live_route::{LiveRoute, StreamFailure};
-use crate::relay::{self, History};
+use crate::relay::{self, Delivered, History};
 use crate::request::CallerRequest;
 use crate::response::{ProxyResponse, Refusal, full_body, refusal_response};
 use crate::rooms;
@@ -54,6 +55,7 @@
         match session.next_item(&mut upstream, None).await {
             StreamItem::Event(event) => {
                 let (tx, body) = EventSender::new();
+                session.status = Some(head.status);
                 session.record_first_event();
                 if session.req.relayed {
                     relay::set_runs(&mut head.headers, session.runs());
@@ -193,6 +195,8 @@
     ///
     /// It may stem from an earlier response, if the caller states it in the request.
     last_event: Option<u64>,
+    /// Status of the response to the caller, once its head is passed on.
+    status: Option<StatusCode>,
     /// Number of events that were sent to the caller in this response.
     events: u64,
     /// Time from reading the request's head to the first event, in milliseconds.
@@ -219,6 +223,7 @@
             avoided: Vec::new(),
             ledger,
             last_event,
+            status: None,
             events: 0,
             first_event_ms: None,
             last_delivered: Instant::now(),
@@ -395,9 +400,12 @@
                     let failover = self.fail_over(&mut upstream, &failure, Some(&tx)).await;
                     if matches!(failover, Failover::Ended) && self.takes_relay() {
                         drop(upstream);
+                        let delivered = Delivered {
+                            status: self.status,
+                            last_event: self.last_event,
+                        };
                         let (shared, req) = (&self.shared, &self.req);
-                        relay::continue_stream(shared, req, self.last_event, self.runs(), &tx)
-                            .await;
+                        relay::continue_stream(shared, req, delivered, self.runs(), &tx).await;
                         return self.finish("relayed", 200);
                     }
                     if matches!(failover, Failover::Ended) {
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -160,6 +160,7 @@
             address: first.address,
             hops: &hops,
             last_event: self.last_event.filter(|_| self.events > 0),
+            continued: self.status,
         };
         self.first_engine = Some(first.address);
         self.zone_crossings = self.shared.targets().zone_crossings(&route);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -58,6 +58,7 @@
 mod silent_engines;
 mod soak;
 mod state_patches;
+mod stated_lengths;
 mod support;
 mod target_limits;
 mod target_notices;
--- a/tests/testsuite/relay.rs
+++ b/tests/testsuite/relay.rs
@@ -730,7 +730,19 @@
 ///
 /// Returns the response and the number of runs.
 async fn relayed_stream(script: &[TargetAction], other_names: &[&str]) -> (CallerResponse, usize) {
+    relayed_stream_with(script, other_names, &[]).await
+}
+
+/// Does the same with an engine that adds `headers` to its answers.
+pub async fn relayed_stream_with(
+    script: &[TargetAction],
+    other_names: &[&str],
+    headers: &[(&'static str, &'static str)],
+) -> (CallerResponse, usize) {
     let engines = CutEngines::start(script.iter().cloned()).await;
+    for (name, value) in headers {
+        engines.engine.add_header(name, Some(value));
+    }
     let ingress = &engines.platform.ingress;
     CutEngines::wait_for_route(ingress).await;
     let control = &engines.platform.control;
