Record departures and drains in the log before they are acknowledged

Cause: registrations were kept in memory, since heartbeats restore them; but a target that leaves sends no further one. After a restart of all instances, only ingresses knew the departure. Shown by the logs: the frozen ingress links to all three instances (TS4102) 3.4 s before the requests, and none of them names the target after the restart (no TS2501). Ruled out: the ingress's link, the push (missing=0), a late heartbeat. Change: a departure or drain is committed to the replicated log before it is acknowledged, and the ingresses are told meanwhile; without a quorum it gets 503. Each instance enters what the log holds into its registry and tells its ingresses what is new. Beside instances of earlier builds, which can't read the command, nothing is recorded. Whatever was acknowledged is on the disks of a quorum, and every link begins with it or gets it when the instance has applied it.

--- a/crates/toucanshelf-control/src/directory/calls.rs
+++ b/crates/toucanshelf-control/src/directory/calls.rs
@@ -20,7 +20,7 @@
 use toucanshelf_runtime::body::{BodyError, BodyLimits, discard};
 use toucanshelf_runtime::connections::Caller;
 
-use crate::directory::{Directory, deployments, forward_registrations};
+use crate::directory::{Directory, deployments, forward_registrations, leaving};
 use crate::{BODY_IDLE_TIMEOUT, BODY_TIMEOUT, Shared};
 
 /// Maximum size of the body of an API request, in bytes.
@@ -233,13 +233,16 @@
             }
         }
         RegistryChange::Refreshed => directory.refreshes.queue(record),
+        RegistryChange::Changed if is_draining => {
+            return acknowledge_leaving(shared, directory, record).await;
+        }
         RegistryChange::Changed => {
-            publish(shared, directory, record, is_draining).await;
+            push(shared, directory, record);
             return empty_response();
         }
     }
     if is_draining {
-        publish_known(shared, directory, id).await;
+        return acknowledge_known(shared, directory, id).await;
     }
     empty_response()
 }
@@ -278,8 +281,7 @@
         .mark_gone(id, incarnation, directory.now());
     if let Some(record) = departed {
         tracing::info!(event = "TS2514", target_id = %id, incarnation = record.incarnation.0, "target left");
-        publish(shared, directory, record, true).await;
-        return empty_response();
+        return acknowledge_leaving(shared, directory, record).await;
     }
     if !directory.registry().knows_start(id, incarnation) {
         // Other instances may know the target, and it calls them next.
@@ -287,41 +289,68 @@
         tracing::warn!(event = "TS2527", target_id = %id, cause, "departure refused");
         return error_response(StatusCode::SERVICE_UNAVAILABLE, cause);
     }
-    publish_known(shared, directory, id).await;
-    empty_response()
+    acknowledge_known(shared, directory, id).await
 }
 
-/// Publishes a departure or drain that this instance knows from another one, unless it did before.
+/// Acknowledges a departure or drain that the registry holds.
 ///
 /// A target calls the next instance if the first one doesn't answer in time, and that one may have told
-/// the others but not yet the ingresses.
-async fn publish_known(shared: &Shared, directory: &Directory, id: &str) {
+/// the others, but neither the ingresses nor the log.
+async fn acknowledge_known(shared: &Shared, directory: &Directory, id: &str) -> CallResponse {
     let entry = directory
         .registry()
         .get(id)
         .map(|entry| entry.record.clone());
-    let leaving = entry.filter(|record| record.readiness != Readiness::Ready);
-    if let Some(record) = leaving.filter(|record| !directory.is_published(record)) {
-        publish(shared, directory, record, true).await;
+    match entry.filter(|record| record.readiness != Readiness::Ready) {
+        Some(record) => acknowledge_leaving(shared, directory, record).await,
+        None => empty_response(),
     }
 }
 
-/// Sends a target's changed registration to the ingress and other control instances.
+/// Answers the call of a target that leaves or drains, which stands as `record` in the registry.
 ///
-/// If `wait` is set, returns only after every linked ingress has applied it, or after a timeout.
-/// It is set if the target leaves or drains, so that its call is answered only when the ingresses
-/// no longer send it new requests.
-async fn publish(shared: &Shared, directory: &Directory, record: Registration, wait: bool) {
-    let id = record.id.clone();
+/// The call is acknowledged when the linked ingresses have had time to apply it and the log holds it, so
+/// that an ingress that links later learns it even if all control instances end.
+async fn acknowledge_leaving(
+    shared: &Shared,
+    directory: &Directory,
+    record: Registration,
+) -> CallResponse {
+    let published = async {
+        if !directory.is_published(&record) {
+            publish_leaving(shared, directory, &record).await;
+        }
+    };
+    let (recorded, ()) = tokio::join!(leaving::record(shared, &record), published);
+    match recorded {
+        Ok(()) => empty_response(),
+        Err(e) => {
+            let cause = e.to_string();
+            tracing::warn!(event = "TS2533", target_id = %record.id, readiness = ?record.readiness, cause, "departure or drain not recorded");
+            error_response(StatusCode::SERVICE_UNAVAILABLE, &cause)
+        }
+    }
+}
+
+/// Sends the registration of a target that leaves or drains to the ingresses and control instances.
+///
+/// Returns after every linked ingress has applied it, or after a timeout.
+async fn publish_leaving(shared: &Shared, directory: &Directory, record: &Registration) {
+    let push = push(shared, directory, record.clone());
+    let missing = directory.ingresses.wait_until_applied(push).await;
+    directory.record_published(record);
+    tracing::info!(event = "TS2515", target_id = %record.id, push, missing, "departure or drain published");
+}
+
+/// Sends a target's changed registration to the ingresses and the other control instances.
+///
+/// Returns the number by which the ingresses acknowledge it.
+fn push(shared: &Shared, directory: &Directory, record: Registration) -> u64 {
     let push = directory
         .ingresses
         .push_registrations(std::slice::from_ref(&record));
-    forward_registrations(shared, vec![record.clone()]);
-    if wait {
-        let missing = directory.ingresses.wait_until_applied(push).await;
-        directory.record_published(&record);
-        tracing::info!(event = "TS2515", target_id = %id, push, missing, "departure or drain published");
-    }
+    forward_registrations(shared, vec![record]);
+    push
 }
 
 fn empty_response() -> CallResponse {
--- a/crates/toucanshelf-control/src/directory/deployments.rs
+++ b/crates/toucanshelf-control/src/directory/deployments.rs
@@ -40,12 +40,9 @@
     shared: &Shared,
     document: &DeploymentDocument,
 ) -> Result<Reply, SubmitError> {
-    let membership = shared.driver.status().membership;
-    let replicas = membership.voters.iter().chain(&membership.learners);
-    let others = replicas
-        .copied()
-        .filter(|id| *id != shared.driver.replica());
-    if !shared.peers.all_read_patches(others) {
+    let others = shared.driver.other_replicas();
+    let reads_patches = shared.peers.all_read(&others, |readable| readable.patches);
+    if reads_patches != Some(true) {
         let command = CommandBody::Deploy {
             version: document.version,
             document: document.bytes.clone(),
--- a/crates/toucanshelf-control/src/directory/mod.rs
+++ b/crates/toucanshelf-control/src/directory/mod.rs
@@ -5,8 +5,9 @@
 //!
 //! The deployment is a versioned document with routes and services; it is stored in the replicated
 //! log. A registration is the state that a target reports with each heartbeat. Registrations are
-//! kept in memory only, because heartbeats soon restore them after a restart. A suspicion is an
-//! ingress's report that requests to a target fail or stall.
+//! kept in memory only, because heartbeats soon restore them after a restart; those of targets that
+//! leave, which may send no further heartbeat, are in the log as well. A suspicion is an ingress's
+//! report that requests to a target fail or stall.
 
 pub mod calls;
 mod deployments;
@@ -14,6 +15,7 @@
 pub mod ingress_addresses;
 mod ingress_calls;
 pub mod ingresses;
+mod leaving;
 mod loads;
 pub mod orders;
 pub mod reconciler;
@@ -349,6 +351,8 @@
     tokio::spawn(findings::forward(Arc::clone(shared)));
     tokio::spawn(refreshes::forward(Arc::clone(shared)));
     tokio::spawn(services::follow_deployment(Arc::clone(shared)));
+    tokio::spawn(leaving::follow_log(Arc::clone(shared)));
+    tokio::spawn(leaving::begin_records(Arc::clone(shared)));
     tracing::info!(event = "TS2503", %address, "platform API started");
     Ok(Some(address))
 }
--- a/crates/toucanshelf-control/src/driver/mod.rs
+++ b/crates/toucanshelf-control/src/driver/mod.rs
@@ -23,6 +23,7 @@
 };
 use toucanshelf_coordination::store::{LogStore, OpenStore, StoreError};
 use toucanshelf_core::ids::{LogTimeMs, Revision};
+use toucanshelf_core::leaving::LeavingTargets;
 use toucanshelf_core::state::{Command, CommandBody, ControlState, Reply};
 use toucanshelf_link::frame::{LogId, SubmitError};
 
@@ -108,6 +109,7 @@
     status: Arc<watch::Sender<ReplicaStatus>>,
     revision: Arc<watch::Sender<Revision>>,
     deployment_version: Arc<watch::Sender<Option<u64>>>,
+    leaving_count: Arc<watch::Sender<u64>>,
     failure: Arc<watch::Sender<Option<Box<str>>>>,
 }
 
@@ -155,6 +157,7 @@
             status: Arc::new(watch::Sender::new(ReplicaStatus::default())),
             revision: Arc::new(watch::Sender::new(Revision(0))),
             deployment_version: Arc::new(watch::Sender::new(None)),
+            leaving_count: Arc::new(watch::Sender::new(0)),
             failure: Arc::new(watch::Sender::new(None)),
         })
     }
@@ -228,6 +231,18 @@
         self.deployment_version.subscribe()
     }
 
+    /// Returns a receiver that follows how many departures and drains of targets were recorded.
+    pub fn leaving_counts(&self) -> watch::Receiver<u64> {
+        self.leaving_count.subscribe()
+    }
+
+    /// Returns the other replicas that receive the log, whether they vote or not.
+    pub(crate) fn other_replicas(&self) -> Vec<ReplicaId> {
+        let membership = &self.status.borrow().membership;
+        let replicas = membership.voters.iter().chain(&membership.learners);
+        replicas.copied().filter(|id| *id != self.replica).collect()
+    }
+
     /// Commits a command if this replica leads, and returns the state machine's reply.
     ///
     /// # Errors
@@ -296,6 +311,7 @@
     status: Arc<watch::Sender<ReplicaStatus>>,
     revision: Arc<watch::Sender<Revision>>,
     deployment_version: Arc<watch::Sender<Option<u64>>>,
+    leaving_count: Arc<watch::Sender<u64>>,
     started: Instant,
     /// Reply senders of proposed but not yet applied commands, by log index.
     ///
@@ -333,6 +349,7 @@
             status: Arc::clone(&driver.status),
             revision: Arc::clone(&driver.revision),
             deployment_version: Arc::clone(&driver.deployment_version),
+            leaving_count: Arc::clone(&driver.leaving_count),
             started: Instant::now(),
             pending: BTreeMap::new(),
             known_replicas: Vec::new(),
@@ -528,7 +545,7 @@
         }
     }
 
-    /// Publishes the replica's status, the deployment version and the configuration's revision.
+    /// Publishes the replica's status, and what subscribers follow of the applied state.
     ///
     /// Subscribers are notified only of changes.
     fn publish_status(&mut self) {
@@ -559,25 +576,23 @@
             *old = status;
             changed
         });
-        let deployment_version = self
-            .state
-            .read()
-            .expect("no lock holder panics")
-            .deployment_version();
-        self.deployment_version.send_if_modified(|old| {
-            std::mem::replace(old, deployment_version) != deployment_version
-        });
-        let revision = self
-            .state
-            .read()
-            .expect("no lock holder panics")
-            .configuration()
-            .revision();
-        self.revision
-            .send_if_modified(|old| std::mem::replace(old, revision) != revision);
+        let (deployment_version, leaving_count, revision) = {
+            let state = self.state.read().expect("no lock holder panics");
+            let leaving_count = state.leaving().map_or(0, LeavingTargets::count);
+            let revision = state.configuration().revision();
+            (state.deployment_version(), leaving_count, revision)
+        };
+        publish_change(&self.deployment_version, deployment_version);
+        publish_change(&self.leaving_count, leaving_count);
+        publish_change(&self.revision, revision);
     }
 }
 
+/// Sends a value to its subscribers if it differs from the last one.
+fn publish_change<T: Copy + PartialEq>(tx: &watch::Sender<T>, value: T) {
+    tx.send_if_modified(|old| std::mem::replace(old, value) != value);
+}
+
 /// Returns the time since the Unix epoch, in milliseconds.
 fn unix_ms() -> u64 {
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
--- a/crates/toucanshelf-control/src/peers.rs
+++ b/crates/toucanshelf-control/src/peers.rs
@@ -28,6 +28,15 @@
 
 type ReplySender = oneshot::Sender<Result<Reply, SubmitError>>;
 
+/// Commands of the log that a replica can read although older programs can't.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ReadableCommands {
+    /// Whether it reads [`CommandBody::DeployPatch`].
+    pub patches: bool,
+    /// Whether it reads [`CommandBody::RecordLeaving`].
+    pub leaving: bool,
+}
+
 /// An open link to another control instance, and what that instance has reported.
 #[derive(Debug)]
 struct Peer {
@@ -52,8 +61,8 @@
     addresses: Mutex<BTreeSet<SocketAddr>>,
     bootstrap: bool,
     links: Mutex<BTreeMap<SocketAddr, Peer>>,
-    /// Replicas that have reported that they can read patches of the deployment.
-    patch_readers: Mutex<BTreeSet<ReplicaId>>,
+    /// Newer commands that the replicas have reported to read.
+    readable: Mutex<BTreeMap<ReplicaId, ReadableCommands>>,
     /// Senders of the replies to forwarded commands, by the id of the command.
     pending_replies: Mutex<BTreeMap<u64, ReplySender>>,
     next_id: AtomicU64,
@@ -69,7 +78,7 @@
             addresses: Mutex::default(),
             bootstrap: settings.bootstrap,
             links: Mutex::default(),
-            patch_readers: Mutex::default(),
+            readable: Mutex::default(),
             pending_replies: Mutex::default(),
             next_id: AtomicU64::new(1),
         }
@@ -234,12 +243,24 @@
             .remove(&id)
     }
 
-    /// Returns whether all `replicas` have reported that they can read patches of the deployment.
+    /// Returns whether all `replicas` can read the command that `reads` names.
     ///
-    /// One that hasn't may run an older program, which can't read a log with patches.
-    pub fn all_read_patches(&self, replicas: impl IntoIterator<Item = ReplicaId>) -> bool {
-        let readers = self.patch_readers.lock().expect("no lock holder panics");
-        replicas.into_iter().all(|id| readers.contains(&id))
+    /// One that can't runs an older program, which fails on a log with that command. Returns `None` if
+    /// none has reported that, but some have reported nothing.
+    pub(crate) fn all_read(
+        &self,
+        replicas: &[ReplicaId],
+        reads: impl Fn(&ReadableCommands) -> bool,
+    ) -> Option<bool> {
+        let readable = self.readable.lock().expect("no lock holder panics");
+        let reports: Vec<_> = replicas
+            .iter()
+            .map(|id| readable.get(id).map(&reads))
+            .collect();
+        if reports.contains(&Some(false)) {
+            return Some(false);
+        }
+        reports.iter().all(Option::is_some).then_some(true)
     }
 
     /// Returns whether every other known instance has reported that it has no log.
@@ -304,15 +325,20 @@
                 calls_ingresses,
                 accepts_findings,
                 accepts_departures,
+                reads_leaving,
             } => {
                 if calls_ingresses && let Some(directory) = &shared.directory {
                     let last_linked_ms = directory.ingress_addresses().ages(directory.now());
                     // A full queue drops the list; other instances send theirs as well.
                     let _ = link.tx.try_send(Frame::IngressAddresses { last_linked_ms });
                 }
-                if let Some(replica) = replica.filter(|_| reads_patches) {
-                    let mut readers = peers.patch_readers.lock().expect("no lock holder panics");
-                    readers.insert(replica);
+                if let Some(replica) = replica {
+                    let commands = ReadableCommands {
+                        patches: reads_patches,
+                        leaving: reads_leaving,
+                    };
+                    let mut readable = peers.readable.lock().expect("no lock holder panics");
+                    readable.insert(replica, commands);
                 }
                 peers.record_accepts_departures(address, accepts_departures);
                 handle_standing(shared, address, log);
@@ -363,6 +389,7 @@
         calls_ingresses: true,
         accepts_findings: true,
         accepts_departures: true,
+        reads_leaving: true,
     };
     if link.tx.send(standing).await.is_err() {
         return;
--- a/crates/toucanshelf-core/src/lib.rs
+++ b/crates/toucanshelf-core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod engine;
 pub mod ids;
 pub mod layers;
+pub mod leaving;
 pub mod names;
 pub mod outcome;
 pub mod rank;
--- a/crates/toucanshelf-core/src/registry.rs
+++ b/crates/toucanshelf-core/src/registry.rs
@@ -14,7 +14,7 @@
 /// Time for which a target that has left stays in the registry, in milliseconds.
 // The time must be longer than a network partition can delay a heartbeat. A delayed heartbeat that
 // arrives after the target was removed from the registry would register it again.
-const GONE_RETENTION_MS: u64 = 120_000;
+pub(crate) const GONE_RETENTION_MS: u64 = 120_000;
 
 /// Effect of a registration on the registry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/toucanshelf-core/src/state.rs
+++ b/crates/toucanshelf-core/src/state.rs
@@ -1,6 +1,7 @@
 //! Replicated state machine of the control instances.
 //!
-//! The state consists of the configuration, the verdicts on tickets, the claims and the deployment.
+//! The state consists of the configuration, the verdicts on tickets, the claims, the deployment and the
+//! targets that leave.
 //! A ticket is a numbered change of the configuration, and its verdict says whether it took effect.
 //! A claim reserves an idempotency key, so that a call runs at most once. A deployment is a
 //! document with routes, services and organisations.
@@ -15,6 +16,8 @@
 use crate::configuration::{Configuration, Delta, Snapshot};
 use crate::deployment_patch::DeploymentPatch;
 use crate::ids::{LogTimeMs, Revision, TicketNumber};
+use crate::leaving::LeavingTargets;
+use crate::registration::Registration;
 use crate::ticket::{Ticket, TicketRecord, Verdict};
 
 /// Maximum number of configuration deltas kept for gates that lag behind.
@@ -82,6 +85,13 @@
     /// The result reflects all earlier commands, whereas the local state of a lagging instance may
     /// hold an older version.
     DeploymentVersion,
+    /// Records departures and drains of targets, so that they can be acknowledged.
+    ///
+    /// Older programs cannot read this command. Without any target, it tells that all replicas can.
+    RecordLeaving {
+        /// Registrations of the targets that leave.
+        records: Vec<Registration>,
+    },
 }
 
 /// Result of applying a [`Command`].
@@ -97,6 +107,8 @@
     Found(u64),
     /// Version of the current deployment; `None` before the first one.
     Deployment(Option<u64>),
+    /// Departures or drains of targets are recorded.
+    LeavingRecorded,
 }
 
 /// Current deployment document and its version.
@@ -120,6 +132,8 @@
     ///
     /// The first may be one without a base. A snapshot does not include them.
     patches: VecDeque<Arc<DeploymentPatch>>,
+    /// Targets that leave; `None` until the first command that records them.
+    leaving: Option<LeavingTargets>,
     now: LogTimeMs,
     deltas: VecDeque<Delta>,
 }
@@ -133,6 +147,8 @@
     claims: Vec<u8>,
     #[serde(default)]
     deployment: Option<DeploymentDocument>,
+    #[serde(default)]
+    leaving: Option<LeavingTargets>,
     now: LogTimeMs,
 }
 
@@ -150,6 +166,9 @@
     /// Applies one command and returns its result.
     pub fn apply(&mut self, command: Command) -> Reply {
         self.now = self.now.max(command.at);
+        if let Some(leaving) = &mut self.leaving {
+            leaving.prune(self.now);
+        }
         match command.body {
             CommandBody::Ticket(ticket) => Reply::Verdict(self.apply_ticket(&ticket)),
             CommandBody::Found { log } => Reply::Found(*self.log.get_or_insert(log)),
@@ -166,6 +185,13 @@
                 Reply::Deployment(self.deployment_version())
             }
             CommandBody::DeploymentVersion => Reply::Deployment(self.deployment_version()),
+            CommandBody::RecordLeaving { records } => {
+                let leaving = self.leaving.get_or_insert_default();
+                for record in records {
+                    leaving.record(record, self.now);
+                }
+                Reply::LeavingRecorded
+            }
         }
     }
 
@@ -271,6 +297,11 @@
         Some(self.patches.iter().skip(first).cloned().collect())
     }
 
+    /// Returns the targets that leave, or `None` before the first command that records them.
+    pub fn leaving(&self) -> Option<&LeavingTargets> {
+        self.leaving.as_ref()
+    }
+
     /// Returns the stored claims.
     pub fn claims(&self) -> &Claims {
         &self.claims
@@ -304,6 +335,7 @@
             verdicts: self.verdicts.values().cloned().collect(),
             claims: encode(&self.claims),
             deployment: self.deployment.as_deref().cloned(),
+            leaving: self.leaving.clone(),
             now: self.now,
         };
         encode(&encoded)
@@ -327,6 +359,7 @@
             claims: decode(&encoded.claims)?,
             deployment: encoded.deployment.map(Arc::new),
             patches: VecDeque::new(),
+            leaving: encoded.leaving,
             now: encoded.now,
             deltas: VecDeque::new(),
         })
--- a/crates/toucanshelf-link/src/frame.rs
+++ b/crates/toucanshelf-link/src/frame.rs
@@ -143,6 +143,9 @@
         /// Whether the sender accepts [`Frame::Leaving`], which older programs don't know.
         #[serde(default)]
         accepts_departures: bool,
+        /// Whether the sender can read [`CommandBody::RecordLeaving`], which older programs can't.
+        #[serde(default)]
+        reads_leaving: bool,
     },
     /// Control to control: announces that the sender's process is about to stop.
     ///
--- a/tests/testsuite/findings_restarts.rs
+++ b/tests/testsuite/findings_restarts.rs
@@ -21,16 +21,16 @@
 /// Interval at which a test looks whether a state is reached.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time within which all tasks of a process must end, once it is stopped.
-const END_TIMEOUT: Duration = WAIT_TIMEOUT;
+pub const END_TIMEOUT: Duration = WAIT_TIMEOUT;
 
 /// An instance with a runtime of its own, so that all its tasks end with it.
-struct Process<T> {
-    instance: T,
-    runtime: Runtime,
+pub struct Process<T> {
+    pub instance: T,
+    pub runtime: Runtime,
 }
 
 impl<T> Process<T> {
-    fn start(start: impl Future<Output = T>) -> Self {
+    pub fn start(start: impl Future<Output = T>) -> Self {
         let runtime = Builder::new_multi_thread()
             .worker_threads(1)
             .enable_all()
--- a/tests/testsuite/links.rs
+++ b/tests/testsuite/links.rs
@@ -172,12 +172,13 @@
         calls_ingresses,
         accepts_findings,
         accepts_departures,
+        reads_leaving,
     } = decoded
     else {
         panic!()
     };
     assert!(log == Some(7) && !reads_patches && !calls_ingresses && !accepts_findings);
-    assert!(!accepts_departures);
+    assert!(!accepts_departures && !reads_leaving);
 }
 
 /// Guards against a conflict verdict that cannot be decoded from CBOR.
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the whole system and of its parts, with one module for each area.
 
+mod acknowledged_departures;
 mod admission;
 mod api_requests;
 mod bad_input;
@@ -29,6 +30,7 @@
 mod ingress_stop;
 mod invalid_statuses;
 mod isolation;
+mod leaving;
 mod links;
 mod load_exchange;
 mod load_links;
--- a/tests/testsuite/platform_support.rs
+++ b/tests/testsuite/platform_support.rs
@@ -914,6 +914,17 @@
     link_listen: SocketAddr,
     seeds: &[&str],
     opener: Arc<dyn OpenStore>,
+) -> Control {
+    start_voting_control(key, link_listen, seeds, 0, opener).await
+}
+
+/// Does the same with a log that survives the loss of `tolerated_losses` instances.
+pub async fn start_voting_control(
+    key: &str,
+    link_listen: SocketAddr,
+    seeds: &[&str],
+    tolerated_losses: usize,
+    opener: Arc<dyn OpenStore>,
 ) -> Control {
     let seeds: Vec<_> = seeds.iter().map(|ip| format!("'{ip}:0'")).collect();
     let settings = format!(
@@ -921,7 +932,7 @@
              link-key = '{key}'\ndata-folder = 'unused'\n\
              operator-token-digests = ['{OPERATOR_TOKEN_DIGEST}']\n\
              [deployment]\nlisten = '127.0.0.1:0'\nseeds = [{}]\nbootstrap = true\n\
-             tolerated-losses = 0\n",
+             tolerated-losses = {tolerated_losses}\n",
         link_listen.ip(),
         seeds.join(", ")
     );
