Don't believe what a response of another request says

Cause: send_once acted on "not run" and on status 421 before it compared the request's identifier, and streams that can't be resumed used kept connections. Ruled out: the check of idle connections (the extra response comes after the request was sent), the ledger of runs (it counts what it is told). Change: a response that names another request ends the attempt, which may have run; requests that must not run twice use new connections, also towards relays. On a new connection no earlier response can be due, and on a kept one its identifier tells it apart.

--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -12,7 +12,6 @@
 use http_body_util::{BodyExt as _, Full};
 use hyper::body::{Body as _, Incoming};
 use tokio::time::{Instant, timeout_at};
-use toucanshelf_core::deployment::RequestKind;
 use toucanshelf_core::layers::LayerRange;
 use toucanshelf_link::dialect::{ResponseMetadata, TargetRequestMetadata};
 
@@ -23,6 +22,9 @@
 use crate::shared::Shared;
 use crate::targets::LimitChange;
 
+/// Cause of an attempt's failure if the response is of another request.
+const OTHER_REQUEST: &str = "the response belongs to another request";
+
 /// Error that ended an attempt without a valid response.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum AttemptError {
@@ -156,11 +158,13 @@
     due: Instant,
 ) -> Result<OpenResponse, AttemptError> {
     let sent = shared.uptime();
-    // If a reused connection breaks, it is unknown whether the target has run the request. A
-    // non-idempotent request, which must not run twice, therefore uses a new connection.
-    let pooled = match req.kind {
-        RequestKind::NonIdempotent => None,
-        _ => shared.pool.take(to.address),
+    // If a reused connection breaks, it is unknown whether the target has run the request, and a
+    // response on it may be an extra one of an earlier request. A request that must not run twice
+    // therefore uses a new connection.
+    let pooled = if req.kind.is_retryable() {
+        shared.pool.take(to.address)
+    } else {
+        None
     };
     let (sender, response) = match pooled {
         Some(sender) => match exchange(shared, req, to, sender, due).await {
@@ -179,6 +183,11 @@
         return Err(AttemptError::Lost(cause.into()));
     }
     let metadata = shared.dialect.response_metadata(response.headers());
+    let is_of_request = metadata.request_id.as_deref() == req.facts.id.as_deref();
+    // What a response of another request says, also "not run", doesn't concern this one.
+    if metadata.request_id.is_some() && !is_of_request {
+        return Err(AttemptError::Lost(OTHER_REQUEST.into()));
+    }
     record_limit(shared, req, to, metadata.request_rate_limit, sent);
     record_notices(shared, req, to, response.status(), &metadata);
     if metadata.not_run || response.status() == StatusCode::MISDIRECTED_REQUEST {
@@ -187,10 +196,9 @@
             at_fault: metadata.failed_engine,
         });
     }
-    if metadata.request_id.as_deref() != req.facts.id.as_deref() {
-        return Err(AttemptError::Lost(
-            "the response belongs to another request".into(),
-        ));
+    // A refusal may lack the identifier, a response of a run must not.
+    if !is_of_request {
+        return Err(AttemptError::Lost(OTHER_REQUEST.into()));
     }
     if !metadata.signed {
         return Err(AttemptError::Lost("the response is not signed".into()));
--- a/crates/toucanshelf-ingress/src/relay/mod.rs
+++ b/crates/toucanshelf-ingress/src/relay/mod.rs
@@ -279,9 +279,10 @@
         address: SocketAddr,
     ) -> Result<(Sender, Response<Incoming>), AttemptError> {
         // As towards targets, a request that must not run twice uses a new connection.
-        let pooled = match req.kind {
-            RequestKind::NonIdempotent => None,
-            _ => self.shared.pool.take(address),
+        let pooled = if req.kind.is_retryable() {
+            self.shared.pool.take(address)
+        } else {
+            None
         };
         if let Some(sender) = pooled {
             let request = self.build_request(req)?;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod docs;
 mod endless;
 mod events;
+mod extra_responses;
 mod findings_restarts;
 mod full_disk;
 mod heavy_load;
--- a/tests/testsuite/raw_target.rs
+++ b/tests/testsuite/raw_target.rs
@@ -118,7 +118,7 @@
 }
 
 /// Reads a request with its body, and returns the head in lower case.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut buf = Vec::new();
     loop {
         let text = String::from_utf8_lossy(&buf).to_lowercase();
@@ -134,7 +134,7 @@
     }
 }
 
-fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+pub fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     let mut lines = head.lines().filter_map(|line| line.split_once(": "));
     lines
         .find(|(key, _)| *key == name)
