Reuse connections for an hour at most, whatever their target announces

Cause: Pool::put adds the announced time to the present one, which panics from about 2^63 seconds on and ends the task of the caller's connection. Ruled out: longer and negative numbers, which aren't read. Change: the announced time counts up to an hour. The sum now stays within the range of any clock.

--- a/crates/toucanshelf-ingress/src/pool.rs
+++ b/crates/toucanshelf-ingress/src/pool.rs
@@ -27,6 +27,10 @@
 const DEFAULT_IDLE_TIME: Duration = Duration::from_millis(1_500);
 /// Time before the announced `Keep-Alive` timeout at which a connection stops being reusable.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
+/// Maximum time for which an idle connection is reusable, whatever its target announces.
+///
+/// A target may announce any number of seconds, also more than a point in time can express.
+const MAX_IDLE_TIME: Duration = Duration::from_hours(1);
 /// Maximum number of idle connections per target.
 const MAX_IDLE_PER_TARGET: usize = 64;
 /// Maximum number of idle connections.
@@ -223,5 +227,6 @@
     let Some(seconds) = seconds else {
         return Some(DEFAULT_IDLE_TIME);
     };
-    Duration::from_secs(seconds).checked_sub(IDLE_MARGIN)
+    let announced = Duration::from_secs(seconds).min(MAX_IDLE_TIME);
+    announced.checked_sub(IDLE_MARGIN)
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -26,6 +26,7 @@
 mod full_disk;
 mod heavy_load;
 mod hops;
+mod idle_timeouts;
 mod ingress;
 mod ingress_links;
 mod ingress_stop;
