Wait in the tests until all instances vote, and name the commit of a departure

Cause: reading the diff again: the tests of departures looked at the voters of one instance only, so that an emptied one could still lack its vote when the next disk was lost; leaving::record read like the record itself. Change: they wait until each instance votes and knows that departures are recorded; the function is named commit.

--- a/crates/toucanshelf-control/src/directory/calls.rs
+++ b/crates/toucanshelf-control/src/directory/calls.rs
@@ -321,8 +321,8 @@
             publish_leaving(shared, directory, &record).await;
         }
     };
-    let (recorded, ()) = tokio::join!(leaving::record(shared, &record), published);
-    match recorded {
+    let (committed, ()) = tokio::join!(leaving::commit(shared, &record), published);
+    match committed {
         Ok(()) => empty_response(),
         Err(e) => {
             let cause = e.to_string();
--- a/crates/toucanshelf-control/src/directory/leaving.rs
+++ b/crates/toucanshelf-control/src/directory/leaving.rs
@@ -37,7 +37,7 @@
 /// # Errors
 ///
 /// Fails if it isn't known that the record is committed; the call must not be acknowledged then.
-pub(crate) async fn record(shared: &Shared, record: &Registration) -> Result<(), RecordError> {
+pub(crate) async fn commit(shared: &Shared, record: &Registration) -> Result<(), RecordError> {
     let is_held = {
         let state = shared.driver.state();
         state.leaving().map(|leaving| leaving.holds(record))
--- a/tests/testsuite/acknowledged_departures.rs
+++ b/tests/testsuite/acknowledged_departures.rs
@@ -50,11 +50,19 @@
             link_port,
         };
         core.start_all();
+        core.wait_until_complete();
+        core
+    }
+
+    /// Waits until all instances vote and know that departures are recorded.
+    fn wait_until_complete(&self) {
         wait_until("all instances vote", || {
-            let status = core.control(0).shared().driver.status();
-            status.current && status.membership.voters.len() == CONTROLS
+            (0..CONTROLS).all(|n| {
+                let driver = &self.control(n).shared().driver;
+                let status = driver.status();
+                status.current && status.votes && driver.state().leaving().is_some()
+            })
         });
-        core
     }
 
     fn start_all(&mut self) {
@@ -180,10 +188,7 @@
         core.restart_all(wiped);
         let what = format!("{readiness:?} acknowledged at {n}, disk lost: {wiped:?}");
         core.check_all_tell(readiness, &what);
-        wait_until("the emptied instance votes", || {
-            let status = core.control(n).shared().driver.status();
-            status.current && status.membership.voters.len() == CONTROLS
-        });
+        core.wait_until_complete();
     }
 }
 
@@ -257,9 +262,6 @@
 #[test]
 fn departure_beside_lost_instance() {
     let mut core = Core::start(8);
-    wait_until("departures are recorded", || {
-        core.control(0).shared().driver.state().leaving().is_some()
-    });
     for n in 0..CONTROLS {
         core.kill(n);
     }
