Let the only engine of a stage go on with an answer

The callers had a part of their answers, then nothing for five seconds, then a failure.

Cause: a request never used an engine again that had stalled or refused once. When the others of its stage drain, one pause of 250 ms of the last engine ends each stream on it.

Change: an engine that only stalled, refused or was out of reach may run the same request again after a second, if there is no route without it. Engines that were lost or violated the protocol stay excluded, since the request may have crashed them.

--- a/crates/toucanshelf-gate/src/completions/mod.rs
+++ b/crates/toucanshelf-gate/src/completions/mod.rs
@@ -5,6 +5,7 @@
 //! answer.
 
 mod attempt_error;
+mod failed_engines;
 mod loss_tracker;
 mod openai;
 mod pipeline;
--- a/crates/toucanshelf-gate/src/completions/pipeline.rs
+++ b/crates/toucanshelf-gate/src/completions/pipeline.rs
@@ -320,12 +320,11 @@
 ) -> Result<ReservedRoute, Refusal> {
     let wait_deadline = tokio::time::Instant::now() + ROUTE_WAIT_TIMEOUT;
     loop {
-        let no_route = match plan_route(
-            shared,
-            job,
-            runner.failed_engines(),
-            handling == Handling::Isolated,
-        ) {
+        let plan = |excluded: &[Box<str>]| {
+            plan_route(shared, job, excluded, handling == Handling::Isolated)
+        };
+        let failed_engines = runner.failed_engines();
+        let no_route = match plan(&failed_engines.names()) {
             Ok(route) => return Ok(route),
             Err(no_route) => no_route,
         };
@@ -338,6 +337,10 @@
         if !may_wait || timed_out {
             return Err(runner.refusal(Code::NoRoute, runner.describe_no_route(&no_route)));
         }
+        // Without another route, an engine that only stalled or refused is tried again.
+        if let Ok(route) = plan(&failed_engines.names_to_exclude(shared.now())) {
+            return Ok(route);
+        }
         tokio::time::sleep(ROUTE_POLL_INTERVAL).await;
     }
 }
--- a/crates/toucanshelf-gate/src/completions/recovery.rs
+++ b/crates/toucanshelf-gate/src/completions/recovery.rs
@@ -22,6 +22,7 @@
 use toucanshelf_routing::retry::{FIRST_TOKEN_TIMEOUT_MS, GapTimer, MAX_ATTEMPTS};
 
 use super::attempt_error::AttemptError;
+use super::failed_engines::FailedEngines;
 use super::loss_tracker::LossTracker;
 use super::pipeline::{FinishReason, Job, ResponseEvent};
 use super::route::ReservedRoute;
@@ -64,8 +65,8 @@
     job: &'a Job,
     tx: &'a mpsc::Sender<ResponseEvent>,
     delivery: Delivery,
-    /// Names of the engines that refused this request or failed while they ran it.
-    failed_engines: Vec<Box<str>>,
+    /// Engines that refused this request or failed while they ran it.
+    failed_engines: FailedEngines,
     /// Whether an engine may have run a part of the request.
     may_have_run: bool,
     last_error: Box<str>,
@@ -93,7 +94,7 @@
             job,
             tx,
             delivery: Delivery::new(job.request_id.clone()),
-            failed_engines: Vec::new(),
+            failed_engines: FailedEngines::default(),
             may_have_run: false,
             last_error: "".into(),
             started_at: Instant::now(),
@@ -106,8 +107,8 @@
         }
     }
 
-    /// Names of the engines that refused this request or failed while they ran it.
-    pub fn failed_engines(&self) -> &[Box<str>] {
+    /// Engines that refused this request or failed while they ran it.
+    pub fn failed_engines(&self) -> &FailedEngines {
         &self.failed_engines
     }
 
@@ -401,8 +402,9 @@
 
     /// Records a failed attempt and cancels it at its engines.
     ///
-    /// Later attempts of this request do not use the engines that failed. Other requests of this
-    /// gate avoid these engines for a while, unless they violated the protocol.
+    /// Later attempts of this request do not use the engines that failed, except as described in
+    /// [`FailedEngines`]. Other requests of this gate avoid these engines for a while, unless they
+    /// violated the protocol.
     fn handle_error(&mut self, route: &ReservedRoute, error: &AttemptError) {
         let now = self.shared.now();
         self.last_error = error.to_string().into();
@@ -410,18 +412,18 @@
         match error {
             AttemptError::Refused { engine, .. } => {
                 self.delivery.end_attempt("refuse");
-                self.failed_engines.push(engine.clone());
+                self.failed_engines.record_passing(engine, now);
                 self.avoid_engine(engine, now + REFUSING_ENGINE_AVOID_MS);
             }
             AttemptError::Unreachable { engine, .. } => {
                 self.delivery.end_attempt("refuse");
-                self.failed_engines.push(engine.clone());
+                self.failed_engines.record_passing(engine, now);
                 self.avoid_engine(engine, now + FAILED_ENGINE_AVOID_MS);
                 self.free_retry = true;
             }
             AttemptError::Lost { engine, .. } => {
                 self.delivery.end_attempt("break");
-                self.failed_engines.push(engine.clone());
+                self.failed_engines.record_lasting(engine);
                 self.avoid_engine(engine, now + FAILED_ENGINE_AVOID_MS);
                 self.record_engine_loss(engine, now);
                 let streaming = self.delivery.delivered().len() > self.delivered_before;
@@ -429,7 +431,7 @@
             }
             AttemptError::Protocol { engine, .. } => {
                 self.delivery.end_attempt("break");
-                self.failed_engines.push(engine.clone());
+                self.failed_engines.record_lasting(engine);
             }
             AttemptError::Stalled => {
                 self.delivery.end_attempt("break");
@@ -467,8 +469,8 @@
 
     /// Makes the planner avoid engines that delivered no token since `last_progress_at`.
     ///
-    /// Only engines of `route` are concerned. Later attempts of this request do not use them, and
-    /// other requests of this gate avoid them for a while.
+    /// Only engines of `route` are concerned. Later attempts of this request use them only after a
+    /// while and if no other engine can run it. Other requests of this gate avoid them for a while.
     fn avoid_stalled_engines(&mut self, route: &ReservedRoute, now: u64) {
         let mut fleets = self.shared.fleets();
         let Some(model) = fleets.model(&self.job.model) else {
@@ -477,7 +479,7 @@
         for hop in &route.hops {
             if !model.has_token_since(&hop.engine, self.last_progress_at) {
                 model.record_stall(&hop.engine, now, FAILED_ENGINE_AVOID_MS);
-                self.failed_engines.push(hop.engine.clone());
+                self.failed_engines.record_passing(&hop.engine, now);
             }
         }
     }
@@ -496,7 +498,7 @@
         self.attempts() > 0
             && self
                 .loss_tracker
-                .discount_outage(&self.failed_engines)
+                .discount_outage(&self.failed_engines.names())
                 .await
     }
 
--- a/crates/toucanshelf-gate/src/completions/route.rs
+++ b/crates/toucanshelf-gate/src/completions/route.rs
@@ -124,7 +124,7 @@
 
 /// Plans a route for `job` and reserves a slot on each of its engines.
 ///
-/// The route does not use `failed_engines`. If `isolated` is set, because `job` may have crashed
+/// The route does not use `excluded_engines`. If `isolated` is set, because `job` may have crashed
 /// engines, it does not use engines that run another such request of this gate either.
 ///
 /// # Errors
@@ -133,7 +133,7 @@
 pub fn plan_route(
     shared: &Arc<Shared>,
     job: &Job,
-    failed_engines: &[Box<str>],
+    excluded_engines: &[Box<str>],
     isolated: bool,
 ) -> Result<ReservedRoute, NoRoute> {
     let mut fleets = shared.fleets();
@@ -142,7 +142,7 @@
             missing: job.all_layers(shared),
         });
     };
-    let mut excluded: Vec<EngineKey> = failed_engines
+    let mut excluded: Vec<EngineKey> = excluded_engines
         .iter()
         .filter_map(|name| model.key(name))
         .collect();
