--- a/crates/toucanshelf-ctl/src/cmd/ticket.rs
+++ b/crates/toucanshelf-ctl/src/cmd/ticket.rs
@@ -166,7 +166,7 @@
         Ok(seconds) => seconds,
         Err(e) => return Err(CommandError::Usage(format!("--timeout: {e}").into())),
     };
-    let deadline = Instant::now() + Duration::from_secs(seconds);
+    let (started, timeout) = (Instant::now(), Duration::from_secs(seconds));
     loop {
         let gates = linked_gates(cx)?;
         let lagging: Vec<_> = gates
@@ -185,7 +185,7 @@
             gates.len(),
             names.join(", ")
         ));
-        if Instant::now() >= deadline {
+        if started.elapsed() >= timeout {
             let message = format!("not in force everywhere after {seconds} s");
             return Err(CommandError::TimedOut(message.into()));
         }
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -347,6 +347,20 @@
     }
 }
 
+/// Guards against a timeout too large for the clock, which ended `toucanctl` with a panic.
+#[test]
+fn ticket_wait_with_largest_timeout() {
+    let folder = TestFolder::new();
+    let links = free_link_addresses(63);
+    let control = start("toucanshelf-control", &folder.control(0, &links[..1]));
+    let _gate = start("toucanshelf-gate", &folder.gate("g", &links[..1]));
+    let controls = [control.address("http")];
+    apply_ticket(&controls, &folder.ticket(1, 1));
+    let timeout = u64::MAX.to_string();
+    let output = run_toucanctl(&controls, &["ticket", "wait", "1", "--timeout", &timeout]);
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+}
+
 /// Polls `condition` until it holds, and panics when `WAIT_TIMEOUT` has passed.
 pub fn wait_until(mut condition: impl FnMut() -> bool) {
     let timeout_at = Instant::now() + WAIT_TIMEOUT;
