--- a/tests/hostile/client.rs
+++ b/tests/hostile/client.rs
@@ -66,9 +66,10 @@
 
     /// Sends the request until it is answered with a success.
     pub async fn wait_until_served(&self) {
+        let mut response = String::new();
         let served = async {
             loop {
-                let response = self.send().await.unwrap_or_default();
+                response = self.send().await.unwrap_or_default();
                 if response.starts_with("HTTP/1.1 20") {
                     return;
                 }
@@ -77,6 +78,9 @@
         };
         let served = timeout(WAIT_TIMEOUT, served).await;
         let line = self.head.lines().next();
-        assert!(served.is_ok(), "no ordinary request was answered: {line:?}");
+        assert!(
+            served.is_ok(),
+            "no ordinary request was answered: {line:?}, last {response:?}"
+        );
     }
 }
