--- a/crates/toucanshelf-ingress/src/attempt.rs
+++ b/crates/toucanshelf-ingress/src/attempt.rs
@@ -158,14 +158,7 @@
     due: Instant,
 ) -> Result<OpenResponse, AttemptError> {
     let sent = shared.uptime();
-    // If a reused connection breaks, it is unknown whether the target has run the request, and a
-    // response on it may be an extra one of an earlier request. A request that must not run twice
-    // therefore uses a new connection.
-    let pooled = if req.kind.is_retryable() {
-        shared.pool.take(to.address)
-    } else {
-        None
-    };
+    let pooled = shared.pool.take_for(req.kind, to.address);
     let (sender, response) = match pooled {
         Some(sender) => match exchange(shared, req, to, sender, due).await {
             Err(AttemptError::NotSent(_)) => {
--- a/crates/toucanshelf-ingress/src/pool.rs
+++ b/crates/toucanshelf-ingress/src/pool.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, timeout};
+use toucanshelf_core::deployment::RequestKind;
 
 /// Time within which a target must accept a TCP connection.
 // TCP retransmits a lost SYN only after one second. The shorter timeout lets the ingress try
@@ -126,8 +127,17 @@
         self.idle.lock().expect("no holder panics")
     }
 
+    /// Takes a connection to `address` for a request of this kind, if it may use one of the pool.
+    ///
+    /// If a reused connection breaks, it is unknown whether the request has run, and a response on it
+    /// may be an extra one of an earlier request. A request that must not run twice therefore uses a
+    /// new connection.
+    pub fn take_for(&self, kind: RequestKind, address: SocketAddr) -> Option<Sender> {
+        kind.is_retryable().then(|| self.take(address)).flatten()
+    }
+
     /// Takes a reusable connection to `address` out of the pool, if there is one.
-    pub fn take(&self, address: SocketAddr) -> Option<Sender> {
+    fn take(&self, address: SocketAddr) -> Option<Sender> {
         let mut idle = self.idle();
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
--- a/crates/toucanshelf-ingress/src/relay/mod.rs
+++ b/crates/toucanshelf-ingress/src/relay/mod.rs
@@ -278,13 +278,7 @@
         req: &CallerRequest,
         address: SocketAddr,
     ) -> Result<(Sender, Response<Incoming>), AttemptError> {
-        // As towards targets, a request that must not run twice uses a new connection.
-        let pooled = if req.kind.is_retryable() {
-            self.shared.pool.take(address)
-        } else {
-            None
-        };
-        if let Some(sender) = pooled {
+        if let Some(sender) = self.shared.pool.take_for(req.kind, address) {
             let request = self.build_request(req)?;
             match send_request(sender, request, req.response_due()).await {
                 Err(AttemptError::NotSent(_)) => {}
--- a/crates/toucanshelf-ingress/src/stream/mod.rs
+++ b/crates/toucanshelf-ingress/src/stream/mod.rs
@@ -12,7 +12,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::StatusCode;
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use tokio::time::{Instant, sleep_until};
@@ -55,7 +54,7 @@
         match session.next_item(&mut upstream, None).await {
             StreamItem::Event(event) => {
                 let (tx, body) = EventSender::new();
-                session.status = Some(head.status);
+                session.delivered.status = Some(head.status);
                 session.record_first_event();
                 if session.req.relayed {
                     relay::set_runs(&mut head.headers, session.runs());
@@ -191,12 +190,10 @@
     avoided: Vec<TargetKey>,
     /// Attempts on all routes, and the limit of runs (`max_attempts`).
     ledger: RunLedger<TargetKey>,
-    /// Number of the last event that the caller has received.
+    /// What the caller has of the response.
     ///
-    /// It may stem from an earlier response, if the caller states it in the request.
-    last_event: Option<u64>,
-    /// Status of the response to the caller, once its head is passed on.
-    status: Option<StatusCode>,
+    /// The last event may stem from an earlier response, if the caller states it in the request.
+    delivered: Delivered,
     /// Number of events that were sent to the caller in this response.
     events: u64,
     /// Time from reading the request's head to the first event, in milliseconds.
@@ -214,7 +211,10 @@
 
 impl StreamSession {
     fn new(shared: Arc<Shared>, req: CallerRequest) -> Self {
-        let last_event = req.facts.last_event;
+        let delivered = Delivered {
+            status: None,
+            last_event: req.facts.last_event,
+        };
         let ledger = RunLedger::new(req.max_attempts).with_earlier_runs(req.earlier_runs);
         Self {
             shared,
@@ -222,8 +222,7 @@
             excluded: Vec::new(),
             avoided: Vec::new(),
             ledger,
-            last_event,
-            status: None,
+            delivered,
             events: 0,
             first_event_ms: None,
             last_delivered: Instant::now(),
@@ -310,12 +309,12 @@
     /// A response without a length and without chunks ends with its connection, and so does one
     /// whose engine crashes. A stream without any event, which isn't resumed, is taken for the latter.
     fn is_cut_before_first_event(&self, upstream: &Upstream) -> bool {
-        upstream.ends_with_connection && !upstream.has_event && self.last_event.is_none()
+        upstream.ends_with_connection && !upstream.has_event && self.delivered.last_event.is_none()
     }
 
     /// Whether the caller has already received the event with number `id`.
     fn has_delivered(&self, id: u64) -> bool {
-        self.last_event.is_some_and(|last| id <= last)
+        self.delivered.last_event.is_some_and(|last| id <= last)
     }
 
     /// Returns the number of runs that count towards the limit.
@@ -356,7 +355,7 @@
             request = self.req.id(),
             first = %upstream.route.hops()[0].address,
             hops = upstream.route.hops().len(),
-            last_event = self.last_event,
+            last_event = self.delivered.last_event,
             silent_ms = upstream.route.time_since_activity().as_millis() as u64,
             runs = self.runs(),
             cause = %failure,
@@ -400,12 +399,8 @@
                     let failover = self.fail_over(&mut upstream, &failure, Some(&tx)).await;
                     if matches!(failover, Failover::Ended) && self.takes_relay() {
                         drop(upstream);
-                        let delivered = Delivered {
-                            status: self.status,
-                            last_event: self.last_event,
-                        };
                         let (shared, req) = (&self.shared, &self.req);
-                        relay::continue_stream(shared, req, delivered, self.runs(), &tx).await;
+                        relay::continue_stream(shared, req, self.delivered, self.runs(), &tx).await;
                         return self.finish("relayed", 200);
                     }
                     if matches!(failover, Failover::Ended) {
@@ -444,7 +439,7 @@
         };
         // If events were sent to the caller but had no numbers, the new engine can't be told after
         // which event to resume.
-        let resumable = self.events == 0 || self.last_event.is_some();
+        let resumable = self.events == 0 || self.delivered.last_event.is_some();
         let next = if allowed && resumable {
             let avoided = if may_recover {
                 AvoidedEngines::Excluded
@@ -521,7 +516,7 @@
         self.last_delivered = now;
         self.events += 1;
         if let Some(id) = crate::events::event_id(bytes) {
-            self.last_event = Some(id);
+            self.delivered.last_event = Some(id);
         }
     }
 
@@ -547,7 +542,7 @@
     ///
     /// The budget of repeated sends must allow that if an engine has received the request.
     fn may_relay(&self) -> bool {
-        let resumable = self.events == 0 || self.last_event.is_some();
+        let resumable = self.events == 0 || self.delivered.last_event.is_some();
         let may_run = !self.ledger.may_have_run() || self.may_retry();
         may_run
             && resumable
--- a/crates/toucanshelf-ingress/src/stream/opening.rs
+++ b/crates/toucanshelf-ingress/src/stream/opening.rs
@@ -159,8 +159,8 @@
             id: &engine.id,
             address: first.address,
             hops: &hops,
-            last_event: self.last_event.filter(|_| self.events > 0),
-            continued: self.status,
+            last_event: self.delivered.last_event.filter(|_| self.events > 0),
+            continued: self.delivered.status,
         };
         self.first_engine = Some(first.address);
         self.zone_crossings = self.shared.targets().zone_crossings(&route);
--- a/tests/testsuite/findings_restarts.rs
+++ b/tests/testsuite/findings_restarts.rs
@@ -15,6 +15,7 @@
 use crate::platform_support::{
     WAIT_TIMEOUT, link_key, start_control_with_key, start_ingress_with_key,
 };
+use crate::support::all_orders;
 
 /// Number of ingresses in each system.
 const INGRESSES: usize = 2;
@@ -196,7 +197,7 @@
     /// Makes a finding and restarts all processes, in each order that begins with `first`.
     fn restart_in_all_orders(&mut self, first: Member) {
         self.wait_until_complete(&[]);
-        let orders = orders(&self.members());
+        let orders = all_orders(&self.members());
         for order in orders.iter().filter(|order| order[0] == first) {
             self.make_finding();
             self.wait_until_complete(&[]);
@@ -208,22 +209,6 @@
     }
 }
 
-/// Returns all orders of `members`.
-fn orders(members: &[Member]) -> Vec<Vec<Member>> {
-    if members.is_empty() {
-        return vec![Vec::new()];
-    }
-    let mut out = Vec::new();
-    for (n, first) in members.iter().enumerate() {
-        let others = [&members[..n], &members[n + 1..]].concat();
-        for mut rest in orders(&others) {
-            rest.insert(0, *first);
-            out.push(rest);
-        }
-    }
-    out
-}
-
 /// Guards against findings that are lost once the ingress that made them and others have restarted.
 #[test]
 fn all_orders_of_restarts() {
--- a/tests/testsuite/leaving.rs
+++ b/tests/testsuite/leaving.rs
@@ -6,6 +6,8 @@
 use toucanshelf_core::registry::Registry;
 use toucanshelf_core::state::{Command, CommandBody, ControlState, Reply};
 
+use crate::support::all_orders;
+
 /// Time after which no target of a record runs any more, in milliseconds.
 const RETENTION_MS: u64 = 120_000;
 
@@ -119,22 +121,6 @@
     Restart,
 }
 
-/// Returns all orders of `steps`.
-fn orders(steps: &[Step]) -> Vec<Vec<Step>> {
-    if steps.is_empty() {
-        return vec![Vec::new()];
-    }
-    let mut out = Vec::new();
-    for (n, step) in steps.iter().enumerate() {
-        let others = [&steps[..n], &steps[n + 1..]].concat();
-        for mut order in orders(&others) {
-            order.push(*step);
-            out.push(order);
-        }
-    }
-    out
-}
-
 /// Enters what the log records into a registry, as an instance does that starts.
 fn enter(leaving: &LeavingTargets, registry: &mut Registry) {
     for record in leaving.after(0) {
@@ -153,7 +139,7 @@
         Step::Restart,
         Step::Restart,
     ];
-    for order in orders(&steps) {
+    for order in all_orders(&steps) {
         let (mut leaving, mut registry) = (LeavingTargets::new(), Registry::new());
         let (mut departed, mut started_anew) = (false, false);
         for step in &order {
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -1,4 +1,4 @@
-//! Builders of tickets and their objects, and a helper that applies tickets.
+//! Builders of tickets and their objects, a helper that applies tickets, and all orders of events.
 
 use std::collections::BTreeMap;
 
@@ -90,3 +90,19 @@
         other => panic!("{other:?}"),
     }
 }
+
+/// Returns all orders of `items`.
+pub fn all_orders<T: Copy>(items: &[T]) -> Vec<Vec<T>> {
+    if items.is_empty() {
+        return vec![Vec::new()];
+    }
+    let mut out = Vec::new();
+    for (n, first) in items.iter().enumerate() {
+        let others = [&items[..n], &items[n + 1..]].concat();
+        for mut order in all_orders(&others) {
+            order.insert(0, *first);
+            out.push(order);
+        }
+    }
+    out
+}
