Answer requests that were sent before a server stops

Cause: the system resets connections that wait to be accepted when their listener closes, and a stopping server closed each connection of which it had read nothing, also one that had just been opened or whose request had arrived.

Change: a server that stops accepts the connections that wait, reads what has arrived, and gives a connection a second after its acceptance for its first request.

--- a/crates/toucanshelf-runtime/src/serve.rs
+++ b/crates/toucanshelf-runtime/src/serve.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,8 +16,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use rustix::net::sockopt::set_tcp_user_timeout;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{Instant, timeout_at};
 
 use crate::connection_table::ConnectionKey;
 use crate::connections::{Connection, Connections};
@@ -24,6 +27,12 @@
 ///
 /// Such a failure occurs, for example, if the process runs out of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Maximum number of connections that a server accepts while it stops.
+///
+/// More wait at no listener.
+const MAX_QUEUED_CONNECTIONS: usize = 4_096;
+/// Time after its acceptance in which a connection may send its first request to a stopping server.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_secs(1);
 /// Minimum size of a connection's read buffer that the hyper library allows, in bytes.
 const MIN_HEAD_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -58,8 +67,8 @@
 
 /// Serves HTTP connections until `stop` becomes true or its sender is dropped.
 ///
-/// Open connections then complete their current request and close, and the function returns with the
-/// last of them. Changed `limits` apply to connections that are accepted afterwards. Each request has a
+/// Open connections, and those that wait to be accepted, then complete their current request and close,
+/// and the function returns with the last of them. Changed `limits` apply to connections that are accepted afterwards. Each request has a
 /// [`Caller`](crate::connections::Caller) as an extension.
 pub async fn serve<H, F, B>(
     listener: TcpListener,
@@ -91,47 +100,100 @@
     B: Body<Data = Bytes> + Send + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let mut connections = JoinSet::new();
-    let mut tasks: BTreeMap<ConnectionKey, AbortHandle> = BTreeMap::new();
+    let mut acceptor = Acceptor {
+        limits,
+        table,
+        stop: stop.clone(),
+        handler,
+        connections: JoinSet::new(),
+        tasks: BTreeMap::new(),
+    };
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            Some(ended) = connections.join_next() => {
+            Some(ended) = acceptor.connections.join_next() => {
                 // An aborted connection is removed as it is aborted.
                 if let Ok(key) = ended {
-                    tasks.remove(&key);
+                    acceptor.tasks.remove(&key);
                 }
                 continue;
             }
             () = wait_for_stop(&mut stop) => break,
         };
         match accepted {
-            Ok((stream, peer)) => {
-                let admission = table.admit(peer.ip());
-                if let Some(task) = admission.closed.and_then(|key| tasks.remove(&key)) {
-                    task.abort();
-                    // The descriptor is free only after the task has ended.
-                    if let Some(Ok(ended)) = connections.join_next().await {
-                        tasks.remove(&ended);
-                    }
-                }
-                let Some(connection) = admission.connection else {
-                    continue;
-                };
-                let limits = *limits.borrow();
-                let (stop, handler) = (stop.clone(), handler.clone());
-                let key = connection.key();
-                let task = serve_connection(stream, connection, limits, stop, handler);
-                tasks.insert(key, connections.spawn(task));
-            }
+            Ok((stream, peer)) => acceptor.add(stream, peer).await,
             Err(e) => {
-                tracing::warn!(event = "TS1201", cause = %e, "failed to accept a connection");
+                warn_of_accept(&e);
                 tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
-    drop(listener);
-    while connections.join_next().await.is_some() {}
+    acceptor.add_queued(listener).await;
+    while acceptor.connections.join_next().await.is_some() {}
+}
+
+fn warn_of_accept(error: &io::Error) {
+    tracing::warn!(event = "TS1201", cause = %error, "failed to accept a connection");
+}
+
+/// Accepted connections of a server, with what it needs to serve further ones.
+struct Acceptor<H> {
+    limits: watch::Receiver<ConnectionLimits>,
+    table: Arc<Connections>,
+    stop: watch::Receiver<bool>,
+    handler: H,
+    connections: JoinSet<ConnectionKey>,
+    tasks: BTreeMap<ConnectionKey, AbortHandle>,
+}
+
+impl<H, F, B> Acceptor<H>
+where
+    H: Clone + Fn(Request<Incoming>) -> F + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    /// Serves a connection if there is room for it; another one may have to close.
+    async fn add(&mut self, stream: TcpStream, peer: SocketAddr) {
+        let admission = self.table.admit(peer.ip());
+        if let Some(task) = admission.closed.and_then(|key| self.tasks.remove(&key)) {
+            task.abort();
+            // The descriptor is free only after the task has ended.
+            if let Some(Ok(ended)) = self.connections.join_next().await {
+                self.tasks.remove(&ended);
+            }
+        }
+        let Some(connection) = admission.connection else {
+            return;
+        };
+        let limits = *self.limits.borrow();
+        let (stop, handler) = (self.stop.clone(), self.handler.clone());
+        let key = connection.key();
+        let task = serve_connection(stream, connection, limits, stop, handler);
+        self.tasks.insert(key, self.connections.spawn(task));
+    }
+
+    /// Serves the connections that wait to be accepted, and closes the listener.
+    ///
+    /// The system resets those that still wait when a listener closes, whatever they have sent.
+    async fn add_queued(&mut self, listener: TcpListener) {
+        let listener = match listener.into_std() {
+            Ok(listener) => listener,
+            Err(e) => return warn_of_accept(&e),
+        };
+        for _ in 0..MAX_QUEUED_CONNECTIONS {
+            let accepted = listener.accept().and_then(|(stream, peer)| {
+                stream.set_nonblocking(true)?;
+                Ok((TcpStream::from_std(stream)?, peer))
+            });
+            match accepted {
+                Ok((stream, peer)) => self.add(stream, peer).await,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => {}
+                Err(e) => return warn_of_accept(&e),
+            }
+        }
+    }
 }
 
 /// Waits for a request to stop: `stop` is true or its sender is dropped.
@@ -161,7 +223,11 @@
     let unread_timeout = limits.idle_timeout.as_millis().try_into();
     let _ = set_tcp_user_timeout(&stream, unread_timeout.unwrap_or(u32::MAX));
     let key = connection.key();
+    let accepted_at = Instant::now();
+    let first_request = Arc::new(Notify::new());
+    let has_request = Arc::clone(&first_request);
     let service = service_fn(move |mut req: Request<Incoming>| {
+        has_request.notify_one();
         let busy = connection.begin_request(!req.body().is_end_stream());
         req.extensions_mut().insert(connection.caller());
         // The connection keeps room for this future all the time, so that only its address counts.
@@ -188,9 +254,17 @@
         .serve_connection(TokioIo::new(stream), service)
         .with_upgrades();
     let mut connection = std::pin::pin!(connection);
+    let stopping = async {
+        wait_for_stop(&mut stop).await;
+        // A request that has arrived is read first; an idle connection would close on it.
+        tokio::task::yield_now().await;
+        // The first request of a new connection is on its way.
+        let _ = timeout_at(accepted_at + FIRST_REQUEST_GRACE, first_request.notified()).await;
+    };
     let result = tokio::select! {
+        biased;
         result = connection.as_mut() => result,
-        () = wait_for_stop(&mut stop) => {
+        () = stopping => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -59,6 +59,7 @@
 mod room_at_ingress;
 mod routes;
 mod runs;
+mod server_stop;
 mod silent_engines;
 mod soak;
 mod state_patches;
