Register signals before a program listens

Cause: SIGTERM, SIGINT and SIGHUP were registered after the program had begun to listen. Until then they end a process at once.

Change: all programs register them first (ShutdownSignals).

--- a/crates/toucanshelf-control/src/lib.rs
+++ b/crates/toucanshelf-control/src/lib.rs
@@ -47,6 +47,7 @@
 use toucanshelf_runtime::body::BodyMemory;
 use toucanshelf_runtime::connections::share_of_descriptors;
 use toucanshelf_runtime::listen::{ListenLimits, listen};
+use toucanshelf_runtime::shutdown::ShutdownSignals;
 
 use crate::directory::Directory;
 use crate::driver::{Driver, next_reopen_delay};
@@ -279,8 +280,8 @@
 }
 
 /// Waits until the process is asked to stop and this instance has handed its vote over.
-async fn stop_requested(shared: &Shared) {
-    toucanshelf_runtime::shutdown::requested().await;
+async fn stop_requested(signals: &mut ShutdownSignals, shared: &Shared) {
+    signals.received().await;
     hand_over::run(shared).await;
 }
 
@@ -293,9 +294,10 @@
     settings: ControlSettings,
     dialect: Arc<dyn Dialect>,
 ) -> Result<(), Box<str>> {
+    let mut signals = ShutdownSignals::register();
     let control = Control::start_with_dialect(settings, Some(dialect)).await?;
     let failure = tokio::select! {
-        () = stop_requested(&control.shared) => None,
+        () = stop_requested(&mut signals, &control.shared) => None,
         cause = control.shared.driver.failed() => Some(cause),
     };
     control.stop().await;
--- a/crates/toucanshelf-gate/src/lib.rs
+++ b/crates/toucanshelf-gate/src/lib.rs
@@ -40,6 +40,7 @@
 use toucanshelf_runtime::api::ApiServer;
 use toucanshelf_runtime::connections::share_of_descriptors;
 use toucanshelf_runtime::listen::{ListenLimits, listen};
+use toucanshelf_runtime::shutdown::ShutdownSignals;
 
 use crate::settings::GateSettings;
 use crate::shared::Shared;
@@ -154,8 +155,9 @@
 ///
 /// Fails if the gate cannot start.
 pub async fn run_program(settings: GateSettings) -> Result<(), Box<str>> {
+    let mut signals = ShutdownSignals::register();
     let gate = Gate::start(settings).await?;
-    toucanshelf_runtime::shutdown::requested().await;
+    signals.received().await;
     gate.stop().await;
     Ok(())
 }
--- a/crates/toucanshelf-ingress/src/lib.rs
+++ b/crates/toucanshelf-ingress/src/lib.rs
@@ -59,6 +59,7 @@
 use toucanshelf_runtime::in_flight::STOP_POLL_INTERVAL;
 use toucanshelf_runtime::listen::{ListenLimits, listen};
 use toucanshelf_runtime::serve::{ConnectionLimits, serve_bounded};
+use toucanshelf_runtime::shutdown::ShutdownSignals;
 
 use crate::discovery::LinkAcceptor;
 use crate::pool::{Connector, TcpConnector};
@@ -308,8 +309,9 @@
     settings: IngressSettings,
     dialect: Arc<dyn Dialect>,
 ) -> Result<(), Box<str>> {
+    let mut signals = ShutdownSignals::register();
     let ingress = Ingress::start(settings, dialect).await?;
-    toucanshelf_runtime::shutdown::requested().await;
+    signals.received().await;
     ingress.stop().await;
     Ok(())
 }
--- a/crates/toucanshelf-runtime/src/program.rs
+++ b/crates/toucanshelf-runtime/src/program.rs
@@ -73,7 +73,8 @@
         Err(e) => return exit_with_error(name, EXIT_USAGE, &e),
     };
     let result = runtime.block_on(async {
-        tokio::spawn(crate::shutdown::log_reload_signals());
+        let reload = crate::shutdown::reload_signals();
+        tokio::spawn(crate::shutdown::log_reload_signals(reload));
         start(settings).await
     });
     TelemetryGuard::flush(guard);
--- a/crates/toucanshelf-runtime/src/shutdown.rs
+++ b/crates/toucanshelf-runtime/src/shutdown.rs
@@ -2,17 +2,36 @@
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
-/// Waits until the process receives SIGTERM or SIGINT.
+/// The signals SIGTERM and SIGINT, from their registration on.
 ///
-/// # Panics
-///
-/// Panics when the signal handlers cannot be registered.
-pub async fn requested() {
-    let mut term = signal(SignalKind::terminate()).expect("signal handlers can be registered");
-    let mut interrupt = signal(SignalKind::interrupt()).expect("signal handlers can be registered");
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = interrupt.recv() => {}
+/// Until then, they end the process at once. A program must therefore register them before it
+/// listens.
+#[derive(Debug)]
+pub struct ShutdownSignals {
+    term: Signal,
+    interrupt: Signal,
+}
+
+impl ShutdownSignals {
+    /// Registers the handlers of both signals.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the handlers cannot be registered, or outside of a tokio runtime.
+    pub fn register() -> Self {
+        let register = |kind| signal(kind).expect("signal handlers can be registered");
+        Self {
+            term: register(SignalKind::terminate()),
+            interrupt: register(SignalKind::interrupt()),
+        }
+    }
+
+    /// Waits until the process has received one of the signals since their registration.
+    pub async fn received(&mut self) {
+        tokio::select! {
+            _ = self.term.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
     }
 }
 
@@ -25,16 +44,11 @@
     signal(SignalKind::hangup()).expect("signal handlers can be registered")
 }
 
-/// Logs each SIGHUP.
+/// Logs each SIGHUP that `reload` receives.
 ///
 /// Addresses, limits and identity are fixed while a process runs. Only an ingress and a control
 /// instance read their seeds again; other changed settings apply from the next start.
-///
-/// # Panics
-///
-/// Panics when the signal handlers cannot be registered.
-pub async fn log_reload_signals() {
-    let mut reload = reload_signals();
+pub async fn log_reload_signals(mut reload: Signal) {
     while reload.recv().await.is_some() {
         tracing::info!(
             event = "TS1401",
--- a/crates/toucanshelf-standin/src/engine.rs
+++ b/crates/toucanshelf-standin/src/engine.rs
@@ -28,6 +28,7 @@
 use toucanshelf_link::engine::HttpEngineClient;
 use toucanshelf_runtime::http::{ApiError, bytes_response, refusal_response};
 use toucanshelf_runtime::logs::slog_bridge;
+use toucanshelf_runtime::shutdown::ShutdownSignals;
 use toucanshelf_runtime::trace;
 use tracing::Instrument as _;
 
@@ -320,12 +321,13 @@
 ///
 /// Fails when the engine can't start, and when a prompt crashes it.
 pub async fn run_program(settings: EngineSettings) -> Result<(), Box<str>> {
+    let mut signals = ShutdownSignals::register();
     let started = tokio::task::spawn_blocking(|| StandinEngine::start(settings)).await;
     let mut engine = started.map_err(|e| e.to_string())??;
     tracing::info!(event = "TS9003", name = engine.name(), address = %engine.address(), "stand-in engine listens");
     let mut crash_rx = engine.take_crash_receiver().expect("taken once");
     tokio::select! {
-        () = toucanshelf_runtime::shutdown::requested() => {}
+        () = signals.received() => {}
         _ = crash_rx.recv() => return Err("the prompt contained the configured poison text".into()),
     }
     engine.drain();
--- a/crates/toucanshelf-standin/src/service.rs
+++ b/crates/toucanshelf-standin/src/service.rs
@@ -21,6 +21,7 @@
 use toucanshelf_runtime::logs::slog_bridge;
 use toucanshelf_runtime::program::DaemonSettings;
 use toucanshelf_runtime::settings::LogSettings;
+use toucanshelf_runtime::shutdown::ShutdownSignals;
 
 use crate::announce::announce;
 
@@ -276,10 +277,11 @@
 ///
 /// Fails when the service can't start.
 pub async fn run_program(settings: ServiceSettings) -> Result<(), Box<str>> {
+    let mut signals = ShutdownSignals::register();
     let started = tokio::task::spawn_blocking(|| StandinService::start(settings)).await;
     let service = started.map_err(|e| e.to_string())??;
     tracing::info!(event = "TS9004", address = %service.address(), "stand-in service listens");
-    toucanshelf_runtime::shutdown::requested().await;
+    signals.received().await;
     service.leave();
     tokio::time::sleep(Duration::from_millis(300)).await;
     Ok(())
--- a/tests/testsuite/processes.rs
+++ b/tests/testsuite/processes.rs
@@ -233,6 +233,25 @@
     assert_eq!(control.wait().unwrap().code(), Some(0));
 }
 
+/// Guards against a program that a SIGTERM ends at once, although it listens already.
+#[test]
+fn stop_right_after_listening() {
+    let folder = TestFolder::new();
+    let path = folder.gate("gate-1", &free_link_addresses(64));
+    // Few starts leave time for the signal before the program waits for it.
+    for _ in 0..3 {
+        std::thread::scope(|scope| {
+            for _ in 0..32 {
+                scope.spawn(|| {
+                    let mut gate = start("toucanshelf-gate", &path);
+                    gate.signal("-TERM").unwrap();
+                    assert_eq!(gate.wait().unwrap().code(), Some(0));
+                });
+            }
+        });
+    }
+}
+
 /// Checks that a gate sends its spans to the collector that its settings name.
 #[test]
 fn spans_to_collector() {
