--- a/crates/toucanshelf-runtime/src/serve.rs
+++ b/crates/toucanshelf-runtime/src/serve.rs
@@ -68,8 +68,9 @@
 /// Serves HTTP connections until `stop` becomes true or its sender is dropped.
 ///
 /// Open connections, and those that wait to be accepted, then complete their current request and close,
-/// and the function returns with the last of them. Changed `limits` apply to connections that are accepted afterwards. Each request has a
-/// [`Caller`](crate::connections::Caller) as an extension.
+/// and the function returns with the last of them. A connection that was just accepted may still send
+/// its first request. Changed `limits` apply to connections that are accepted afterwards. Each request
+/// has a [`Caller`](crate::connections::Caller) as an extension.
 pub async fn serve<H, F, B>(
     listener: TcpListener,
     limits: watch::Receiver<ConnectionLimits>,
